--- /dev/null
+++ b/eelgrassferry/http/__init__.py
@@ -0,0 +1,25 @@
+"""HTTP/1.1 over asyncio streams, by h11 on both sides."""
+
+from .client import HttpClient, HttpError, HttpStream
+from .limits import HttpLimits
+from .message import HttpRequest, HttpResponse, find_header
+from .problem import Problem, Ran
+from .responder import Responder
+from .server import HttpServer
+from .sse import SseParser, format_event
+
+__all__ = [
+    "HttpClient",
+    "HttpError",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "HttpStream",
+    "Problem",
+    "Ran",
+    "Responder",
+    "SseParser",
+    "find_header",
+    "format_event",
+]
--- /dev/null
+++ b/eelgrassferry/http/problem.py
@@ -0,0 +1,52 @@
+"""Problem documents (RFC 9457) with a stable reason and whether the request ran."""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+
+from .message import HttpResponse
+
+__all__ = ["Problem", "Ran"]
+
+
+class Ran(Enum):
+    """Whether a request ran at an upstream, as far as this node can tell."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class Problem:
+    """An error answer. ``reason`` is stable and also names the refusal's counter.
+
+    >>> Problem(429, "queue_full", Ran.NO, "the queue of model m1 is full").to_response().status
+    429
+    """
+
+    status: int
+    reason: str
+    ran: Ran
+    detail: str
+    request_id: str = ""
+    retry_after_s: int | None = None
+    step: str = ""
+    peer: str = ""
+
+    def to_response(self) -> HttpResponse:
+        """Return the problem as an ``application/problem+json`` response."""
+        document = {
+            "type": f"urn:eelgrassferry:problem:{self.reason}",
+            "title": self.reason.replace("_", " "),
+            "status": self.status,
+            "detail": self.detail,
+            "reason": self.reason,
+            "ran": self.ran.value,
+            "request_id": self.request_id,
+        }
+        document.update({k: v for k, v in (("step", self.step), ("peer", self.peer)) if v})
+        headers = [("content-type", "application/problem+json")]
+        if self.retry_after_s is not None:
+            headers.append(("retry-after", str(self.retry_after_s)))
+        return HttpResponse(self.status, tuple(headers), json.dumps(document).encode())
--- /dev/null
+++ b/eelgrassferry/http/server.py
@@ -0,0 +1,187 @@
+"""HTTP/1.1 server over asyncio streams."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+import h11
+import structlog
+
+from .limits import HttpLimits
+from .message import HttpRequest
+from .problem import Problem, Ran
+from .responder import Responder
+
+__all__ = ["Handler", "HttpServer"]
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+READ_BYTES = 64 * 1024
+
+log = structlog.get_logger()
+
+
+class HttpServer:
+    """Serves one handler on one address.
+
+    The handler's task is cancelled when the caller closes its connection. ``close`` stops
+    accepting, waits for exchanges in flight, and then closes idle connections.
+
+    >>> async def hello(req, out):
+    ...     await out.send(HttpResponse(200, (), b"hello"))
+    >>> server = HttpServer(hello, host="127.0.0.1", port=0)
+    """
+
+    def __init__(
+        self, handler: Handler, *, host: str, port: int, limits: HttpLimits | None = None
+    ) -> None:
+        self._handler = handler
+        self._host = host
+        self._port = port
+        self._limits = limits or HttpLimits()
+        self._server: asyncio.Server | None = None
+        self._conns: set[asyncio.Task[None]] = set()
+        self._busy: set[asyncio.Task[None]] = set()
+        self._closing = False
+
+    @property
+    def port(self) -> int:
+        """The port in use, chosen by the kernel where 0 was asked for."""
+        return self._port
+
+    @property
+    def address(self) -> str:
+        """The address in use as ``host:port``."""
+        return f"{self._host}:{self._port}"
+
+    @property
+    def busy(self) -> int:
+        """The number of exchanges in flight."""
+        return len(self._busy)
+
+    async def start(self) -> None:
+        """Bind and start to accept connections."""
+        self._server = await asyncio.start_server(self._accept, self._host, self._port, backlog=512)
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self, grace_s: float | None = None) -> None:
+        """Stop accepting, wait for exchanges in flight up to ``grace_s``, close the rest."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        if self._busy and grace_s != 0:
+            await asyncio.wait(set(self._busy), timeout=grace_s)
+        for task in set(self._conns):
+            task.cancel()
+        if self._conns:
+            await asyncio.wait(set(self._conns), timeout=1.0)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._conns.add(task)
+        host, port = (writer.get_extra_info("peername") or ("", 0))[:2]
+        try:
+            await self._serve(reader, writer, f"{host}:{port}")
+        except (ConnectionError, asyncio.CancelledError, TimeoutError):
+            pass
+        except Exception as exc:
+            log.error("connection failed", step="serve", peer=f"{host}:{port}", exc_info=exc)
+        finally:
+            self._conns.discard(task)
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, peer: str
+    ) -> None:
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
+        while True:
+            try:
+                req = await self._read_request(conn, reader, peer)
+            except h11.RemoteProtocolError as exc:
+                await self._refuse(conn, writer, exc)
+                return
+            if req is None:
+                return
+            if not await self._answer(conn, req, reader, writer):
+                return
+            conn.start_next_cycle()
+
+    async def _read_request(
+        self, conn: h11.Connection, reader: asyncio.StreamReader, peer: str
+    ) -> HttpRequest | None:
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                limits = self._limits
+                wait_s = limits.idle_timeout_s if head is None else limits.request_timeout_s
+                async with asyncio.timeout(wait_s):
+                    conn.receive_data(await reader.read(READ_BYTES))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.max_body_bytes:
+                    raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                headers = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers)
+                target = head.target.decode("latin-1")
+                return HttpRequest(head.method.decode(), target, headers, bytes(body), peer)
+            else:
+                return None
+
+    async def _refuse(
+        self, conn: h11.Connection, writer: asyncio.StreamWriter, exc: h11.RemoteProtocolError
+    ) -> None:
+        status = exc.error_status_hint
+        reason = {413: "body_too_large", 431: "headers_too_large"}.get(status, "malformed_http")
+        response = Problem(status, reason, Ran.NO, str(exc), step="read_request").to_response()
+        if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await Responder(conn, writer, close=True).send(response)
+
+    async def _answer(
+        self,
+        conn: h11.Connection,
+        req: HttpRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Run the handler; return whether the connection can carry another request."""
+        out = Responder(conn, writer, close=self._closing)
+        task = asyncio.ensure_future(self._run_handler(req, out))
+        self._busy.add(task)
+        watch = asyncio.ensure_future(self._watch_hangup(conn, reader))
+        try:
+            await asyncio.wait({task, watch}, return_when=asyncio.FIRST_COMPLETED)
+            if not task.done() and watch.result():
+                task.cancel()
+            await asyncio.wait({task})
+        finally:
+            self._busy.discard(task)
+            task.cancel()
+            watch.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watch
+        reusable = out.finished and conn.our_state is h11.DONE and conn.their_state is h11.DONE
+        return reusable and not self._closing and not reader.at_eof()
+
+    async def _watch_hangup(self, conn: h11.Connection, reader: asyncio.StreamReader) -> bool:
+        """Return True when the caller closes; data of a next request ends the watch."""
+        data = await reader.read(READ_BYTES)
+        if data:
+            conn.receive_data(data)
+        return not data
+
+    async def _run_handler(self, req: HttpRequest, out: Responder) -> None:
+        try:
+            await self._handler(req, out)
+        except ConnectionError:
+            return
+        except Exception as exc:
+            log.error("handler failed", step="handle", peer=req.peer, exc_info=exc)
+            if not out.started:
+                detail = "the handler failed; see the log"
+                problem = Problem(500, "internal_error", Ran.UNKNOWN, detail)
+                await out.send(problem.to_response())
--- /dev/null
+++ b/eelgrassferry/http/sse.py
@@ -0,0 +1,37 @@
+"""Server-sent events: the data lines of a stream."""
+
+__all__ = ["SseParser", "format_event"]
+
+
+def format_event(data: str) -> bytes:
+    r"""Return one event that carries ``data``.
+
+    >>> format_event("[DONE]")
+    b'data: [DONE]\n\n'
+    """
+    return b"".join(b"data: " + line.encode() + b"\n" for line in data.split("\n")) + b"\n"
+
+
+class SseParser:
+    r"""Splits a byte stream into the data of its events.
+
+    >>> parser = SseParser()
+    >>> parser.feed(b"data: a\n\ndata: ")
+    ['a']
+    >>> parser.feed(b"b\n\n")
+    ['b']
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    def feed(self, chunk: bytes) -> list[str]:
+        """Return the data of all events that ``chunk`` completes."""
+        self._buffer = (self._buffer + chunk).replace(b"\r\n", b"\n")
+        *events, self._buffer = self._buffer.split(b"\n\n")
+        return [data for event in events if (data := self._read_data(event)) is not None]
+
+    @staticmethod
+    def _read_data(event: bytes) -> str | None:
+        lines = [line[5:].removeprefix(b" ") for line in event.split(b"\n") if line[:5] == b"data:"]
+        return b"\n".join(lines).decode(errors="replace") if lines else None
--- /dev/null
+++ b/eelgrassferry/http/tests/test_exchange.py
@@ -0,0 +1,102 @@
+"""Tests of the server and client against each other over loopback."""
+
+import asyncio
+import unittest
+
+from result import Err, Ok
+
+from .. import HttpClient, HttpLimits, HttpResponse, HttpServer
+
+
+async def echo(req, out):
+    """Answer with the body that came in."""
+    await out.send(HttpResponse(200, (), req.body))
+
+
+async def send_raw(server: HttpServer, data: bytes) -> bytes:
+    """Send raw bytes and return all that the server answers until it closes."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(data)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """One server with small limits and one client."""
+
+    async def start(self, handler) -> HttpServer:
+        limits = HttpLimits(max_header_bytes=1024, max_body_bytes=2048)
+        server = HttpServer(handler, host="127.0.0.1", port=0, limits=limits)
+        await server.start()
+        self.addAsyncCleanup(server.close, 0)
+        return server
+
+    async def test_connection_is_reused(self):
+        """Guards against a pool that answers one request with another's bytes."""
+        server = await self.start(echo)
+        client = HttpClient()
+        self.addCleanup(client.close)
+        for number in range(5):
+            body = str(number).encode()
+            res = await client.request(server.address, "POST", "/", body=body)
+            self.assertEqual(res.unwrap().body, body)
+
+    async def test_refused_connection_counts_as_not_sent(self):
+        """Guards against calling a request possibly sent that never left the node."""
+        server = await self.start(echo)
+        await server.close(0)
+        res = await HttpClient().request(server.address, "GET", "/")
+        match res:
+            case Err(error):
+                self.assertEqual((error.step, error.sent), ("connect", False))
+            case Ok():
+                self.fail("the request was answered by a closed server")
+
+    async def test_bad_input_is_refused_with_a_problem(self):
+        """Guards against malformed or oversized requests that hang or crash the server."""
+        server = await self.start(echo)
+        cases = {
+            b"nonsense\r\n\r\n": b"malformed_http",
+            b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 4096: b"headers_too_large",
+            b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9999\r\n\r\n"
+            + b"z" * 9999: b"body_too_large",
+        }
+        for data, reason in cases.items():
+            self.assertIn(reason, await send_raw(server, data))
+
+    async def test_hangup_cancels_the_handler(self):
+        """Guards against work that goes on for a caller that has left."""
+        started, cancelled = asyncio.Event(), asyncio.Event()
+
+        async def wait_forever(req, out):
+            started.set()
+            try:
+                await asyncio.sleep(60)
+            finally:
+                cancelled.set()
+
+        server = await self.start(wait_forever)
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        await started.wait()
+        writer.close()
+        await asyncio.wait_for(cancelled.wait(), 5)
+
+    async def test_close_waits_for_exchanges_in_flight(self):
+        """Guards against a planned stop that cuts off an answer."""
+        started, release = asyncio.Event(), asyncio.Event()
+
+        async def slow(req, out):
+            started.set()
+            await release.wait()
+            await out.send(HttpResponse(200, (), b"whole"))
+
+        server = await self.start(slow)
+        fut = asyncio.ensure_future(HttpClient().request(server.address, "GET", "/"))
+        await started.wait()
+        closing = asyncio.ensure_future(server.close())
+        await asyncio.sleep(0)
+        release.set()
+        await closing
+        self.assertEqual((await fut).unwrap().body, b"whole")
