--- a/eelgrassferry/settings/deployment.py
+++ b/eelgrassferry/settings/deployment.py
@@ -18,7 +18,7 @@
     """A checked deployment: the base file merged with one site's overlay."""
 
     site: Site
-    store: WeightStore = WeightStore()
+    store: WeightStore = field(default_factory=WeightStore)
     models: Mapping[str, Model] = field(default_factory=dict)
     adapters: Mapping[str, Adapter] = field(default_factory=dict)
     upstreams: Mapping[str, Upstream] = field(default_factory=dict)
