End a stream's reads at the end of its body

Cause: HttpStream.read returned the last part together with the end of the body, gave the connection back to the pool, and then read from that connection again when called once more. The reader waited for the server's idle timeout; on a connection in use it would have taken another request's bytes. Change: read returns an empty part after the end, and an error after an early close. Conclusion: a stream can be read until an empty part, as its doc comment says.

--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -44,6 +44,7 @@
         self._client = client
         self._conn = conn
         self._done = False
+        self._complete = False
         self.peer = peer
         self.status = status
         self.headers = headers
@@ -54,6 +55,9 @@
 
     async def read(self) -> Result[bytes, HttpError]:
         """Return the next part of the body; an empty part is the end."""
+        # The connection went back to the pool with the last part, and may carry another request.
+        if self._done:
+            return Ok(b"") if self._complete else self._fail("the stream was closed early")
         parts: list[bytes] = []
         try:
             while True:
@@ -65,7 +69,7 @@
                 elif isinstance(event, h11.Data):
                     parts.append(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
-                    self._done = True
+                    self._done = self._complete = True
                     self._client._release(self.peer, self._conn)
                     return Ok(b"".join(parts))
                 elif isinstance(event, h11.ConnectionClosed):
--- a/eelgrassferry/http/tests/test_exchange.py
+++ b/eelgrassferry/http/tests/test_exchange.py
@@ -42,6 +42,19 @@
             res = await client.request(server.address, "POST", "/", body=body)
             self.assertEqual(res.unwrap().body, body)
 
+    async def test_read_after_the_end_returns_an_empty_part(self):
+        """Guards against a stream that reads on from a connection already back in the pool."""
+        server = await self.start(echo)
+        client = HttpClient()
+        self.addCleanup(client.close)
+        stream = (await client.open(server.address, "POST", "/", body=b"whole")).unwrap()
+        self.assertEqual(await stream.read(), Ok(b"whole"))
+        async with asyncio.timeout(5):
+            self.assertEqual(await stream.read(), Ok(b""))
+            closed = (await client.open(server.address, "POST", "/", body=b"cut")).unwrap()
+            closed.close()
+            self.assertTrue((await closed.read()).is_err())
+
     async def test_refused_connection_counts_as_not_sent(self):
         """Guards against calling a request possibly sent that never left the node."""
         server = await self.start(echo)
