--- /dev/null
+++ b/eelgrassferry/standins/platform.py
@@ -0,0 +1,258 @@
+"""Stand-in of the platform: the object API and the host list."""
+
+import asyncio
+import base64
+import dataclasses
+import json
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import unquote
+
+from result import Err, Ok
+
+from ..http import HttpRequest, HttpResponse, Problem, Ran, Responder
+from ..objects import StoredObject
+from .host_list import Host, HostList
+from .object_table import MAX_VALUE_BYTES, ObjectTable
+from .rate_limit import RateLimit
+from .standin import Standin, refusal
+
+__all__ = ["PlatformFaults", "PlatformOptions", "PlatformStandin"]
+
+MAX_WATCH_S = 60.0
+HOST_FIELDS = ("address", "kind", "domain", "state")
+
+
+@dataclass(frozen=True)
+class PlatformOptions:
+    """Rates are calls a second over all callers; ``answer_ms`` is the time of every call."""
+
+    host: str = "127.0.0.1"
+    port: int = 0
+    reads_per_s: float = 2000.0
+    writes_per_s: float = 400.0
+    answer_ms: float = 2.0
+    host_lag_s: float = 1.0
+
+
+@dataclass(frozen=True)
+class PlatformFaults:
+    """``lose_answers`` counts the next writes that take effect without an answer.
+
+    Callers name their failure domain in ``X-Domain``; a caller of a domain in ``cut_domains`` has
+    its connection closed without an answer, and so have its waiting watches.
+    """
+
+    down: bool = False
+    delay_ms: float = 0.0
+    lose_answers: int = 0
+    host_lag_s: float = 1.0
+    cut_domains: tuple[str, ...] = ()
+
+
+class PlatformStandin(Standin[PlatformFaults]):
+    """Serves the object API and the host list of design section 7.
+
+    ``PUT /hosts/<id>`` and ``DELETE /hosts/<id>`` are the platform's own doing: they are neither
+    limited nor faulty. A write must carry ``If-Match`` or ``If-None-Match: *``.
+
+    >>> platform = PlatformStandin(PlatformOptions())
+    >>> # await platform.start(); platform.address; await platform.close()
+    """
+
+    def __init__(self, options: PlatformOptions | None = None) -> None:
+        self.options = options or PlatformOptions()
+        faults = PlatformFaults(host_lag_s=self.options.host_lag_s)
+        super().__init__(self.options.host, self.options.port, faults)
+        self.objects = ObjectTable()
+        self.hosts = HostList()
+        self._reads = RateLimit(self.options.reads_per_s)
+        self._writes = RateLimit(self.options.writes_per_s)
+        self._closing = False
+        # Replaced at each change; a watch waits for the event it found.
+        self._changed = asyncio.Event()
+
+    async def close(self, grace_s: float | None = 5.0) -> None:
+        """Answer the waiting watches and stop."""
+        self._closing = True
+        self._wake_watches()
+        await super().close(grace_s)
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Replace the fault switches and let waiting watches see them."""
+        super().set_faults(faults)
+        self._wake_watches()
+
+    async def handle(self, req: HttpRequest, out: Responder) -> None:
+        """Answer one call of the object API or the host list."""
+        path = unquote(req.path)
+        if path.startswith("/hosts/"):
+            await out.send(self._change_host(req, path.removeprefix("/hosts/")))
+            return
+        self._check_domain(req)
+        kind = self._kind_of(req.method, path)
+        if kind is None:
+            problem = Problem(404, "unknown_path", Ran.NO, f"{req.method} {path} does not exist")
+            await out.send(refusal(problem))
+            return
+        writes = kind in ("put", "delete")
+        self.counts[kind] += 1
+        self.counts["writes" if writes else "reads"] += 1
+        refused = self._refuse(writes)
+        if refused is not None:
+            self.counts[f"refused.{refused.reason}"] += 1
+            await out.send(refusal(refused))
+            return
+        await asyncio.sleep((self.options.answer_ms + self.faults.delay_ms) / 1000.0)
+        self._check_domain(req)
+        response = await self._answer(kind, req, path)
+        if writes and response.status == 200 and self.faults.lose_answers > 0:
+            left = self.faults.lose_answers - 1
+            self.faults = dataclasses.replace(self.faults, lose_answers=left)
+            self.counts["answers_lost"] += 1
+            raise ConnectionResetError("fault: the answer is lost")
+        await out.send(response)
+
+    @staticmethod
+    def _kind_of(method: str, path: str) -> str | None:
+        match method, path:
+            case "GET", "/objects":
+                return "list"
+            case "GET", "/watch":
+                return "watch"
+            case "GET", "/hosts":
+                return "hosts"
+            case ("GET" | "PUT" | "DELETE"), _ if len(path) > 9 and path.startswith("/objects/"):
+                return method.lower()
+        return None
+
+    def _check_domain(self, req: HttpRequest) -> None:
+        if req.header("x-domain") in self.faults.cut_domains:
+            self.counts["cut"] += 1
+            raise ConnectionResetError("fault: the caller's domain is cut off")
+
+    def _refuse(self, writes: bool) -> Problem | None:
+        if self.faults.down:
+            return Problem(503, "down", Ran.NO, "the object API is down")
+        limit = self._writes if writes else self._reads
+        if limit.admit(asyncio.get_running_loop().time()):
+            return None
+        detail = f"over the rate of {'writes' if writes else 'reads'}"
+        return Problem(429, "rate_limited", Ran.NO, detail, retry_after_s=1)
+
+    async def _answer(self, kind: str, req: HttpRequest, path: str) -> HttpResponse:
+        key = path.removeprefix("/objects/")
+        match kind:
+            case "get":
+                return self._get(key)
+            case "put" | "delete":
+                return self._write(kind, key, req)
+            case "list":
+                found = self.objects.list(req.query.get("prefix", ""))
+                version = ("x-store-version", str(self.objects.version))
+                return HttpResponse.of_json([_to_json(held) for held in found], headers=(version,))
+            case "watch":
+                return await self._watch(req)
+            case _:
+                at_s = asyncio.get_running_loop().time() - self.faults.host_lag_s
+                hosts = [host.to_json() for host in self.hosts.read(at_s)]
+                return HttpResponse.of_json({"hosts": hosts})
+
+    def _get(self, key: str) -> HttpResponse:
+        held = self.objects.get(key)
+        if held is None:
+            problem = Problem(404, "no_such_object", Ran.NO, f"object {key!r} does not exist")
+            return refusal(problem)
+        headers = (("etag", f'"{held.version}"'), ("content-type", "application/octet-stream"))
+        return HttpResponse(200, headers, held.value)
+
+    def _write(self, kind: str, key: str, req: HttpRequest) -> HttpResponse:
+        expected = _read_condition(req)
+        if expected is None:
+            detail = 'a write needs If-Match: "<version>" or If-None-Match: *'
+            return refusal(Problem(428, "no_condition", Ran.NO, detail))
+        if len(req.body) > MAX_VALUE_BYTES:
+            detail = f"{len(req.body)} bytes; at most {MAX_VALUE_BYTES}"
+            return refusal(Problem(413, "too_large", Ran.NO, detail))
+        put = kind == "put"
+        objects = self.objects
+        written = objects.put(key, req.body, expected) if put else objects.delete(key, expected)
+        match written:
+            case Err(mismatch):
+                self.counts["conflicts"] += 1
+                detail = f"object {key!r} has version {mismatch.found}, not {expected}"
+                return refusal(Problem(412, "conflict", Ran.NO, detail))
+            case Ok(version):
+                self._wake_watches()
+                return HttpResponse(200, (("etag", f'"{version}"'),))
+
+    async def _watch(self, req: HttpRequest) -> HttpResponse:
+        try:
+            after = int(req.query.get("after", "0"))
+            timeout_s = min(float(req.query.get("timeout", "30")), MAX_WATCH_S)
+        except ValueError:
+            detail = "after and timeout must be numbers"
+            return refusal(Problem(400, "bad_query", Ran.NO, detail))
+        prefix = req.query.get("prefix", "")
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + timeout_s
+        while True:
+            if self.faults.down:
+                return refusal(Problem(503, "down", Ran.NO, "the object API is down"))
+            self._check_domain(req)
+            found = self.objects.changes(prefix, after)
+            left_s = until_s - loop.time()
+            if found or left_s <= 0 or self._closing:
+                changes = [dataclasses.asdict(change) for change in found]
+                return HttpResponse.of_json({"version": self.objects.version, "changes": changes})
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _wake_watches(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _change_host(self, req: HttpRequest, host_id: str) -> HttpResponse:
+        now_s = asyncio.get_running_loop().time()
+        match req.method:
+            case "PUT":
+                host = _read_host(req.body, self.hosts.get(host_id) or Host(host_id))
+                if host is None:
+                    detail = f"a JSON object of texts named {', '.join(HOST_FIELDS)} is needed"
+                    return refusal(Problem(400, "bad_host", Ran.NO, detail))
+                self.hosts.put(host, now_s)
+                return HttpResponse.of_json(host.to_json())
+            case "DELETE":
+                self.hosts.remove(host_id, now_s)
+                return HttpResponse(200)
+        return refusal(Problem(405, "bad_method", Ran.NO, "only PUT and DELETE"))
+
+
+def _to_json(held: StoredObject) -> dict[str, Any]:
+    value = base64.b64encode(held.value).decode()
+    return {"key": held.key, "version": held.version, "value": value}
+
+
+def _read_condition(req: HttpRequest) -> int | None:
+    """Return the expected version of a conditional write (0: absent), or None without one."""
+    if req.header("if-none-match") == "*":
+        return 0
+    tag = (req.header("if-match") or "").strip('"')
+    return int(tag) if tag.isdecimal() else None
+
+
+def _read_host(body: bytes, present: Host) -> Host | None:
+    """Return the entry with the given fields changed, or None where the body is malformed."""
+    try:
+        values = json.loads(body)
+    except ValueError:
+        return None
+    if not isinstance(values, dict):
+        return None
+    values.pop("id", None)
+    if any(name not in HOST_FIELDS or not isinstance(v, str) for name, v in values.items()):
+        return None
+    return dataclasses.replace(present, **values)
--- /dev/null
+++ b/eelgrassferry/standins/tests/test_platform.py
@@ -0,0 +1,92 @@
+"""Tests of the platform stand-in."""
+
+import asyncio
+
+from .. import PlatformOptions, PlatformStandin
+from .support import StandinCase
+
+
+class PlatformTest(StandinCase):
+    """One platform over loopback."""
+
+    async def put(self, platform, key, value, version=0):
+        condition = {"if_match": f'"{version}"'} if version else {"if_none_match": "*"}
+        return await self.call(platform, "PUT", f"/objects/{key}", value, **condition)
+
+    async def test_writes_are_conditional(self):
+        """Guards against two writers that both believe they replaced the same version."""
+        platform = await self.serve(PlatformStandin())
+        first = await self.put(platform, "a/b", b"one")
+        self.assertEqual((first.status, first.header("etag")), (200, '"1"'))
+        self.assertEqual((await self.put(platform, "a/b", b"two")).status, 412)
+        self.assertEqual((await self.put(platform, "a/b", b"two", 1)).header("etag"), '"2"')
+        self.assertEqual((await self.put(platform, "a/b", b"three", 1)).status, 412)
+        self.assertEqual((await self.call(platform, "PUT", "/objects/a/b", b"x")).status, 428)
+        self.assertEqual((await self.put(platform, "big", b"x" * 1_000_001)).status, 413)
+        held = await self.call(platform, "GET", "/objects/a/b")
+        self.assertEqual((held.body, held.header("etag")), (b"two", '"2"'))
+        gone = await self.call(platform, "DELETE", "/objects/a/b", if_match='"2"')
+        self.assertEqual(gone.status, 200)
+        self.assertEqual((await self.call(platform, "GET", "/objects/a/b")).status, 404)
+
+    async def test_watch_reports_changes_once_under_its_prefix(self):
+        """Guards against a watch that misses a change or wakes for a foreign key."""
+        platform = await self.serve(PlatformStandin())
+        await self.put(platform, "a/1", b"x")
+        watch = asyncio.ensure_future(
+            self.call(platform, "GET", "/watch?prefix=a/&after=1&timeout=5")
+        )
+        await self.wait_until(lambda: platform.counts["watch"] == 1)
+        await self.put(platform, "b/1", b"x")
+        await self.put(platform, "a/2", b"x")
+        changes = [{"key": "a/2", "version": 3, "deleted": False}]
+        self.assertEqual((await watch).json(), {"version": 3, "changes": changes})
+        listed = (await self.call(platform, "GET", "/objects?prefix=a/")).json()
+        self.assertEqual([item["key"] for item in listed], ["a/1", "a/2"])
+        empty = await self.call(platform, "GET", "/watch?prefix=a/&after=3&timeout=0.01")
+        self.assertEqual(empty.json()["changes"], [])
+
+    async def test_lost_answer_takes_effect(self):
+        """Guards against a fault that loses the write together with its answer."""
+        platform = await self.serve(PlatformStandin())
+        await self.set_faults(platform, lose_answers=1)
+        lost = await self.attempt(platform, "PUT", "/objects/a", b"x", if_none_match="*")
+        self.assertTrue(lost.err_value.sent)
+        self.assertEqual((await self.call(platform, "GET", "/objects/a")).body, b"x")
+        self.assertEqual((await self.put(platform, "a", b"y", 1)).status, 200)
+
+    async def test_down_and_cut_domains(self):
+        """Guards against a partition that also cuts callers of other domains."""
+        platform = await self.serve(PlatformStandin())
+        await self.set_faults(platform, cut_domains=["d1"])
+        cut = await self.attempt(platform, "GET", "/hosts", x_domain="d1")
+        self.assertTrue(cut.is_err())
+        self.assertEqual((await self.call(platform, "GET", "/hosts", x_domain="d2")).status, 200)
+        await self.set_faults(platform, cut_domains=[], down=True)
+        down = await self.attempt(platform, "GET", "/hosts", x_domain="d1")
+        self.assertEqual(down.unwrap().status, 503)
+        refused = await self.call(platform, "POST", "/faults", {"donw": True})
+        self.assertEqual(refused.status, 400)
+
+    async def test_rates_are_limited_and_calls_counted(self):
+        """Guards against a stand-in that admits more than the platform does."""
+        platform = await self.serve(PlatformStandin(PlatformOptions(writes_per_s=4.0)))
+        statuses = [(await self.put(platform, f"k{n}", b"x")).status for n in range(5)]
+        self.assertEqual(statuses[0], 200)
+        self.assertIn(429, statuses)
+        counts = await self.counts(platform)
+        self.assertEqual((counts["put"], counts["writes"]), (5, 5))
+        self.assertEqual(counts["refused.rate_limited"], statuses.count(429))
+
+    async def test_host_list_lags(self):
+        """Guards against nodes that rely on a fresh host list."""
+        platform = await self.serve(PlatformStandin(PlatformOptions(host_lag_s=60.0)))
+        entry = {"address": "127.0.0.1:1", "kind": "node", "domain": "d1"}
+        await self.call(platform, "PUT", "/hosts/n1", entry)
+        self.assertEqual((await self.call(platform, "GET", "/hosts")).json(), {"hosts": []})
+        await self.set_faults(platform, host_lag_s=0)
+        await self.call(platform, "PUT", "/hosts/n1", {"state": "leaving"})
+        hosts = (await self.call(platform, "GET", "/hosts")).json()["hosts"]
+        self.assertEqual(hosts, [{"id": "n1", **entry, "state": "leaving"}])
+        await self.call(platform, "DELETE", "/hosts/n1")
+        self.assertEqual((await self.call(platform, "GET", "/hosts")).json(), {"hosts": []})
