Add the HTTP clients of the object API and the host list

Cause: nodes reach the platform's object API over HTTP, and a write whose answer is lost must be settled before anything is done on the strength of it. Change: HttpObjectStore, HostList and put_settled. A write is uncertain unless the platform refused it (4xx, 503) or no byte was sent. put_settled repeats the same conditional write, since an unchanged version read back does not exclude a write that is still on its way. Conclusion: the object API can be used over sockets and in memory alike.

--- a/eelgrassferry/objects/__init__.py
+++ b/eelgrassferry/objects/__init__.py
@@ -1,12 +1,19 @@
 """The platform's object API: versions, conditional updates and watches."""
 
 from .errors import Conflict, ObjectError, RateLimited, TooLarge, Unavailable
+from .host_list import Host, HostList, HostState
+from .http_store import HttpObjectStore
 from .memory_store import MemoryObjectStore
 from .object_store import Change, ObjectStore, StoredObject, WatchResult
+from .settle import put_settled
 
 __all__ = [
     "Change",
     "Conflict",
+    "Host",
+    "HostList",
+    "HostState",
+    "HttpObjectStore",
     "MemoryObjectStore",
     "ObjectError",
     "ObjectStore",
@@ -15,4 +22,5 @@
     "TooLarge",
     "Unavailable",
     "WatchResult",
+    "put_settled",
 ]
