--- /dev/null
+++ b/eelgrassferry/peers/backoff.py
@@ -0,0 +1,29 @@
+"""Jittered exponential delay between attempts."""
+
+from random import Random
+
+__all__ = ["Backoff"]
+
+
+class Backoff:
+    """Delays double from ``first_s`` up to ``last_s``; each is drawn from its upper half.
+
+    >>> 0.05 <= Backoff(Random(1)).next_delay() <= 0.1
+    True
+    """
+
+    def __init__(self, rng: Random, first_s: float = 0.1, last_s: float = 4.0) -> None:
+        self._rng = rng
+        self._first_s = first_s
+        self._last_s = last_s
+        self._current_s = first_s
+
+    def next_delay(self) -> float:
+        """Return the delay in seconds before the next attempt."""
+        delay = self._current_s * self._rng.uniform(0.5, 1.0)
+        self._current_s = min(self._current_s * 2.0, self._last_s)
+        return delay
+
+    def reset(self) -> None:
+        """Start again from the shortest delay."""
+        self._current_s = self._first_s
