Load and check deployment and node settings from INI

Cause: the settings classes had no reader, so nothing could be configured from files. Conclusion: other packages can take a Deployment and NodeSettings from files.

--- /dev/null
+++ b/eelgrassferry/settings/difference.py
@@ -0,0 +1,43 @@
+"""Differences between two deployments."""
+
+from dataclasses import dataclass
+
+from .deployment import Deployment
+from .load import list_values
+
+__all__ = ["Difference", "diff_deployments"]
+
+
+@dataclass(frozen=True)
+class Difference:
+    """One value that differs. ``old`` or ``new`` is None where that side has no such value.
+
+    >>> str(Difference("site", "move_cost", "10", "40"))
+    '[site] move_cost: 10 -> 40'
+    """
+
+    section: str
+    key: str
+    old: str | None
+    new: str | None
+
+    def __str__(self) -> str:
+        old = "(absent)" if self.old is None else self.old
+        new = "(absent)" if self.new is None else self.new
+        return f"[{self.section}] {self.key}: {old} -> {new}"
+
+
+def diff_deployments(old: Deployment, new: Deployment) -> tuple[Difference, ...]:
+    """Return the values that differ, in the order of the sections.
+
+    Values are compared by meaning: ``12 GiB`` and ``12288 MiB`` are the same, and a default
+    written out is the same as the default.
+    """
+    before = {(v.section, v.key): v.value for v in list_values(old)}
+    after = {(v.section, v.key): v.value for v in list_values(new)}
+    places = [*before, *(place for place in after if place not in before)]
+    return tuple(
+        Difference(section, key, before.get((section, key)), after.get((section, key)))
+        for section, key in places
+        if before.get((section, key)) != after.get((section, key))
+    )
--- /dev/null
+++ b/eelgrassferry/settings/load.py
@@ -0,0 +1,137 @@
+"""Loading of a deployment from its base and overlay, and of a node's own file."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from .checks import ENGINE_KEYS, DeploymentChecks
+from .deployment import Deployment
+from .ini import RawFile, RawSection, read_ini
+from .loaded import DEFAULT_ORIGIN, EffectiveValue, LoadedDeployment
+from .node_settings import NodeSettings
+from .schema import DEPLOYMENT_SECTIONS, NODE_SECTION
+from .section_builder import SectionBuilder
+from .setting_error import SettingError
+from .settings_text import SettingsText
+from .site import Site
+from .store import WeightStore
+from .upstream import Upstream, UpstreamKind
+from .value_kind import format_value
+
+__all__ = ["list_values", "load_deployment", "load_node_settings"]
+
+
+def load_deployment(
+    base: SettingsText, overlay: SettingsText
+) -> Result[LoadedDeployment, tuple[SettingError, ...]]:
+    """Merge the overlay over the base, check the result, and report all faults at once.
+
+    The overlay may override any key and add sections. It cannot remove a section or key of the
+    base: a site that must not have something gets it from no base.
+    """
+    files = (read_ini(base), read_ini(overlay))
+    merged = _merge(files)
+    builder = SectionBuilder(DEPLOYMENT_SECTIONS)
+    builder.errors += [error for file in files for error in file.errors]
+    for section in merged.values():
+        builder.add(section)
+    if "site" not in merged:
+        builder.errors.append(
+            SettingError(overlay.file, "site", "", "parse", "the section is missing")
+        )
+
+    def origin(section: str, key: str) -> str | None:
+        found = merged.get(section)
+        if found is None or not key:
+            return found.file if found else None
+        return found.values[key].file if key in found.values else None
+
+    deployment = _deployment_of(builder.built)
+    if deployment is not None:
+        complete = not builder.errors
+        checks = DeploymentChecks(deployment, builder.declared, origin, complete=complete)
+        builder.errors += checks.run()
+    if deployment is None or builder.errors:
+        return Err(tuple(builder.errors))
+    values = (
+        EffectiveValue(v.section, v.key, v.value, origin(v.section, v.key) or DEFAULT_ORIGIN)
+        for v in list_values(deployment)
+    )
+    return Ok(LoadedDeployment(deployment, tuple(values)))
+
+
+def load_node_settings(text: SettingsText) -> Result[NodeSettings, tuple[SettingError, ...]]:
+    """Load a node's own file, which has the one section ``[node]``."""
+    file = read_ini(text)
+    builder = SectionBuilder((NODE_SECTION,))
+    builder.errors += file.errors
+    for section in file.sections:
+        builder.add(section)
+    if all(section.name != NODE_SECTION.word for section in file.sections):
+        builder.errors.append(
+            SettingError(text.file, "node", "", "parse", "the section is missing")
+        )
+    if builder.errors:
+        return Err(tuple(builder.errors))
+    return Ok(builder.built[NODE_SECTION.word][""])
+
+
+def list_values(deployment: Deployment) -> tuple[EffectiveValue, ...]:
+    """Return every value of a deployment in canonical form, with the origin ``default``.
+
+    Keys without a value, such as the memory of an application server, are left out.
+    """
+    found: list[EffectiveValue] = []
+    parts = {
+        "site": {"": deployment.site},
+        "store": {"": deployment.store},
+        "model": deployment.models,
+        "adapter": deployment.adapters,
+        "upstream": deployment.upstreams,
+        "service": deployment.services,
+    }
+    for spec in DEPLOYMENT_SECTIONS:
+        for name, item in sorted(parts[spec.word].items()):
+            section = f"{spec.word} {name}" if spec.named else spec.word
+            for key in spec.keys:
+                value = getattr(item, key.field)
+                if _is_unset(item, key.key, value):
+                    continue
+                text = format_value(key.kind, value)
+                found.append(EffectiveValue(section, key.key, text, DEFAULT_ORIGIN))
+    return tuple(found)
+
+
+def _is_unset(item: Any, key: str, value: Any) -> bool:
+    if isinstance(item, Upstream) and item.kind is UpstreamKind.SERVICE and key in ENGINE_KEYS:
+        return True
+    return not value and value is not False
+
+
+def _merge(files: Iterable[RawFile]) -> dict[str, RawSection]:
+    merged: dict[str, RawSection] = {}
+    for file in files:
+        for section in file.sections:
+            below = merged.get(section.name)
+            if below is None:
+                merged[section.name] = section
+            else:
+                values = {**below.values, **section.values}
+                merged[section.name] = RawSection(section.name, below.file, values)
+    return merged
+
+
+def _deployment_of(built: dict[str, dict[str, Any]]) -> Deployment | None:
+    """Return the deployment of all sections without faults, or None without a valid site."""
+    site: Site | None = built["site"].get("")
+    if site is None:
+        return None
+    return Deployment(
+        site,
+        built["store"].get("", WeightStore()),
+        built["model"],
+        built["adapter"],
+        built["upstream"],
+        built["service"],
+    )
--- /dev/null
+++ b/eelgrassferry/settings/schema.py
@@ -0,0 +1,164 @@
+"""The sections and keys of settings files, and the data class each section fills."""
+
+from dataclasses import MISSING, dataclass, fields
+from typing import Any
+
+from .adapter import Adapter
+from .model import Model
+from .node_settings import NodeSettings
+from .service import Service
+from .site import Site
+from .store import WeightStore
+from .upstream import Upstream
+from .value_kind import ValueKind
+
+__all__ = ["DEPLOYMENT_SECTIONS", "NODE_SECTION", "KeySpec", "SectionSpec"]
+
+
+@dataclass(frozen=True)
+class KeySpec:
+    """One key. ``field`` names the data class field, in which the unit is part of the name."""
+
+    key: str
+    field: str
+    kind: ValueKind
+
+
+@dataclass(frozen=True)
+class SectionSpec:
+    """One section, or all sections ``[word NAME]`` where ``named`` is True."""
+
+    word: str
+    named: bool
+    data_class: type
+    keys: tuple[KeySpec, ...]
+
+    def find_key(self, key: str) -> KeySpec | None:
+        """Return the key's description, or None for a key the section does not have."""
+        return next((spec for spec in self.keys if spec.key == key), None)
+
+    def default_of(self, spec: KeySpec) -> Any:
+        """Return the default of a key, or ``dataclasses.MISSING`` where the key is required."""
+        return next(f.default for f in fields(self.data_class) if f.name == spec.field)
+
+    def is_required(self, spec: KeySpec) -> bool:
+        """Return whether the key has no default."""
+        return self.default_of(spec) is MISSING
+
+
+def _key(key: str, kind: ValueKind, field: str = "") -> KeySpec:
+    return KeySpec(key, field or key, kind)
+
+
+SITE = SectionSpec(
+    "site",
+    False,
+    Site,
+    (
+        _key("name", ValueKind.NAME),
+        _key("domains", ValueKind.NAMES),
+        _key("move_cost", ValueKind.NUMBER),
+        _key("order_transit", ValueKind.DURATION, "order_transit_s"),
+        _key("order_send_limit", ValueKind.DURATION, "order_send_limit_s"),
+        _key("lease", ValueKind.DURATION, "lease_s"),
+        _key("journal_shards", ValueKind.COUNT),
+        _key("journal_retention", ValueKind.DURATION, "journal_retention_s"),
+        _key("queue_limit", ValueKind.COUNT),
+        _key("retry_ratio", ValueKind.RATIO),
+        _key("patient_deadline", ValueKind.DURATION, "patient_deadline_s"),
+    ),
+)
+
+STORE = SectionSpec(
+    "store",
+    False,
+    WeightStore,
+    (
+        _key("address", ValueKind.ADDRESS),
+        _key("load_rate", ValueKind.RATE, "loads_per_s"),
+        _key("slots", ValueKind.COUNT),
+        _key("adapter_load", ValueKind.DURATION, "adapter_load_s"),
+        _key("adapter_slots", ValueKind.COUNT),
+    ),
+)
+
+MODEL = SectionSpec(
+    "model",
+    True,
+    Model,
+    (
+        _key("memory", ValueKind.MEMORY, "memory_mib"),
+        _key("version", ValueKind.NAME),
+        _key("first_token", ValueKind.DURATION, "first_token_s"),
+        _key("token_gap", ValueKind.DURATION, "token_gap_s"),
+        _key("priority", ValueKind.PRIORITY, "urgent"),
+        _key("max_tokens", ValueKind.COUNT),
+        _key("min_replicas", ValueKind.COUNT),
+    ),
+)
+
+ADAPTER = SectionSpec(
+    "adapter",
+    True,
+    Adapter,
+    (
+        _key("base", ValueKind.NAME),
+        _key("memory", ValueKind.MEMORY, "memory_mib"),
+        _key("version", ValueKind.NAME),
+        _key("priority", ValueKind.PRIORITY, "urgent"),
+    ),
+)
+
+UPSTREAM = SectionSpec(
+    "upstream",
+    True,
+    Upstream,
+    (
+        _key("kind", ValueKind.UPSTREAM_KIND),
+        _key("address", ValueKind.ADDRESS),
+        _key("domain", ValueKind.NAME),
+        _key("accelerators", ValueKind.COUNT),
+        _key("memory", ValueKind.MEMORY, "memory_mib"),
+        _key("prefill", ValueKind.TOKEN_RATE, "prefill_tokens_per_s"),
+        _key("decode", ValueKind.TOKEN_RATE, "decode_tokens_per_s"),
+        _key("max_batch", ValueKind.COUNT),
+        _key("checks_fence", ValueKind.BOOL),
+        _key("checks_caller", ValueKind.BOOL),
+    ),
+)
+
+SERVICE = SectionSpec(
+    "service",
+    True,
+    Service,
+    (
+        _key("upstreams", ValueKind.NAMES),
+        _key("repeatable", ValueKind.CALL_RULES),
+        _key("urgent_paths", ValueKind.PATHS),
+        _key("timeout", ValueKind.DURATION, "timeout_s"),
+    ),
+)
+
+DEPLOYMENT_SECTIONS = (SITE, STORE, MODEL, ADAPTER, UPSTREAM, SERVICE)
+
+NODE_SECTION = SectionSpec(
+    "node",
+    False,
+    NodeSettings,
+    (
+        _key("name", ValueKind.NAME),
+        _key("site", ValueKind.NAME),
+        _key("domain", ValueKind.NAME),
+        _key("listen", ValueKind.BIND_ADDRESS),
+        _key("operator_listen", ValueKind.BIND_ADDRESS),
+        _key("peer_listen", ValueKind.BIND_ADDRESS),
+        _key("platform", ValueKind.ADDRESS),
+        _key("operator_token", ValueKind.TEXT),
+        _key("peer_keys", ValueKind.TEXTS),
+        _key("seeds", ValueKind.ADDRESSES),
+        _key("statsd", ValueKind.ADDRESS),
+        _key("base_file", ValueKind.TEXT),
+        _key("overlay_file", ValueKind.TEXT),
+        _key("drain_grace", ValueKind.DURATION, "drain_grace_s"),
+    ),
+)
--- /dev/null
+++ b/eelgrassferry/settings/setting_error.py
@@ -0,0 +1,28 @@
+"""One fault in a settings file."""
+
+from dataclasses import dataclass
+
+__all__ = ["SettingError"]
+
+
+@dataclass(frozen=True)
+class SettingError:
+    """A fault with its place. ``section`` and ``key`` are empty where the fault has none.
+
+    ``step`` is ``read`` (the text is not valid INI), ``parse`` (a section, key or value is not
+    valid by itself) or ``check`` (the values contradict each other).
+
+    >>> str(SettingError("base.ini", "model m1", "memory", "parse", "'12' has no unit"))
+    "base.ini: [model m1] memory: '12' has no unit"
+    """
+
+    file: str
+    section: str
+    key: str
+    step: str
+    message: str
+
+    def __str__(self) -> str:
+        section = f" [{self.section}]" if self.section else ""
+        key = f" {self.key}" if self.key else ""
+        return f"{self.file}:{section}{key}{':' if section or key else ''} {self.message}"
