Add leases with fencing epochs

Cause: one node at a time may plan for an area, and its orders need fencing numbers. A term counts from the sending of its write; a lost answer is settled by the write id read back; a holder whose term has run out takes a new epoch; a release names the holder that has stopped, which its successor may rely on. An object that cannot be decoded is left alone, so that epochs never start again. Renewals are one write per 3 s.

--- /dev/null
+++ b/eelgrassferry/leases/machine.py
@@ -0,0 +1,278 @@
+"""The lease state machine of one candidate for one planning area."""
+
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from ..objects import Conflict, ObjectError, StoredObject, Unavailable
+from .record import LeaseRecord
+
+__all__ = [
+    "STOP_EARLY_S",
+    "TAKEOVER_FACTOR",
+    "LeaseAction",
+    "LeaseMachine",
+    "LeaseTerm",
+    "ReadLease",
+    "WriteLease",
+]
+
+# A holder stops this long before its term ends, so that work begun in the last loop step of the
+# term is over before a successor may start.
+STOP_EARLY_S = 1.0
+# A candidate waits this multiple of the duration. The margin covers clocks that run at slightly
+# different rates.
+TAKEOVER_FACTOR = 1.1
+RETRY_S = 0.3
+
+
+@dataclass(frozen=True)
+class ReadLease:
+    """Read the lease object and pass the result to ``on_read``."""
+
+
+@dataclass(frozen=True)
+class WriteLease:
+    """Write the lease object conditionally and pass the result to ``on_write``."""
+
+    value: bytes
+    expected: int
+
+
+LeaseAction = ReadLease | WriteLease
+
+
+@dataclass(frozen=True)
+class LeaseTerm:
+    """The right to act until ``valid_until``, on the holder's own clock in seconds.
+
+    ``epoch`` is the fencing number. ``acknowledged`` lists earlier holders that have released the
+    lease and so promised to send nothing any more.
+    """
+
+    epoch: int
+    valid_until: float
+    acknowledged: frozenset[str] = frozenset()
+
+
+@dataclass
+class _Seen:
+    """The object as last read, and when this version was first read."""
+
+    version: int
+    record: LeaseRecord | None
+    first_s: float
+
+
+@dataclass(frozen=True)
+class _Write:
+    """A write of this candidate that may have taken effect."""
+
+    sent_s: float
+
+
+@dataclass
+class _State:
+    """``unread`` means that a write's answer was lost and the object was not read back since."""
+
+    seen: _Seen | None = None
+    busy: bool = False
+    unread: bool = False
+    next_s: float = 0.0
+    sent: LeaseRecord | None = None
+    writes: dict[str, _Write] = field(default_factory=dict)
+    term: LeaseTerm | None = None
+    renewed_s: float = 0.0
+    releasing: bool = False
+
+
+class LeaseMachine:
+    """Decides when to read, take, renew and release a lease. Does no I/O.
+
+    ``instance`` is ``<host id>:<nonce>`` and unique for each start of a process. At most one
+    action is outstanding; its result goes to ``on_read`` or ``on_write``. A term counts from the
+    moment its write was sent. A holder whose term has run out takes a new epoch, even where no
+    other candidate came between, so that orders from before the gap are fenced.
+
+    ``check_term=False`` turns off the end of the term, for the test that shows the test of the
+    invariant to work.
+
+    >>> machine = LeaseMachine("uy-sur", "n1:a")
+    >>> machine.tick(0.0)
+    (ReadLease(),)
+    """
+
+    def __init__(
+        self, area: str, instance: str, duration_s: float = 9.0, *, check_term: bool = True
+    ) -> None:
+        self.key = f"leases/{area}"
+        self.instance = instance
+        self._duration_s = duration_s
+        self._renew_s = duration_s / 3
+        self._check_term = check_term
+        self._acknowledged: frozenset[str] = frozenset()
+        self._count = 0
+        self._top_epoch = 0
+        self._state = _State()
+
+    def term(self, now: float) -> LeaseTerm | None:
+        """Return the term if this candidate may act as the holder at ``now``."""
+        term = self._state.term
+        if term is None or self._state.releasing:
+            return None
+        return term if now < term.valid_until or not self._check_term else None
+
+    def tick(self, now: float) -> tuple[LeaseAction, ...]:
+        """Return the next action, if one is due."""
+        state = self._state
+        if state.busy or now < state.next_s:
+            return ()
+        if state.seen is None or state.unread:
+            return self._read()
+        held = self._is_held()
+        if state.releasing:
+            return self._write(now, released=True) if held else ()
+        if held:
+            lapsed = self.term(now) is None
+            if lapsed or now >= state.renewed_s + self._renew_s:
+                return self._write(now)
+            state.next_s = min(state.renewed_s + self._renew_s, self._term_end())
+            return ()
+        if self._is_free(now):
+            return self._write(now)
+        return self._read()
+
+    def on_read(self, res: Result[StoredObject | None, ObjectError], now: float) -> None:
+        """Take the result of ``ReadLease``, received at ``now``."""
+        state = self._state
+        state.busy = False
+        match res:
+            case Ok(held):
+                self._see(held, now)
+            case Err():
+                state.next_s = now + RETRY_S
+
+    def on_write(self, res: Result[int, ObjectError], now: float) -> None:
+        """Take the result of the last ``WriteLease``, received at ``now``."""
+        state = self._state
+        state.busy = False
+        assert state.sent is not None
+        match res:
+            case Ok(version):
+                self._accept(version, state.sent, now)
+            case Err(Unavailable(uncertain=True)):
+                state.unread = True
+                state.next_s = now + RETRY_S
+            case Err(Conflict()):
+                state.writes.pop(state.sent.write_id, None)
+                state.unread = True
+                state.next_s = now
+            case Err():
+                state.writes.pop(state.sent.write_id, None)
+                state.next_s = now + RETRY_S
+
+    def stop(self, now: float) -> None:
+        """Stop acting as the holder for good; the next ticks release the lease."""
+        self._state.releasing = True
+        self._state.next_s = now
+
+    def release(self, now: float) -> tuple[LeaseAction, ...]:
+        """Stop acting as the holder for good and return the action that says so, if one is due.
+
+        Call it only when nothing that was sent under the lease is still being written out.
+        """
+        self.stop(now)
+        return self.tick(now)
+
+    def is_idle(self) -> bool:
+        """Return whether a release has been completed."""
+        state = self._state
+        return state.releasing and not state.busy and not state.unread and not self._is_held()
+
+    def wake_at(self) -> float:
+        """Return the time of the next tick that may have an action."""
+        return self._state.next_s
+
+    def _read(self) -> tuple[LeaseAction, ...]:
+        self._state.busy = True
+        return (ReadLease(),)
+
+    def _write(self, now: float, released: bool = False) -> tuple[LeaseAction, ...]:
+        state = self._state
+        assert state.seen is not None
+        old = state.seen.record
+        if not released and not (self._is_held() and self.term(now) is not None):
+            self._top_epoch += 1
+            if old is not None and old.released:
+                self._acknowledged |= {old.holder}
+        self._count += 1
+        write_id = f"{self.instance}/{self._count}"
+        state.sent = LeaseRecord(
+            self.instance, self._top_epoch, self._duration_s, write_id, released
+        )
+        state.writes[write_id] = _Write(now)
+        state.busy = True
+        return (WriteLease(state.sent.encode(), state.seen.version),)
+
+    def _see(self, held: StoredObject | None, now: float) -> None:
+        state = self._state
+        version, record = 0, None
+        if held is not None:
+            decoded = LeaseRecord.decode(held.value)
+            if isinstance(decoded, Err):
+                # Taking over an object that cannot be decoded could repeat an epoch.
+                state.next_s = now + self._renew_s
+                return
+            version, record = held.version, decoded.ok_value
+            self._top_epoch = max(self._top_epoch, record.epoch)
+        state.unread = False
+        if record is not None and record.write_id in state.writes:
+            self._accept(version, record, now)
+            return
+        if state.seen is None or state.seen.version != version:
+            # No write conditional on an earlier version can take effect any more.
+            state.writes.clear()
+            state.seen = _Seen(version, record, now)
+        # An unchanged version does not exclude that a lost write is still on its way. It stays in
+        # ``writes``, and the next write on the same version conflicts if it arrives first.
+        if not self._is_held():
+            state.term = None
+        act_now = self._is_held() or self._is_free(now)
+        state.next_s = now if act_now else self._poll_at(now)
+
+    def _accept(self, version: int, record: LeaseRecord, now: float) -> None:
+        state = self._state
+        write = state.writes[record.write_id]
+        state.writes.clear()
+        state.seen = _Seen(version, record, now)
+        state.next_s = now
+        if record.released:
+            state.term = None
+            return
+        state.renewed_s = write.sent_s
+        end_s = write.sent_s + record.duration_s - STOP_EARLY_S
+        state.term = LeaseTerm(record.epoch, end_s, self._acknowledged)
+
+    def _is_held(self) -> bool:
+        seen = self._state.seen
+        if seen is None or seen.record is None:
+            return False
+        return seen.record.holder == self.instance and not seen.record.released
+
+    def _is_free(self, now: float) -> bool:
+        seen = self._state.seen
+        assert seen is not None
+        if seen.record is None or seen.record.released:
+            return True
+        return now >= seen.first_s + seen.record.duration_s * TAKEOVER_FACTOR
+
+    def _poll_at(self, now: float) -> float:
+        seen = self._state.seen
+        assert seen is not None
+        assert seen.record is not None
+        return min(now + self._renew_s, seen.first_s + seen.record.duration_s * TAKEOVER_FACTOR)
+
+    def _term_end(self) -> float:
+        term = self._state.term
+        assert term is not None
+        return term.valid_until
--- /dev/null
+++ b/eelgrassferry/leases/record.py
@@ -0,0 +1,53 @@
+"""The value of a lease object."""
+
+import json
+from dataclasses import asdict, dataclass
+
+from result import Err, Ok, Result
+
+__all__ = ["LeaseFormatError", "LeaseRecord"]
+
+
+@dataclass(frozen=True)
+class LeaseFormatError:
+    """A lease object that cannot be decoded."""
+
+    step: str
+    peer: str
+    detail: str
+
+
+@dataclass(frozen=True)
+class LeaseRecord:
+    """Who holds a lease. ``released`` is the holder's promise that it sends nothing any more.
+
+    >>> LeaseRecord.decode(LeaseRecord("n1:a", 3, 9.0, "n1:a/1").encode()).unwrap().epoch
+    3
+    """
+
+    holder: str
+    epoch: int
+    duration_s: float
+    write_id: str
+    released: bool = False
+
+    def encode(self) -> bytes:
+        """Return the record as JSON."""
+        return json.dumps(asdict(self), separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> Result["LeaseRecord", LeaseFormatError]:
+        """Decode a lease object's value."""
+        try:
+            fields = json.loads(value)
+            return Ok(
+                cls(
+                    holder=str(fields["holder"]),
+                    epoch=int(fields["epoch"]),
+                    duration_s=float(fields["duration_s"]),
+                    write_id=str(fields["write_id"]),
+                    released=bool(fields["released"]),
+                )
+            )
+        except (ValueError, KeyError, TypeError) as exc:
+            return Err(LeaseFormatError("decode_lease", "", repr(exc)))
