--- /dev/null
+++ b/eelgrassferry/routing/budget.py
@@ -0,0 +1,38 @@
+"""The retry budget: a share of successes, with a floor."""
+
+__all__ = ["RetryBudget"]
+
+FLOOR_PER_S = 1.0
+# Allows the streams of one upstream's full batch to be resumed at once.
+BURST = 32.0
+
+
+class RetryBudget:
+    """A token bucket filled by successes and, slowly, by time. Hedged requests draw on it too.
+
+    >>> budget = RetryBudget(ratio=0.1, now=0.0)
+    >>> sum(budget.take(0.0) for _ in range(100))
+    32
+    """
+
+    def __init__(self, ratio: float, now: float = 0.0) -> None:
+        self.ratio = ratio
+        self.granted = 0
+        self.denied = 0
+        self._tokens = BURST
+        self._at = now
+
+    def note_success(self) -> None:
+        """Count one request that was served."""
+        self._tokens = min(BURST, self._tokens + self.ratio)
+
+    def take(self, now: float) -> bool:
+        """Draw one retry; return whether the budget allowed it."""
+        self._tokens = min(BURST, self._tokens + max(0.0, now - self._at) * FLOOR_PER_S)
+        self._at = max(self._at, now)
+        if self._tokens < 1.0:
+            self.denied += 1
+            return False
+        self._tokens -= 1.0
+        self.granted += 1
+        return True
--- /dev/null
+++ b/eelgrassferry/routing/limit.py
@@ -0,0 +1,48 @@
+"""The number of requests that may be in flight at one upstream."""
+
+__all__ = ["InflightLimit"]
+
+# Part of the limit that patient requests may not use.
+CLOSED_TO_PATIENT = 0.2
+DECREASE = 0.8
+# Length of a queue at the engine itself, in batches, that a rising limit may build.
+CEILING_BATCHES = 1.5
+
+
+class InflightLimit:
+    """Adapts to the time to first token: additive increase, multiplicative decrease.
+
+    The limit applies to the estimated requests of all nodes. It grows only while it is nearly
+    used, so that an idle period does not open it, and falls at most once in ``hold_s``, because
+    requests that were sent before a decrease still report the old state.
+
+    >>> limit = InflightLimit(start=16)
+    >>> limit.note(took_s=1.0, target_s=0.35, in_flight=16, now=0.0)
+    >>> limit.value
+    12.8
+    """
+
+    def __init__(self, start: float, hold_s: float = 1.0) -> None:
+        self.value = float(max(1, start))
+        self._ceiling = max(2.0, CEILING_BATCHES * start)
+        self._hold_s = hold_s
+        self._held_until = float("-inf")
+
+    def note(self, took_s: float, target_s: float, in_flight: float, now: float) -> None:
+        """Take one time to first token against its target."""
+        if took_s > target_s:
+            if now >= self._held_until:
+                self.value = max(1.0, self.value * DECREASE)
+                self._held_until = now + self._hold_s
+        elif in_flight >= 0.75 * self.value:
+            self.value = min(self._ceiling, self.value + 1.0 / self.value)
+
+    def room(self, urgent: bool, in_flight: float) -> float:
+        """Return how many more requests of the class fit; at most 0 when none does.
+
+        Patient requests see a smaller limit, but always one of at least 1: an upstream without
+        any request takes a patient one.
+        """
+        if urgent:
+            return int(self.value) - in_flight
+        return max(1.0, int(self.value * (1.0 - CLOSED_TO_PATIENT))) - in_flight
--- /dev/null
+++ b/eelgrassferry/routing/reasons.py
@@ -0,0 +1,85 @@
+"""Why a request was refused, retried, or not retried.
+
+Each value becomes part of a statsd counter name (``refused.<reason>``, ``retried.<reason>``,
+``retry_denied.<reason>``), so a value never changes once released.
+"""
+
+from enum import Enum
+
+__all__ = ["Ran", "RefusalReason", "RetryDenial", "RetryReason"]
+
+
+class Ran(Enum):
+    """What the caller is told about whether its request ran."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(Enum):
+    """Why a request is answered with a problem document instead of tokens."""
+
+    UNKNOWN_MODEL = "unknown_model"
+    NOT_RESIDENT = "not_resident"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_PASSED = "deadline_passed"
+    CRASHED_UPSTREAMS = "crashed_upstreams"
+    NOT_REPEATABLE = "not_repeatable"
+    RETRY_BUDGET_EMPTY = "retry_budget_empty"
+    TOO_MANY_ATTEMPTS = "too_many_attempts"
+    VERSION_GONE = "version_gone"
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status of the refusal."""
+        match self:
+            case RefusalReason.UNKNOWN_MODEL:
+                return 404
+            case RefusalReason.QUEUE_FULL:
+                return 429
+            case RefusalReason.CRASHED_UPSTREAMS:
+                return 422
+            case RefusalReason.DEADLINE_PASSED:
+                return 504
+            case RefusalReason.NOT_REPEATABLE | RefusalReason.TOO_MANY_ATTEMPTS:
+                return 502
+            case _:
+                return 503
+
+
+class RetryReason(Enum):
+    """Why a request is sent to an upstream again."""
+
+    NOT_RUN = "not_run"
+    BROKEN = "broken"
+    CRASHED = "crashed"
+    TIMEOUT = "timeout"
+    PREEMPTED = "preempted"
+    NOT_RESIDENT = "not_resident"
+
+
+class RetryDenial(Enum):
+    """Why a failed request is not sent again."""
+
+    BUDGET_EMPTY = "budget_empty"
+    NOT_REPEATABLE = "not_repeatable"
+    DEADLINE_PASSED = "deadline_passed"
+    TOO_MANY_ATTEMPTS = "too_many_attempts"
+    CRASHED_UPSTREAMS = "crashed_upstreams"
+
+    @property
+    def refusal(self) -> RefusalReason:
+        """Return the refusal that the caller sees."""
+        match self:
+            case RetryDenial.BUDGET_EMPTY:
+                return RefusalReason.RETRY_BUDGET_EMPTY
+            case RetryDenial.NOT_REPEATABLE:
+                return RefusalReason.NOT_REPEATABLE
+            case RetryDenial.DEADLINE_PASSED:
+                return RefusalReason.DEADLINE_PASSED
+            case RetryDenial.TOO_MANY_ATTEMPTS:
+                return RefusalReason.TOO_MANY_ATTEMPTS
+            case RetryDenial.CRASHED_UPSTREAMS:
+                return RefusalReason.CRASHED_UPSTREAMS
