Apply configuration changes with one conditional write

Cause: a site's configuration needs one revision that operators can race for without losing a change. Change: apply_change checks the whole deployment, writes config/<site> on the revision it was based on, settles a lost answer by reading back, and repeats rate-limited calls with backoff. The record keeps the ids and differences of recent changes, so a repeated change id gets its revision and a conflict shows what the other changes made. A change id reused for other content is refused. ConfigHolder takes greater revisions only.

--- a/eelgrassferry/settings/__init__.py
+++ b/eelgrassferry/settings/__init__.py
@@ -1,6 +1,15 @@
 """Settings of a deployment: one base file plus one overlay per site."""
 
 from .adapter import Adapter
+from .apply import ApplyError, apply_change, read_config
+from .config_change import (
+    ApplyConflict,
+    ConfigChange,
+    ConflictReason,
+    SettingErrors,
+    check_change,
+)
+from .config_holder import ConfigHolder
 from .deployment import Deployment
 from .difference import Difference, diff_deployments
 from .effective import format_effective
@@ -8,6 +17,7 @@
 from .loaded import EffectiveValue, LoadedDeployment
 from .model import Model
 from .node_settings import NodeSettings
+from .revision import AppliedChange, ConfigRecord, config_key, decode_record, encode_record
 from .service import Service
 from .setting_error import SettingError
 from .settings_text import SettingsText
@@ -17,6 +27,13 @@
 
 __all__ = [
     "Adapter",
+    "AppliedChange",
+    "ApplyConflict",
+    "ApplyError",
+    "ConfigChange",
+    "ConfigHolder",
+    "ConfigRecord",
+    "ConflictReason",
     "Deployment",
     "Difference",
     "EffectiveValue",
@@ -25,13 +42,20 @@
     "NodeSettings",
     "Service",
     "SettingError",
+    "SettingErrors",
     "SettingsText",
     "Site",
     "Upstream",
     "UpstreamKind",
     "WeightStore",
+    "apply_change",
+    "check_change",
+    "config_key",
+    "decode_record",
     "diff_deployments",
+    "encode_record",
     "format_effective",
     "load_deployment",
     "load_node_settings",
+    "read_config",
 ]
--- a/eelgrassferry/settings/difference.py
+++ b/eelgrassferry/settings/difference.py
@@ -5,7 +5,7 @@
 from .deployment import Deployment
 from .load import list_values
 
-__all__ = ["Difference", "diff_deployments"]
+__all__ = ["Difference", "combine_differences", "diff_deployments"]
 
 
 @dataclass(frozen=True)
@@ -41,3 +41,13 @@
         for section, key in places
         if before.get((section, key)) != after.get((section, key))
     )
+
+
+def combine_differences(steps: tuple[tuple[Difference, ...], ...]) -> tuple[Difference, ...]:
+    """Return what a series of changes made together; a value changed back is left out."""
+    combined: dict[tuple[str, str], Difference] = {}
+    for difference in (d for step in steps for d in step):
+        place = (difference.section, difference.key)
+        first = combined.get(place, difference)
+        combined[place] = Difference(*place, first.old, difference.new)
+    return tuple(d for d in combined.values() if d.old != d.new)
--- /dev/null
+++ b/eelgrassferry/settings/tests/test_apply.py
@@ -0,0 +1,191 @@
+"""Tests of configuration changes under races, lost answers and partitions."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from result import Err, Ok
+
+from ...objects import MemoryObjectStore, RateLimited
+from .. import (
+    ConfigChange,
+    ConfigHolder,
+    ConflictReason,
+    Difference,
+    SettingErrors,
+    SettingsText,
+    apply_change,
+    decode_record,
+    encode_record,
+    read_config,
+)
+from .test_load import BASE
+
+
+def change(change_id: str, based_on: int, overlay: str = "", base: str = BASE) -> ConfigChange:
+    """Return a change of the test base by an overlay."""
+    texts = (SettingsText("base.ini", base), SettingsText("overlay.ini", overlay))
+    return ConfigChange(*texts, based_on, change_id, f"author of {change_id}")
+
+
+def cost(value: int) -> str:
+    """Return an overlay that sets one value."""
+    return f"[site]\nmove_cost = {value}\n"
+
+
+class LimitedStore(MemoryObjectStore):
+    """Refuses the first calls over the rate."""
+
+    def __init__(self, refusals: int) -> None:
+        super().__init__()
+        self.refusals = refusals
+
+    async def get(self, key):
+        if self.refusals > 0:
+            self.refusals -= 1
+            return Err(RateLimited("get", "limited"))
+        return await super().get(key)
+
+
+class ApplyTest(unittest.IsolatedAsyncioTestCase):
+    """Changes of one site against the object API in memory."""
+
+    def setUp(self) -> None:
+        self.store = MemoryObjectStore()
+        self.delays: list[float] = []
+
+    async def apply(self, *args, **kwargs):
+        async def sleep(delay_s: float) -> None:
+            self.delays.append(delay_s)
+            await asyncio.sleep(0)
+
+        return await apply_change(self.store, "here", change(*args, **kwargs), sleep=sleep)
+
+    async def test_race_of_two_operators(self):
+        """Guards against a change that silently overwrites another operator's."""
+        (await self.apply("c0", 0)).unwrap()
+        racers = (self.apply("c1", 1, cost(20)), self.apply("c2", 1, cost(30)))
+        results = await asyncio.gather(*racers)
+        won = [r.ok_value for r in results if r.is_ok()]
+        lost = [r.err_value for r in results if r.is_err()]
+        self.assertEqual([record.revision for record in won], [2])
+        value = "20" if won[0].change_id == "c1" else "30"
+        expected = (Difference("site", "move_cost", "10", value),)
+        self.assertEqual(
+            [(c.revision, c.differences, c.complete) for c in lost], [(2, expected, True)]
+        )
+
+    async def test_conflict_reports_all_changes_since(self):
+        """Guards against a conflict that shows the last of several changes only."""
+        (await self.apply("c0", 0)).unwrap()
+        (await self.apply("c1", 1, cost(20))).unwrap()
+        (await self.apply("c2", 2, cost(30) + "lease = 8 s\n")).unwrap()
+        conflict = (await self.apply("c3", 1, cost(40))).unwrap_err()
+        lines = [str(difference) for difference in conflict.differences]
+        self.assertEqual(lines, ["[site] move_cost: 10 -> 30", "[site] lease: 9 s -> 8 s"])
+        (await self.apply("c4", 3)).unwrap()
+        self.assertEqual((await self.apply("c5", 1)).unwrap_err().differences, ())
+
+    async def test_lost_answer_is_settled_by_reading_back(self):
+        """Guards against a change that is applied twice or reported as failed though in force."""
+        (await self.apply("c0", 0)).unwrap()
+        self.store.faults.lose_answers = 1
+        self.assertEqual((await self.apply("c1", 1, cost(20))).unwrap().revision, 2)
+        self.assertEqual((await read_config(self.store, "here")).unwrap().revision, 2)
+
+    async def test_lost_answer_and_outage_is_uncertain(self):
+        """Guards against telling an operator that a change in force was not applied."""
+        self.store.faults.lose_answers = 1
+        original = self.store.put
+
+        async def put_then_fail(*args):
+            outcome = await original(*args)
+            self.store.faults.down = True
+            return outcome
+
+        self.store.put = put_then_fail
+        self.assertTrue((await self.apply("c0", 0)).unwrap_err().uncertain)
+        self.store.faults.down = False
+        self.assertEqual((await self.apply("c0", 0)).unwrap().revision, 1)
+
+    async def test_outage_before_the_write_is_certain(self):
+        """Guards against an outage that leaves the operator in doubt without need."""
+        self.store.faults.down = True
+        self.assertFalse((await self.apply("c0", 0)).unwrap_err().uncertain)
+        self.assertEqual(self.store.writes, 0)
+
+    async def test_same_change_id_gets_the_same_revision(self):
+        """Guards against a repeated call that is refused, or applied over a later change."""
+        (await self.apply("c0", 0)).unwrap()
+        first = (await self.apply("c1", 1, cost(20))).unwrap()
+        (await self.apply("c2", 2, cost(30))).unwrap()
+        self.assertEqual((await self.apply("c1", 1, cost(20))).unwrap(), first)
+        self.assertEqual((await read_config(self.store, "here")).unwrap().change_id, "c2")
+
+    async def test_change_id_of_other_content_is_refused(self):
+        """Guards against confirming a change that was never applied."""
+        (await self.apply("c0", 0)).unwrap()
+        conflict = (await self.apply("c0", 1, cost(20))).unwrap_err()
+        self.assertIs(conflict.reason, ConflictReason.CHANGE_ID_REUSED)
+
+    async def test_rate_limit_is_retried_with_growing_delays(self):
+        """Guards against a change lost to a short burst, and against retries without end."""
+        self.store = LimitedStore(refusals=3)
+        (await self.apply("c0", 0)).unwrap()
+        self.assertEqual(len(self.delays), 3)
+        self.assertGreater(self.delays[2], self.delays[0])
+        self.store.refusals = 100
+        self.assertIsInstance((await self.apply("c1", 1)).unwrap_err(), RateLimited)
+        self.assertGreater(self.store.refusals, 90)
+
+    async def test_invalid_change_is_not_written(self):
+        """Guards against an invalid configuration, or another site's, that gets into force."""
+        for overlay in ("[site]\nmove_cost = 0\n", "[site]\nname = elsewhere\n"):
+            error = (await self.apply("c0", 0, overlay)).unwrap_err()
+            self.assertIsInstance(error, SettingErrors)
+        self.assertEqual(self.store.writes, 0)
+
+    async def test_record_stays_bounded(self):
+        """Guards against a record that outgrows its object after many changes."""
+        (await self.apply("c", 0)).unwrap()
+        many = "".join(f"[model x{n}]\nmemory = 1 MiB\n" for n in range(100))
+        for number in range(1, 12):
+            overlay = many if number % 2 else ""
+            record = (await self.apply(f"c{number}", number, overlay)).unwrap()
+        kept = sum(len(entry.differences) for entry in record.recent)
+        self.assertLessEqual(kept, 1000)
+        self.assertFalse((await self.apply("late", 1)).unwrap_err().complete)
+
+
+class RecordTest(unittest.IsolatedAsyncioTestCase):
+    """The record's codec and its holder."""
+
+    async def record(self):
+        store = MemoryObjectStore()
+        (await apply_change(store, "here", change("c0", 0))).unwrap()
+        return (await apply_change(store, "here", change("c1", 1, cost(20)))).unwrap()
+
+    async def test_codec_keeps_the_record(self):
+        """Guards against a field lost on the way through the object API."""
+        record = await self.record()
+        self.assertEqual(decode_record(encode_record(record)), Ok(record))
+        for data in (b"", b"[]", b"{}", encode_record(record).replace(b'n":2', b'n":"2"')):
+            self.assertTrue(decode_record(data).is_err())
+
+    async def test_older_revision_after_a_partition_is_ignored(self):
+        """Guards against a configuration that reverts when a peer that was cut off returns."""
+        record = await self.record()
+        holder = ConfigHolder()
+        self.assertEqual(holder.offer(record), Ok(True))
+        older = replace(record, revision=1, overlay=SettingsText("overlay.ini", ""))
+        self.assertEqual([holder.offer(older), holder.offer(record)], [Ok(False), Ok(False)])
+        self.assertEqual((holder.revision, holder.loaded.deployment.site.move_cost), (2, 20))
+
+    async def test_record_that_does_not_load_is_refused(self):
+        """Guards against a node left without a configuration by a record it cannot read."""
+        record = await self.record()
+        holder = ConfigHolder()
+        holder.offer(record)
+        broken = replace(record, revision=3, base=SettingsText("base.ini", "x"))
+        self.assertTrue(holder.offer(broken).is_err())
+        self.assertEqual(holder.revision, 2)
