Answer the operators' calls from a store and a holder

Change: OperatorApi checks the bearer token and turns check, diff, apply, config, status, drain and explain requests into responses, given the object store, the ConfigHolder and the node's side as a protocol. Conclusion: the node only mounts OperatorApi.handle and implements OperatorNode.

--- a/eelgrassferry/settings/__init__.py
+++ b/eelgrassferry/settings/__init__.py
@@ -10,6 +10,7 @@
     check_change,
 )
 from .config_holder import ConfigHolder
+from .config_request import encode_change
 from .deployment import Deployment
 from .difference import Difference, diff_deployments
 from .effective import format_effective
@@ -17,6 +18,15 @@
 from .loaded import EffectiveValue, LoadedDeployment
 from .model import Model
 from .node_settings import NodeSettings
+from .operator_api import OperatorApi
+from .operator_node import (
+    DrainError,
+    Explanation,
+    NodeState,
+    OperatorNode,
+    StatusView,
+    UpstreamState,
+)
 from .revision import AppliedChange, ConfigRecord, config_key, decode_record, encode_record
 from .service import Service
 from .setting_error import SettingError
@@ -36,23 +46,31 @@
     "ConflictReason",
     "Deployment",
     "Difference",
+    "DrainError",
     "EffectiveValue",
+    "Explanation",
     "LoadedDeployment",
     "Model",
     "NodeSettings",
+    "NodeState",
+    "OperatorApi",
+    "OperatorNode",
     "Service",
     "SettingError",
     "SettingErrors",
     "SettingsText",
     "Site",
+    "StatusView",
     "Upstream",
     "UpstreamKind",
+    "UpstreamState",
     "WeightStore",
     "apply_change",
     "check_change",
     "config_key",
     "decode_record",
     "diff_deployments",
+    "encode_change",
     "encode_record",
     "format_effective",
     "load_deployment",
