Load large deployments without quadratic checks

Cause: the memory checks compared each model with each adapter and engine. Change: the largest adapter of each base and the sorted engine sizes are computed once; the required keys of a section are computed once for each section kind.

--- a/eelgrassferry/settings/checks.py
+++ b/eelgrassferry/settings/checks.py
@@ -1,7 +1,9 @@
 """Checks of a whole deployment, across sections and files."""
 
+from bisect import bisect_left
 from collections.abc import Callable, Iterator
 
+from .adapter import Adapter
 from .deployment import Deployment
 from .setting_error import SettingError
 from .upstream import UpstreamKind
@@ -101,12 +103,12 @@
                         yield self._error(section, key, "an engine needs this key")
 
     def _check_model_memory(self) -> Iterator[SettingError]:
-        sizes = [engine.memory_mib for engine in self._dep.engines]
+        sizes = sorted(engine.memory_mib for engine in self._dep.engines)
         models = self._dep.models.values()
         faulty = False
         for model in models:
             section, size = f"model {model.name}", _memory(model.memory_mib)
-            fitting = sum(1 for memory_mib in sizes if memory_mib >= model.memory_mib)
+            fitting = len(sizes) - bisect_left(sizes, model.memory_mib)
             faulty = faulty or fitting < model.min_replicas
             if fitting == 0:
                 largest = _memory(max(sizes, default=0))
@@ -127,11 +129,15 @@
 
     def _check_adapter_memory(self) -> Iterator[SettingError]:
         largest_mib = max((engine.memory_mib for engine in self._dep.engines), default=0)
-        for model in self._dep.models.values():
-            riders = [a for a in self._dep.adapters.values() if a.base == model.name]
-            if not riders or model.memory_mib > largest_mib:
+        largest_by_base: dict[str, Adapter] = {}
+        for adapter in self._dep.adapters.values():
+            largest = largest_by_base.setdefault(adapter.base, adapter)
+            if adapter.memory_mib > largest.memory_mib:
+                largest_by_base[adapter.base] = adapter
+        for base, largest in largest_by_base.items():
+            model = self._dep.models.get(base)
+            if model is None or model.memory_mib > largest_mib:
                 continue
-            largest = max(riders, key=lambda adapter: adapter.memory_mib)
             needed = model.memory_mib + largest.memory_mib
             if needed > largest_mib:
                 message = (
--- a/eelgrassferry/settings/schema.py
+++ b/eelgrassferry/settings/schema.py
@@ -1,7 +1,7 @@
 """The sections and keys of settings files, and the data class each section fills."""
 
 from dataclasses import MISSING, dataclass, fields
-from typing import Any
+from functools import cached_property
 
 from .adapter import Adapter
 from .model import Model
@@ -37,13 +37,11 @@
         """Return the key's description, or None for a key the section does not have."""
         return next((spec for spec in self.keys if spec.key == key), None)
 
-    def default_of(self, spec: KeySpec) -> Any:
-        """Return the default of a key, or ``dataclasses.MISSING`` where the key is required."""
-        return next(f.default for f in fields(self.data_class) if f.name == spec.field)
-
-    def is_required(self, spec: KeySpec) -> bool:
-        """Return whether the key has no default."""
-        return self.default_of(spec) is MISSING
+    @cached_property
+    def required(self) -> tuple[KeySpec, ...]:
+        """The keys that have no default."""
+        without = {f.name for f in fields(self.data_class) if f.default is MISSING}
+        return tuple(spec for spec in self.keys if spec.field in without)
 
 
 def _key(key: str, kind: ValueKind, field: str = "") -> KeySpec:
--- a/eelgrassferry/settings/section_builder.py
+++ b/eelgrassferry/settings/section_builder.py
@@ -52,8 +52,8 @@
                     values[key_spec.field] = value
                 case Err(message):
                     self._fail(raw.file, section.name, key, message)
-        for key_spec in spec.keys:
-            if spec.is_required(key_spec) and key_spec.key not in section.values:
+        for key_spec in spec.required:
+            if key_spec.key not in section.values:
                 self._fail(section.file, section.name, key_spec.key, "the key is missing")
         if len(self.errors) == before:
             self.built[spec.word][placed.name] = spec.data_class(**values)
