--- /dev/null
+++ b/eelgrassferry/cli/app.py
@@ -0,0 +1,30 @@
+"""The command line's commands."""
+
+from cyclopts import App
+
+from .. import __version__
+from .apply_command import apply
+from .exit_code import ExitCode
+from .local_commands import check, effective
+from .node_commands import diff, drain, explain, status
+from .run_commands import demo, node, standin
+
+__all__ = ["app"]
+
+app = App(
+    name="eelgrassferry",
+    help="Serve many models and adapters on fewer accelerators.",
+    version=__version__,
+)
+
+for command in (node, demo, check, effective, diff, apply, status, drain, explain):
+    app.command(command)
+# The stand-ins parse their own options, --help included.
+app.command(standin, help_flags=[], version_flags=[])
+
+
+@app.default
+def show_help() -> int:
+    """Print the commands."""
+    app.help_print()
+    return ExitCode.INVALID
--- a/eelgrassferry/settings/__init__.py
+++ b/eelgrassferry/settings/__init__.py
@@ -28,6 +28,7 @@
     UpstreamState,
 )
 from .revision import AppliedChange, ConfigRecord, config_key, decode_record, encode_record
+from .samples import read_sample
 from .service import Service
 from .setting_error import SettingError
 from .settings_text import SettingsText
@@ -76,4 +77,5 @@
     "load_deployment",
     "load_node_settings",
     "read_config",
+    "read_sample",
 ]
