--- a/eelgrassferry/settings/value_kind.py
+++ b/eelgrassferry/settings/value_kind.py
@@ -106,7 +106,7 @@
         case ValueKind.MEMORY:
             return f"{value // 1024} GiB" if value % 1024 == 0 else f"{value} MiB"
         case ValueKind.DURATION:
-            return f"{value:.12g} s" if value >= 1 else f"{value * 1000:.9g} ms"
+            return _format_duration(value)
         case ValueKind.RATE:
             return f"{value:.12g}/s"
         case ValueKind.TOKEN_RATE:
@@ -123,6 +123,14 @@
             return ", ".join(value) if isinstance(value, tuple) else str(value)
 
 
+def _format_duration(seconds: float) -> str:
+    for unit in ("h", "min"):
+        size = float(TIME_UNITS_S[unit])
+        if seconds >= size and seconds % size == 0:
+            return f"{seconds / size:.12g} {unit}"
+    return f"{seconds:.12g} s" if seconds >= 1 else f"{seconds * 1000:.12g} ms"
+
+
 def _parse_quantity(text: str, units: dict[str, Decimal]) -> Result[float, str]:
     found = NUMBER.fullmatch(text)
     choice = ", ".join(units)
