Add the virtual-time benchmark of routing policies

Cause: the policies need figures against baselines and a bound before they are deepened.

Change: eelgrassferry/bench simulates engines, the weight store and seven entry nodes in virtual time on seeded bursts, with two baselines, the routed policy and an upper bound from the trace. No command line yet.

--- /dev/null
+++ b/eelgrassferry/bench/baselines.py
@@ -0,0 +1,145 @@
+"""The two baselines of docs/design.md 1.3.
+
+Both see the exact present state of every engine, which a real node does not, and both load a
+missing model on demand and evict the least recently used idle one. Callers give up when they have
+no first token after ``GIVE_UP_S``, or after their own target when that is longer.
+"""
+
+from .engine import Engine, Run
+from .fleet import Fleet
+from .trace import Arrival
+
+__all__ = ["LeastOutstanding", "RoundRobin"]
+
+GIVE_UP_S = 10.0
+
+
+class _LoadOnMiss:
+    """Sends runs, resends broken ones, and loads with least-recently-used eviction."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self._at: dict[str, Engine] = {}
+        self._runs: dict[str, Run] = {}
+
+    def start(self, until: float) -> None:
+        """Nothing is done periodically."""
+
+    def arrive(self, arrival: Arrival) -> None:
+        """Send a request and start the caller's patience."""
+        self._send(arrival)
+        clock = self.fleet.clock
+        patience_s = max(GIVE_UP_S, arrival.first_token_by - arrival.at)
+        clock.at(arrival.at + patience_s, lambda: self._give_up(arrival))
+
+    def engines_lost(self, engines: list[Engine]) -> None:
+        """Resend what ran or waited there, from the beginning."""
+        for engine in engines:
+            for run in (*engine.queue, *engine.running.values()):
+                engine.cancel(run.arrival.request_id)
+                self._forget(run)
+                self._send(run.arrival)
+
+    def engines_back(self, engines: list[Engine]) -> None:
+        """Reachable engines are found by looking."""
+
+    def pick(self, arrival: Arrival) -> Engine | None:
+        """Return the engine for a request, after starting a load where one is needed."""
+        raise NotImplementedError
+
+    def load(self, engine: Engine, model: str) -> bool:
+        """Make room by evicting idle models, the least recently used first, and load."""
+        if not self.fleet.moves_allowed:
+            return False
+        need = self.fleet.deployment.models[model].memory_mib
+        idle = sorted(
+            (name for name in engine.models if not engine.uses(name)), key=engine.models.get
+        )
+        used = sum(
+            self.fleet.deployment.models[name].memory_mib
+            for name in (*engine.models, *engine.loading)
+        )
+        evicted = []
+        while used + need > engine.upstream.memory_mib and idle:
+            evicted.append(idle.pop(0))
+            used -= self.fleet.deployment.models[evicted[-1]].memory_mib
+        if used + need > engine.upstream.memory_mib:
+            return False
+        for name in evicted:
+            engine.unload(name)
+        return engine.load(model)
+
+    def _send(self, arrival: Arrival) -> None:
+        engine = self.pick(arrival)
+        if engine is None:
+            self.fleet.tally.note_refusal("not_resident")
+            return
+        run = Run(arrival, 0, self._first_token, self._finish)
+        self._at[arrival.request_id] = engine
+        self._runs[arrival.request_id] = run
+        engine.submit(run)
+
+    def _give_up(self, arrival: Arrival) -> None:
+        run = self._runs.get(arrival.request_id)
+        if run is not None and run.first_token_at is None:
+            self._at[arrival.request_id].cancel(arrival.request_id)
+            self._forget(run)
+            self.fleet.tally.note_refusal("caller_gave_up")
+
+    def _forget(self, run: Run) -> None:
+        self._runs.pop(run.arrival.request_id, None)
+        self._at.pop(run.arrival.request_id, None)
+
+    def _first_token(self, run: Run) -> None:
+        self.fleet.tally.note_first_token(run.arrival, self.fleet.clock.now)
+
+    def _finish(self, run: Run) -> None:
+        self._forget(run)
+        self.fleet.tally.note_finish(run, self.fleet.clock.now)
+
+
+class RoundRobin(_LoadOnMiss):
+    """Takes the engines in turn and loads the model where it is missing.
+
+    An engine that has no room for the model, because everything there is in use, is passed over.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        super().__init__(fleet)
+        self._turn = 0
+
+    def pick(self, arrival: Arrival) -> Engine | None:
+        """Return the next engine that has, or can load, the model."""
+        engines = list(self.fleet.engines.values())
+        for _ in engines:
+            engine = engines[self._turn % len(engines)]
+            self._turn += 1
+            if not engine.reachable:
+                continue
+            here = arrival.base in engine.models or arrival.base in engine.loading
+            if here or self.load(engine, arrival.base):
+                return engine
+        return None
+
+
+class LeastOutstanding(_LoadOnMiss):
+    """Takes the resident copy with the fewest outstanding requests.
+
+    A miss is a request that finds no resident copy with a free place in its batch. It starts a
+    load on the least busy engine without the model, unless one is under way, and waits at the
+    copy with the fewest outstanding requests.
+    """
+
+    def pick(self, arrival: Arrival) -> Engine | None:
+        """Return the least busy copy, after starting a load on a miss."""
+        live = self.fleet.live()
+        holding = [engine for engine in live if arrival.base in engine.models]
+        coming = [engine for engine in live if arrival.base in engine.loading]
+        with_place = [e for e in holding if e.outstanding < e.upstream.max_batch]
+        if not with_place and not coming:
+            others = [engine for engine in live if engine not in holding]
+            for engine in sorted(others, key=lambda engine: engine.outstanding):
+                if self.load(engine, arrival.base):
+                    coming.append(engine)
+                    break
+        return min(holding or coming, key=lambda engine: engine.outstanding, default=None)
--- /dev/null
+++ b/eelgrassferry/bench/bound.py
@@ -0,0 +1,72 @@
+"""The upper bound worked out from a trace.
+
+All engines are one pooled machine that is always busy with the right model: no placement, no
+loads, no distance, free prefill, and work that can be split and interrupted at will. Requests are
+served by earliest completion deadline. Whenever the pending ones cannot all be in time, the one
+with the most work left is dropped, which keeps the number served in time as high as possible at
+that point.
+"""
+
+from bisect import insort
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from .tally import MAX_GAP_S
+from .trace import Arrival
+
+__all__ = ["attainable"]
+
+STEP_S = 0.1
+
+
+class _Pending:
+    __slots__ = ("deadline", "left", "urgent")
+
+    def __init__(self, arrival: Arrival) -> None:
+        self.deadline = arrival.first_token_by + MAX_GAP_S * arrival.output_tokens
+        self.left = float(arrival.output_tokens)
+        self.urgent = arrival.urgent
+
+
+def attainable(
+    arrivals: Sequence[Arrival], speed_at: Callable[[float], float], until: float
+) -> Counter[bool]:
+    """Return how many urgent (True) and patient (False) requests can be served within target.
+
+    ``speed_at`` gives the decode tokens/s of all reachable engines together at a time.
+    """
+    served: Counter[bool] = Counter()
+    pending: list[_Pending] = []
+    index = 0
+    step = 0
+    while (now := step * STEP_S) < until:
+        speed = speed_at(now)
+        arrived = False
+        while index < len(arrivals) and arrivals[index].at < now + STEP_S:
+            insort(pending, _Pending(arrivals[index]), key=lambda item: item.deadline)
+            index += 1
+            arrived = True
+        if arrived:
+            _drop_excess(pending, speed, now)
+        capacity = speed * STEP_S
+        while pending and capacity > 0:
+            work = min(capacity, pending[0].left)
+            capacity -= work
+            pending[0].left -= work
+            if pending[0].left > 1e-9:
+                break
+            served[pending.pop(0).urgent] += 1
+        step += 1
+    return served
+
+
+def _drop_excess(pending: list[_Pending], speed: float, now: float) -> None:
+    total = 0.0
+    index = 0
+    while index < len(pending):
+        total += pending[index].left
+        if total > speed * max(0.0, pending[index].deadline - now):
+            largest = max(range(index + 1), key=lambda i: pending[i].left)
+            total -= pending.pop(largest).left
+        else:
+            index += 1
--- /dev/null
+++ b/eelgrassferry/bench/trace.py
@@ -0,0 +1,134 @@
+"""Seeded requests with bursts of demand for single models."""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+from random import Random
+
+from ..settings import Deployment
+
+__all__ = ["BURSTS", "CALM", "Arrival", "TraceShape", "build_trace"]
+
+MEAN_OUTPUT_TOKENS = 100
+MEAN_PROMPT_TOKENS = 400
+ADAPTER_SHARE = 0.4
+# Share of requests whose class is not their model's default.
+OTHER_CLASS_SHARE = 0.1
+PREFIX_BLOCKS = 4
+PREFIXES_PER_MODEL = 6
+
+
+@dataclass(frozen=True)
+class TraceShape:
+    """How demand varies.
+
+    ``utilisation`` is the mean decode work offered as a share of all engines' speed, with bursts.
+    Each model bursts every ``burst_every_s`` seconds on average, to ``burst_factor`` times its
+    rate, for ``burst_s`` seconds on average.
+    """
+
+    utilisation: float
+    burst_every_s: float
+    burst_factor: float
+    burst_s: float
+
+
+CALM = TraceShape(0.55, 600.0, 3.0, 30.0)
+BURSTS = TraceShape(0.75, 240.0, 10.0, 30.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request of the trace. ``node`` is the index of the entry node it arrives at."""
+
+    request_id: str
+    at: float
+    node: int
+    name: str
+    base: str
+    urgent: bool
+    first_token_by: float
+    prompt_tokens: int
+    output_tokens: int
+    prefix_hashes: tuple[str, ...]
+
+
+def build_trace(
+    deployment: Deployment,
+    shape: TraceShape,
+    duration_s: float,
+    nodes: int,
+    patient_target_s: float,
+    rng: Random,
+) -> tuple[Arrival, ...]:
+    """Return the arrivals of ``duration_s`` seconds, in order of time."""
+    names = sorted(deployment.models)
+    order = list(names)
+    rng.shuffle(order)
+    weights = {name: 1.0 / (rank + 2) for rank, name in enumerate(order)}
+    speed = sum(upstream.decode_tokens_per_s for upstream in deployment.engines)
+    mean_factor = 1.0 + (shape.burst_factor - 1.0) * shape.burst_s / shape.burst_every_s
+    total_rate = shape.utilisation * speed / MEAN_OUTPUT_TOKENS / mean_factor
+    unit = total_rate / sum(weights.values())
+    riders: dict[str, list[str]] = {name: [] for name in names}
+    for adapter in deployment.adapters.values():
+        riders[adapter.base].append(adapter.name)
+    drafts = []
+    for name in names:
+        for at in _times(weights[name] * unit, shape, duration_s, rng):
+            drafts.append((at, name))
+    drafts.sort()
+    return tuple(
+        _arrival(deployment, f"r{index}", at, name, riders[name], nodes, patient_target_s, rng)
+        for index, (at, name) in enumerate(drafts)
+    )
+
+
+def _times(rate: float, shape: TraceShape, duration_s: float, rng: Random) -> Iterator[float]:
+    at = 0.0
+    burst_from = rng.expovariate(1.0 / shape.burst_every_s)
+    burst_to = burst_from + rng.expovariate(1.0 / shape.burst_s)
+    peak = rate * shape.burst_factor
+    while (at := at + rng.expovariate(peak)) < duration_s:
+        while at >= burst_to:
+            burst_from = burst_to + rng.expovariate(1.0 / shape.burst_every_s)
+            burst_to = burst_from + rng.expovariate(1.0 / shape.burst_s)
+        if at >= burst_from or rng.random() < 1.0 / shape.burst_factor:
+            yield at
+
+
+def _arrival(
+    deployment: Deployment,
+    request_id: str,
+    at: float,
+    base: str,
+    riders: list[str],
+    nodes: int,
+    patient_target_s: float,
+    rng: Random,
+) -> Arrival:
+    model = deployment.models[base]
+    name = base
+    if riders and rng.random() < ADAPTER_SHARE:
+        # The first adapters of a model are used most; the last ones are rare.
+        name = riders[min(int(rng.expovariate(1.0)), len(riders) - 1)]
+    urgent = model.urgent != (rng.random() < OTHER_CLASS_SHARE)
+    family = rng.randrange(PREFIXES_PER_MODEL)
+    blocks = tuple(f"{name}/{family}/{index}" for index in range(PREFIX_BLOCKS))
+    return Arrival(
+        request_id,
+        at,
+        rng.randrange(nodes),
+        name,
+        base,
+        urgent,
+        at + (model.first_token_s if urgent else patient_target_s),
+        _length(MEAN_PROMPT_TOKENS, 0.6, 2000, rng),
+        _length(MEAN_OUTPUT_TOKENS, 0.8, 1000, rng),
+        blocks,
+    )
+
+
+def _length(mean: float, sigma: float, most: int, rng: Random) -> int:
+    drawn = rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
+    return max(4, min(most, int(drawn)))
