Add the controller of a planning area and its shell

Cause: models, adapters and versions have to be loaded without ever overcommitting an engine's memory. Change: upstream records, the memory ledger, demand, planner, load pacer, version change, AreaController and AreaShell; an engine and an area in memory for tests and measurements. HttpClient takes a guard that is asked in the loop step in which the request is written; orders use it to look at the lease and the age of their reservation. Conclusion: every model becomes resident, adapters are loaded on demand and versions change, over sockets and in virtual time; faults in combination are not yet tested.

--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client over asyncio streams with a pool of connections for each peer."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
@@ -122,13 +123,14 @@
         body: bytes = b"",
         timeout_s: float = 10.0,
         fresh: bool = False,
+        guard: Callable[[], bool] | None = None,
     ) -> Result[HttpResponse, HttpError]:
         """Send a request and return its whole response, within ``timeout_s`` seconds."""
         stream: HttpStream | None = None
         try:
             async with asyncio.timeout(timeout_s):
                 opened = await self.open(
-                    peer, method, target, headers=headers, body=body, fresh=fresh
+                    peer, method, target, headers=headers, body=body, fresh=fresh, guard=guard
                 )
                 if isinstance(opened, Err):
                     return opened
@@ -150,12 +152,20 @@
         headers: Headers = (),
         body: bytes = b"",
         fresh: bool = False,
+        guard: Callable[[], bool] | None = None,
     ) -> Result[HttpStream, HttpError]:
-        """Send a request and return once the response's head has arrived."""
+        """Send a request and return once the response's head has arrived.
+
+        ``guard`` is asked in the loop step in which the request is written, after a connection
+        was found; where it says no, nothing is sent and the error's step is ``guard``.
+        """
         taken = await self._acquire(peer, fresh)
         if isinstance(taken, Err):
             return taken
         conn = taken.ok_value
+        if guard is not None and not guard():
+            self._release_unused(peer, conn)
+            return Err(HttpError("guard", peer, False, "not sent: the guard said no"))
         host = (("host", peer), ("content-length", str(len(body))))
         head = h11.Request(method=method, target=target, headers=[*host, *headers])
         step = "send"
@@ -217,6 +227,13 @@
         state.start_next_cycle()
         idle.append(conn)
 
+    def _release_unused(self, peer: str, conn: _Conn) -> None:
+        idle = self._idle.setdefault(peer, [])
+        if len(idle) >= MAX_IDLE_PER_PEER:
+            conn.writer.close()
+        else:
+            idle.append(conn)
+
     def close(self) -> None:
         """Close all idle connections."""
         for conns in self._idle.values():
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -94,22 +94,16 @@
     moment its write was sent. A holder whose term has run out takes a new epoch, even where no
     other candidate came between, so that orders from before the gap are fenced.
 
-    ``check_term=False`` turns off the end of the term, for the test that shows the test of the
-    invariant to work.
-
     >>> machine = LeaseMachine("uy-sur", "n1:a")
     >>> machine.tick(0.0)
     (ReadLease(),)
     """
 
-    def __init__(
-        self, area: str, instance: str, duration_s: float = 9.0, *, check_term: bool = True
-    ) -> None:
+    def __init__(self, area: str, instance: str, duration_s: float = 9.0) -> None:
         self.key = f"leases/{area}"
         self.instance = instance
         self._duration_s = duration_s
         self._renew_s = duration_s / 3
-        self._check_term = check_term
         self._acknowledged: frozenset[str] = frozenset()
         self._count = 0
         self._top_epoch = 0
@@ -120,7 +114,7 @@
         term = self._state.term
         if term is None or self._state.releasing:
             return None
-        return term if now < term.valid_until or not self._check_term else None
+        return term if now < term.valid_until else None
 
     def tick(self, now: float) -> tuple[LeaseAction, ...]:
         """Return the next action, if one is due."""
--- /dev/null
+++ b/eelgrassferry/placement/engine.py
@@ -0,0 +1,190 @@
+"""Orders to engines and their status, as section 7 of the design page gives them."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from result import Err, Ok, Result
+
+__all__ = [
+    "EngineOrder",
+    "EngineStatus",
+    "Item",
+    "ItemKind",
+    "OrderKind",
+    "OrderState",
+    "Resident",
+    "StatusFormatError",
+]
+
+
+class ItemKind(Enum):
+    """What an engine holds in its memory."""
+
+    MODEL = "model"
+    ADAPTER = "adapter"
+
+
+class OrderKind(Enum):
+    """What an engine order asks for."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    UNLOAD_ADAPTER = "unload_adapter"
+    FENCE = "fence"
+
+    @property
+    def is_load(self) -> bool:
+        """Whether the order takes memory."""
+        return self in (OrderKind.LOAD_MODEL, OrderKind.LOAD_ADAPTER)
+
+    @property
+    def item_kind(self) -> ItemKind:
+        """The kind of item that the order is about; a fence counts as about a model."""
+        adapter = self in (OrderKind.LOAD_ADAPTER, OrderKind.UNLOAD_ADAPTER)
+        return ItemKind.ADAPTER if adapter else ItemKind.MODEL
+
+    @classmethod
+    def load(cls, kind: ItemKind) -> "OrderKind":
+        """Return the order that loads an item of this kind."""
+        return cls.LOAD_ADAPTER if kind is ItemKind.ADAPTER else cls.LOAD_MODEL
+
+    @classmethod
+    def unload(cls, kind: ItemKind) -> "OrderKind":
+        """Return the order that unloads an item of this kind."""
+        return cls.UNLOAD_ADAPTER if kind is ItemKind.ADAPTER else cls.UNLOAD_MODEL
+
+
+class OrderState(Enum):
+    """What an engine says about an order. ``UNKNOWN`` means that it does not know the id."""
+
+    UNKNOWN = "unknown"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True)
+class Item:
+    """One version of a model or adapter."""
+
+    kind: ItemKind
+    name: str
+    version: str
+
+    def sort_key(self) -> tuple[str, str, str]:
+        """Return a key that puts items in a fixed order."""
+        return (self.kind.value, self.name, self.version)
+
+
+@dataclass(frozen=True)
+class Resident:
+    """An item in an engine's memory.
+
+    ``running`` counts its requests, None if not reported; ``leaving`` means that the engine is
+    unloading it and takes no new requests for it.
+    """
+
+    item: Item
+    memory_mib: int
+    running: int | None = None
+    leaving: bool = False
+
+
+@dataclass(frozen=True)
+class EngineOrder:
+    """The body of ``POST /admin/orders``. ``base`` is the model that an adapter rides on."""
+
+    order_id: str
+    kind: OrderKind
+    name: str
+    version: str
+    memory_mib: int
+    fence: int
+    base: str = ""
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the order as the engine takes it."""
+        return {
+            "order_id": self.order_id,
+            "kind": self.kind.value,
+            "name": self.name,
+            "version": self.version,
+            "memory_mib": self.memory_mib,
+            "base": self.base,
+            "fence": self.fence,
+        }
+
+
+@dataclass(frozen=True)
+class StatusFormatError:
+    """An engine status that cannot be decoded."""
+
+    step: str
+    peer: str
+    detail: str
+
+
+STATES = {
+    "done": OrderState.DONE,
+    "loaded": OrderState.DONE,
+    "unloaded": OrderState.DONE,
+    "failed": OrderState.FAILED,
+    "refused": OrderState.FAILED,
+}
+
+
+@dataclass(frozen=True)
+class EngineStatus:
+    """The exact status of an engine, as ``GET /admin/status`` gives it.
+
+    >>> EngineStatus.parse({"memory_mib": 10, "residents": []}, "u1").unwrap().memory_mib
+    10
+    """
+
+    memory_mib: int
+    used_mib: int = 0
+    fence: int = 0
+    residents: tuple[Resident, ...] = ()
+    loading: tuple[Resident, ...] = ()
+    orders: Mapping[str, OrderState] = field(default_factory=dict)
+    running: int = 0
+    queued: int = 0
+
+    @classmethod
+    def parse(cls, body: Any, peer: str) -> Result["EngineStatus", StatusFormatError]:
+        """Decode the engine's JSON. An order state with another name counts as running."""
+        try:
+            orders = body.get("orders", {})
+            return Ok(
+                cls(
+                    memory_mib=int(body["memory_mib"]),
+                    used_mib=int(body.get("used_mib", 0)),
+                    fence=int(body.get("fence", 0)),
+                    residents=tuple(parse_resident(r) for r in body.get("residents", ())),
+                    loading=tuple(parse_resident(r) for r in body.get("loading", ())),
+                    orders={str(k): STATES.get(v, OrderState.RUNNING) for k, v in orders.items()},
+                    running=int(body.get("running", 0)),
+                    queued=int(body.get("queued", 0)),
+                )
+            )
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            return Err(StatusFormatError("parse_status", peer, repr(exc)))
+
+    def state_of(self, order_id: str) -> OrderState:
+        """Return what the engine says about an order."""
+        return self.orders.get(order_id, OrderState.UNKNOWN)
+
+
+def parse_resident(entry: Any) -> Resident:
+    """Decode one entry of ``residents`` or ``loading``."""
+    kind = ItemKind.ADAPTER if "adapter" in str(entry.get("kind", "model")) else ItemKind.MODEL
+    running = entry.get("running")
+    return Resident(
+        Item(kind, str(entry["name"]), str(entry["version"])),
+        int(entry.get("memory_mib", 0)),
+        None if running is None else int(running),
+        leaving=entry.get("state") == "unloading",
+    )
--- /dev/null
+++ b/eelgrassferry/placement/pacer.py
@@ -0,0 +1,48 @@
+"""Paces loads to the limits of the weight store."""
+
+from ..settings import WeightStore
+from .engine import ItemKind
+
+__all__ = ["LoadPacer"]
+
+
+class LoadPacer:
+    """Says whether another load may start, for the whole site.
+
+    Model loads are bounded by rate and by slots; adapter loads by the number in transit below
+    which they run at full speed. ``share`` is this area's part of the site's store.
+
+    >>> pacer = LoadPacer(WeightStore(loads_per_s=1.0, slots=2))
+    >>> pacer.may_start(ItemKind.MODEL, in_transit=2, now=0.0)
+    False
+    """
+
+    def __init__(self, store: WeightStore, share: float = 1.0) -> None:
+        self._store = store
+        self._share = share
+        self._credit = 1.0
+        self._at_s: float | None = None
+
+    def update(self, store: WeightStore) -> None:
+        """Take new limits."""
+        self._store = store
+
+    def may_start(self, kind: ItemKind, in_transit: int, now: float) -> bool:
+        """Return whether a load may start while ``in_transit`` loads of its kind are under way."""
+        if kind is ItemKind.ADAPTER:
+            return in_transit < max(1, int(self._store.adapter_slots * self._share))
+        self._refill(now)
+        return self._credit >= 1.0 and in_transit < max(1, int(self._store.slots * self._share))
+
+    def start(self, kind: ItemKind, now: float) -> None:
+        """Count a load that starts now."""
+        if kind is ItemKind.MODEL:
+            self._refill(now)
+            self._credit -= 1.0
+
+    def _refill(self, now: float) -> None:
+        if self._at_s is not None:
+            gained = max(0.0, now - self._at_s) * self._store.loads_per_s * self._share
+            # A credit of one load keeps starts evenly spaced after a quiet time.
+            self._credit = min(1.0, self._credit + gained)
+        self._at_s = now
--- /dev/null
+++ b/eelgrassferry/placement/tests/test_controller.py
@@ -0,0 +1,170 @@
+"""Tests of the controller against engines in memory and in virtual time."""
+
+import unittest
+
+from .. import AreaController
+from .deployments import make_area, make_deployment
+
+
+class AreaControllerTest(unittest.TestCase):
+    """Whole areas under one controller."""
+
+    def start(self, **options):
+        area = make_area(**options)
+        area.take_over(AreaController("n1:a"))
+        return area
+
+    def test_every_model_becomes_resident_once(self):
+        """Guards against models that are unreachable, and against loads without need."""
+        area = self.start(models=("m1", "m2", "m3", "m4"), upstreams=2)
+        area.run(20.0)
+        for name in area.deployment.models:
+            self.assertEqual(len(area.residents(name)), 1, area.controller.explain(name, area.now))
+        self.assertEqual(sum(engine.loads for engine in area.engines.values()), 4)
+        area.run(60.0)
+        self.assertEqual(sum(engine.loads for engine in area.engines.values()), 4)
+
+    def test_adapter_is_loaded_on_want_and_the_idle_one_leaves(self):
+        """Guards against adapters that stay unreachable where memory is full."""
+        adapters = [(f"a{n}", "m1") for n in range(6)]
+        area = self.start(models=("m1",), upstreams=1, memory_mib=50, adapters=adapters)
+        area.run(10.0)
+        for name, _ in adapters:
+            area.controller.want(name, True, area.now)
+            area.controller.note_demand(name, True, area.now)
+            before = area.now
+            while not area.residents(name):
+                area.step()
+                area.now += 0.005
+                self.assertLess(area.now, before + 5.0, area.controller.explain(name, area.now))
+            area.run(3.0)
+        held = {name for name, _ in adapters if area.residents(name)}
+        self.assertEqual(held, {"a4", "a5"})
+        self.assertEqual(area.engines["u0"].overcommits, 0)
+
+    def test_without_a_term_nothing_is_done(self):
+        """Guards against orders from a process that does not hold the lease."""
+        area = self.start()
+        area.controller.update_term(None, area.now)
+        self.assertEqual(area.controller.tick(area.now), ())
+
+    def test_lost_order_is_ordered_again(self):
+        """Guards against a reservation that stays for ever after a lost order."""
+        area = self.start(models=("m1",), upstreams=1)
+        receive, lost = area.engines["u0"].receive, []
+
+        def lose_first(order, now):
+            if not lost:
+                lost.append(order)
+                return 202
+            return receive(order, now)
+
+        area.engines["u0"].receive = lose_first
+        area.run(30.0)
+        self.assertEqual(len(area.residents("m1")), 1)
+        self.assertEqual(area.records["u0"][1].reservations, ())
+
+    def test_restarted_engine_is_planned_anew(self):
+        """Guards against a record that goes on counting what a crash has freed."""
+        area = self.start(models=("m1", "m2"), upstreams=1)
+        area.run(15.0)
+        area.engines["u0"].restart()
+        area.run(30.0)
+        self.assertEqual(len(area.engines["u0"].residents), 2)
+        self.assertEqual(area.engines["u0"].overcommits, 0)
+
+    def test_unreachable_upstream_is_replaced(self):
+        """Guards against a model without a copy while another upstream has room."""
+        area = self.start(models=("m1",), upstreams=2)
+        area.run(10.0)
+        ((upstream, _),) = area.residents("m1")
+        area.down.add(upstream)
+        area.run(20.0)
+        self.assertEqual(len(area.residents("m1")), 2)
+
+    def test_successor_takes_up_half_done_loads(self):
+        """Guards against a takeover that loads twice or overcommits."""
+        area = self.start(models=("m1", "m2"), upstreams=1, memory_mib=85)
+        while not area.engines["u0"].loading:
+            area.step()
+            area.now += 0.01
+        area.take_over(AreaController("n2:b"))
+        area.run(30.0)
+        self.assertEqual(area.engines["u0"].loads, 2)
+        self.assertEqual(area.engines["u0"].overcommits, 0)
+        self.assertEqual(area.records["u0"][1].reservations, ())
+
+
+class VersionChangeTest(unittest.TestCase):
+    """Changes of a model's version."""
+
+    def start(self, **options):
+        area = make_area(**options)
+        area.take_over(AreaController("n1:a"))
+        area.run(15.0)
+        return area
+
+    def change(self, area, version, **options):
+        area.deployment = make_deployment(versions={"m1": version}, **options)
+        area.controller.update_deployment(area.deployment, area.now)
+
+    def test_new_version_replaces_the_old_one(self):
+        """Guards against a change that leaves the old version or skips the probe."""
+        options = {"models": ("m1",), "upstreams": 1}
+        area = self.start(**options)
+        probes = []
+        area.probe = lambda *args: probes.append(args) or True
+        self.change(area, "2", **options)
+        for _ in range(3000):
+            area.step()
+            area.now += 0.01
+            self.assertTrue(area.residents("m1"))
+        self.assertEqual(area.residents("m1"), {("u0", "2")})
+        self.assertEqual(probes, [("u0", "m1", "2")])
+
+    def test_bad_version_goes_back(self):
+        """Guards against traffic on a version whose probe failed, and against trying it again."""
+        options = {"models": ("m1",), "upstreams": 1}
+        area = self.start(**options)
+        area.probe = lambda *args: False
+        self.change(area, "2", **options)
+        area.run(40.0)
+        self.assertEqual(area.residents("m1"), {("u0", "1")})
+        loads = area.engines["u0"].loads
+        area.take_over(AreaController("n2:b"))
+        area.run(40.0)
+        self.assertEqual(area.engines["u0"].loads, loads)
+        self.assertIn("rejected", area.controller.explain("m1", area.now).reason)
+
+    def test_planned_gap_on_one_replica(self):
+        """Guards against a change that takes the last serving copy away."""
+        options = {"models": ("m1",), "upstreams": 2, "memory_mib": 60, "min_replicas": 2}
+        area = self.start(**options)
+        self.assertEqual(len(area.residents("m1")), 2)
+        self.change(area, "2", **options)
+        for _ in range(6000):
+            area.step()
+            area.now += 0.01
+            self.assertTrue(area.residents("m1"))
+        self.assertEqual(area.residents("m1"), {("u0", "2"), ("u1", "2")})
+
+    def test_single_copy_without_room_waits_with_a_reason(self):
+        """Guards against a silent standstill."""
+        options = {"models": ("m1",), "upstreams": 1, "memory_mib": 60}
+        area = self.start(**options)
+        self.change(area, "2", **options)
+        area.run(20.0)
+        self.assertEqual(area.residents("m1"), {("u0", "1")})
+        self.assertIn("needs 40 MiB", area.controller.explain("m1", area.now).reason)
+
+    def test_successor_finishes_a_change(self):
+        """Guards against two versions left beside each other after a takeover."""
+        options = {"models": ("m1",), "upstreams": 1}
+        area = self.start(**options)
+        self.change(area, "2", **options)
+        while not area.engines["u0"].loading:
+            area.step()
+            area.now += 0.01
+        area.take_over(AreaController("n2:b"))
+        area.run(40.0)
+        self.assertEqual(area.residents("m1"), {("u0", "2")})
