Write every accepted number in a form that loads again

Cause: a number of 12 digits or more was printed with an exponent, which the reader refuses. Change: numbers go up to 1e9 with at most 6 digits after the point, and are printed exactly and without an exponent; the unit us, which nothing needs, is gone.

--- a/eelgrassferry/settings/value_kind.py
+++ b/eelgrassferry/settings/value_kind.py
@@ -1,7 +1,6 @@
 """The kinds of values, with their units."""
 
 import ipaddress
-import math
 import re
 from decimal import Decimal
 from enum import Enum
@@ -14,13 +13,14 @@
 __all__ = ["ValueKind", "format_value", "is_name", "parse_value"]
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
-NUMBER = re.compile(r"([+-]?[0-9]+(?:\.[0-9]+)?)\s*(.*)")
+# The limits on digits and size let format_value write every accepted number exactly.
+NUMBER = re.compile(r"([+-]?[0-9]{1,12}(?:\.[0-9]{1,6})?)\s*([^\s0-9.]\S*)?")
+MAX_NUMBER = 1e9
 CALL_RULE = re.compile(r"[A-Z]+ /\S*")
 
 MEMORY_UNITS_MIB = {"MiB": Decimal(1), "GiB": Decimal(1024), "TiB": Decimal(1024 * 1024)}
 # Decimal, because 350 * 0.001 is not the float 0.35.
 TIME_UNITS_S = {
-    "us": Decimal("1e-6"),
     "ms": Decimal("1e-3"),
     "s": Decimal(1),
     "min": Decimal(60),
@@ -63,7 +63,7 @@
     >>> parse_value(ValueKind.MEMORY, "12 GiB")
     Ok(12288)
     >>> parse_value(ValueKind.DURATION, "350")
-    Err("'350' has no unit; write one of us, ms, s, min, h")
+    Err("'350' has no unit; write one of ms, s, min, h")
     """
     if not text:
         return Err("the value is empty")
@@ -108,11 +108,11 @@
         case ValueKind.DURATION:
             return _format_duration(value)
         case ValueKind.RATE:
-            return f"{value:.12g}/s"
+            return f"{_plain(Decimal(repr(value)))}/s"
         case ValueKind.TOKEN_RATE:
-            return f"{value:.12g} tokens/s"
+            return f"{_plain(Decimal(repr(value)))} tokens/s"
         case ValueKind.NUMBER | ValueKind.RATIO:
-            return f"{value:.12g}"
+            return f"{_plain(Decimal(repr(value)))}"
         case ValueKind.BOOL:
             return "yes" if value else "no"
         case ValueKind.PRIORITY:
@@ -123,12 +123,20 @@
             return ", ".join(value) if isinstance(value, tuple) else str(value)
 
 
-def _format_duration(seconds: float) -> str:
+def _plain(number: Decimal) -> str:
+    """Return a number without an exponent, which ``parse_value`` would refuse."""
+    text = f"{number:f}"
+    return text.rstrip("0").rstrip(".") if "." in text else text
+
+
+def _format_duration(value: float) -> str:
+    seconds = Decimal(repr(value))
     for unit in ("h", "min"):
-        size = float(TIME_UNITS_S[unit])
-        if seconds >= size and seconds % size == 0:
-            return f"{seconds / size:.12g} {unit}"
-    return f"{seconds:.12g} s" if seconds >= 1 else f"{seconds * 1000:.12g} ms"
+        if seconds % TIME_UNITS_S[unit] == 0:
+            return f"{_plain(seconds / TIME_UNITS_S[unit])} {unit}"
+    if seconds >= 1 and seconds == round(seconds, 6):
+        return f"{_plain(seconds)} s"
+    return f"{_plain(seconds * 1000)} ms"
 
 
 def _parse_quantity(text: str, units: dict[str, Decimal]) -> Result[float, str]:
@@ -137,13 +145,15 @@
     if found is None:
         return Err(f"{text!r} is not a number with a unit; the units are {choice}")
     number, unit = found.groups()
-    if not unit:
+    if unit is None:
         return Err(f"{text!r} has no unit; write one of {choice}")
     if unit not in units:
         return Err(f"{text!r} has the unknown unit {unit!r}; write one of {choice}")
     value = float(Decimal(number) * units[unit])
-    if not 0 < value < math.inf:
+    if value <= 0:
         return Err(f"{text!r} is not positive")
+    if value > MAX_NUMBER:
+        return Err(f"{text!r} is too large")
     return Ok(value)
 
 
@@ -156,8 +166,10 @@
     if found is None or found.group(2):
         return Err(f"{text!r} is not a plain number")
     value = float(text)
-    if not 0 < value < math.inf:
+    if value <= 0:
         return Err(f"{text!r} is not positive")
+    if value > MAX_NUMBER:
+        return Err(f"{text!r} is too large")
     if kind is ValueKind.RATIO and value > 1:
         return Err(f"{text!r} is over 1")
     return Ok(value)
