--- a/eelgrassferry/standins/__init__.py
+++ b/eelgrassferry/standins/__init__.py
@@ -3,6 +3,8 @@
 from .engine import EngineStandin
 from .engine_options import EngineFaults, EngineOptions
 from .platform import PlatformFaults, PlatformOptions, PlatformStandin
+from .service import ServiceFaults, ServiceOptions, ServiceStandin
+from .store import StoreFaults, StoreOptions, StoreStandin
 from .tokens import (
     block_hashes,
     count_prompt_tokens,
@@ -19,6 +21,12 @@
     "PlatformFaults",
     "PlatformOptions",
     "PlatformStandin",
+    "ServiceFaults",
+    "ServiceOptions",
+    "ServiceStandin",
+    "StoreFaults",
+    "StoreOptions",
+    "StoreStandin",
     "block_hashes",
     "count_prompt_tokens",
     "expected_tokens",
--- a/eelgrassferry/standins/batch.py
+++ b/eelgrassferry/standins/batch.py
@@ -162,7 +162,7 @@
 
     def _emit(self, job: Job) -> None:
         count = min(int(job.credit), job.last - job.produced)
-        if count <= 0:
+        if count <= 0 and job.produced < job.last:
             return
         job.credit -= count
         job.produced += count
--- a/eelgrassferry/standins/engine.py
+++ b/eelgrassferry/standins/engine.py
@@ -129,8 +129,10 @@
 
     def read_status(self) -> dict[str, Any]:
         """Return the exact status; ``residents`` includes those that are being unloaded."""
-        loading = [r for r in self.memory.residents if r.state == ResidentState.LOADING]
-        residents = [r for r in self.memory.residents if r.state != ResidentState.LOADING]
+        loading, residents = [], []
+        for resident in self.memory.residents:
+            entries = loading if resident.state == ResidentState.LOADING else residents
+            entries.append(resident.to_json(self.memory.users(resident.key)))
         batch = self.run.batch
         return {
             "name": self.options.name,
@@ -140,8 +142,8 @@
             "fence": self.orders.fence,
             "memory_mib": self.memory.memory_mib,
             "used_mib": self.memory.used_mib,
-            "residents": [resident.to_json() for resident in residents],
-            "loading": [resident.to_json() for resident in loading],
+            "residents": residents,
+            "loading": loading,
             "orders": dict(self.orders.states),
             "running": batch.running,
             "queued": batch.queued,
--- a/eelgrassferry/standins/engine_memory.py
+++ b/eelgrassferry/standins/engine_memory.py
@@ -32,8 +32,8 @@
         """Name and version."""
         return self.name, self.version
 
-    def to_json(self) -> dict[str, Any]:
-        """Return the entry of ``GET /admin/status``."""
+    def to_json(self, users: int) -> dict[str, Any]:
+        """Return the entry of ``GET /admin/status``; ``users`` is the number of its requests."""
         return {
             "kind": "adapter" if self.adapter else "model",
             "name": self.name,
@@ -41,6 +41,7 @@
             "memory_mib": self.memory_mib,
             "base": self.base,
             "state": self.state,
+            "running": users,
         }
 
 
--- a/eelgrassferry/standins/engine_options.py
+++ b/eelgrassferry/standins/engine_options.py
@@ -27,7 +27,7 @@
     max_batch: int = 16
     max_queue: int = 64
     cache_blocks: int = 4096
-    block_tokens: int = 16
+    block_tokens: int = 64
     checks_fence: bool = True
     token: str = ""
     store: str = ""
