Add scenarios that drive the stand-ins as processes

Cause: the node needs a harness that starts real processes, breaks them, and checks the invariants. Conclusion: scenarios on nodes need only steps that start a node.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,40 @@
+"""Set-up and end of each scenario."""
+
+import sys
+from pathlib import Path
+
+sys.path[:0] = [str(Path(__file__).resolve().parent), str(Path(__file__).resolve().parents[1])]
+
+import parse  # noqa: E402
+from behave import register_type  # noqa: E402
+from harness import System, check_invariants  # noqa: E402
+
+
+@parse.with_pattern(r'[^"]*')
+def read_word(text: str) -> str:
+    """Read a quoted parameter; without the pattern it could reach over the closing quote."""
+    return text
+
+
+register_type(Word=read_word)
+
+
+def before_scenario(context, scenario):
+    """Start with no processes."""
+    context.system = System()
+
+
+def after_scenario(context, scenario):
+    """Check the invariants, end all processes, and show their logs if the scenario failed."""
+    broken = []
+    system = context.system
+    try:
+        system.settle()
+        broken = check_invariants(system)
+    finally:
+        system.end()
+        if broken or scenario.status.name != "passed":
+            for process in system.processes.values():
+                if process.log_text:
+                    print(f"--- log of {process.name}\n{process.log_text[-4000:]}")
+    assert not broken, "broken invariants:\n" + "\n".join(broken)
--- /dev/null
+++ b/features/harness/request_call.py
@@ -0,0 +1,142 @@
+"""One completion request of a scenario and its outcome."""
+
+import json
+from concurrent.futures import Future
+from dataclasses import dataclass, replace
+
+from result import Err, Ok
+
+from eelgrassferry.http import HttpClient, SseParser
+from eelgrassferry.standins import expected_tokens, request_digest
+
+from .process import Process
+
+__all__ = ["RequestCall", "RequestOutcome"]
+
+TIMEOUT_S = 60.0
+
+
+@dataclass(frozen=True)
+class RequestOutcome:
+    """What a caller saw. ``status`` 0 means that no answer began; ``ran`` is a refusal's word.
+
+    ``complete`` is True if the answer came to its own end.
+    """
+
+    status: int = 0
+    complete: bool = False
+    version: str = ""
+    indexes: tuple[int, ...] = ()
+    tokens: tuple[str, ...] = ()
+    reason: str = ""
+    ran: str = ""
+    detail: str = ""
+
+
+@dataclass(frozen=True)
+class RequestCall:
+    """A request to ``target``. Prompts differ, so each digest belongs to one request."""
+
+    target: Process
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool = False
+    patient: bool = False
+    resume: tuple[str, int] | None = None
+    future: "Future[RequestOutcome] | None" = None
+
+    @property
+    def digest(self) -> str:
+        """The digest under which engines count the starts of this request."""
+        return request_digest(self.model, self.prompt)
+
+    @property
+    def outcome(self) -> RequestOutcome:
+        """The outcome, as soon as there is one."""
+        assert self.future is not None
+        return self.future.result(TIMEOUT_S)
+
+    def with_future(self, future: "Future[RequestOutcome]") -> "RequestCall":
+        """Return the request as sent."""
+        return replace(self, future=future)
+
+    def judge(self) -> str:
+        """Return "" for a complete and right answer, or else what is wrong with it."""
+        seen = self.outcome
+        if seen.status != 200:
+            return f"refused with {seen.status} {seen.reason} {seen.detail}"
+        if not seen.complete:
+            return f"broken after {len(seen.tokens)} tokens: {seen.detail}"
+        first = self.resume[1] if self.resume else 0
+        if seen.indexes and seen.indexes != tuple(range(first, self.max_tokens)):
+            return f"token numbers {seen.indexes}"
+        want = expected_tokens(self.model, seen.version, self.prompt, self.max_tokens)
+        return "" if seen.tokens == want[first:] else "tokens of another request or version"
+
+    async def run(self, client: HttpClient) -> RequestOutcome:
+        """Send the request and read its answer."""
+        body = {
+            "model": self.model,
+            "prompt": self.prompt,
+            "max_tokens": self.max_tokens,
+            "stream": self.stream,
+        }
+        if self.resume:
+            body["resume"] = {"version": self.resume[0], "tokens": self.resume[1]}
+        headers = (
+            ("content-type", "application/json"),
+            ("priority", f"u={5 if self.patient else 1}"),
+        )
+        data = json.dumps({**body, "priority": "patient" if self.patient else "urgent"}).encode()
+        address = self.target.address
+        opened = await client.open(
+            address, "POST", "/v1/completions", headers=headers, body=data, fresh=True
+        )
+        match opened:
+            case Err(error):
+                return RequestOutcome(detail=f"{error.step}: {error.detail}")
+            case Ok(stream) if stream.status == 200 and self.stream:
+                return await self._read_events(stream)
+            case Ok(stream):
+                return await self._read_whole(stream)
+
+    @staticmethod
+    async def _read_whole(stream) -> RequestOutcome:
+        read = await stream.read_all()
+        if isinstance(read, Err):
+            return RequestOutcome(stream.status, detail=read.err_value.detail)
+        answer = json.loads(read.ok_value)
+        if stream.status != 200:
+            reason, ran = answer.get("reason", ""), answer.get("ran", "")
+            return RequestOutcome(stream.status, True, reason=reason, ran=ran)
+        tokens = tuple(answer["tokens"])
+        return RequestOutcome(200, True, answer["version"], (), tokens)
+
+    @staticmethod
+    async def _read_events(stream) -> RequestOutcome:
+        parser, events, detail = SseParser(), [], ""
+        while True:
+            match await stream.read():
+                case Ok(b""):
+                    break
+                case Ok(data):
+                    events += parser.feed(data)
+                case Err(error):
+                    detail = error.detail
+                    break
+        complete = bool(events) and events[-1] == "[DONE]"
+        decoded = [json.loads(event) for event in events if event != "[DONE]"]
+        tokens = [event for event in decoded if "token" in event]
+        version = tokens[0]["version"] if tokens else ""
+        failed = next((event for event in decoded if "reason" in event), {})
+        return RequestOutcome(
+            200,
+            complete,
+            version,
+            tuple(event["index"] for event in tokens),
+            tuple(event["token"] for event in tokens),
+            failed.get("reason", ""),
+            failed.get("ran", ""),
+            detail,
+        )
--- /dev/null
+++ b/features/steps/request_steps.py
@@ -0,0 +1,95 @@
+"""Steps that send completions and check their answers."""
+
+from dataclasses import replace
+
+from behave import then, when
+
+
+@when('{count:d} request for model "{model:Word}" is sent to "{target:Word}"')
+@when('{count:d} requests for model "{model:Word}" are sent to "{target:Word}"')
+def send_whole(context, count, model, target):
+    """Answers come whole."""
+    context.system.send_requests(count, target, model)
+
+
+@when(
+    '{count:d} streamed request of {tokens:d} tokens for model "{model:Word}"'
+    ' is sent to "{target:Word}"'
+)
+@when(
+    '{count:d} streamed requests of {tokens:d} tokens for model "{model:Word}"'
+    ' are sent to "{target:Word}"'
+)
+def send_streamed(context, count, tokens, model, target):
+    """Answers come token by token."""
+    context.system.send_requests(count, target, model, max_tokens=tokens, stream=True)
+
+
+@when('a request for model "{model:Word}" that contains "{marker:Word}" is sent to "{target:Word}"')
+def send_marked(context, model, marker, target):
+    """A request that crashes an engine with this crash marker."""
+    context.system.send_requests(1, target, model, marker=marker)
+
+
+@when('"{name:Word}" has started {count:d} request')
+@when('"{name:Word}" has started {count:d} requests')
+def wait_started(context, name, count):
+    """Wait until an engine has this many requests running."""
+    system = context.system
+
+    def has_started() -> bool:
+        return system.calls.read(system.address(name), "/admin/status")["running"] >= count
+
+    system.calls.wait_until(has_started, f"{count} running requests on {name}")
+
+
+@when('the broken streams are resumed at "{target:Word}"')
+def resume_broken(context, target):
+    """Ask for the rest of each broken stream, in the same version of its model."""
+    system = context.system
+    broken = [call for call in system.requests if call.stream and not call.outcome.complete]
+    assert broken, "no stream is broken"
+    for call in broken:
+        seen = call.outcome
+        resume = (seen.version or "1", len(seen.tokens))
+        system.send_request(replace(call, target=system.find(target), resume=resume))
+
+
+@then("every request is answered in full")
+def check_all_answered(context):
+    """All tokens, each once and in order, of the request's own prompt."""
+    faults = [
+        f"{call.prompt}: {wrong}" for call in context.system.requests if (wrong := call.judge())
+    ]
+    assert context.system.requests and not faults, faults
+
+
+@then("the last {count:d} requests are answered in full")
+def check_last_answered(context, count):
+    """As above, for the requests sent last."""
+    faults = [wrong for call in context.system.requests[-count:] if (wrong := call.judge())]
+    assert not faults, faults
+
+
+@then("{count:d} stream breaks after {tokens:d} tokens")
+@then("{count:d} streams break after {tokens:d} tokens")
+def check_broken(context, count, tokens):
+    """So many streams end early, each with this many right tokens."""
+    broken = [c.outcome for c in context.system.requests if c.stream and not c.outcome.complete]
+    assert [len(seen.tokens) for seen in broken] == [tokens] * count, broken
+
+
+@then('{count:d} request is refused with "{reason:Word}" and did not run')
+@then('{count:d} requests are refused with "{reason:Word}" and did not run')
+def check_refused(context, count, reason):
+    """The refusals' word is checked against the engines' counts after the scenario."""
+    seen = [call.outcome for call in context.system.requests]
+    refused = [outcome for outcome in seen if outcome.reason == reason and outcome.ran == "no"]
+    assert len(refused) == count, seen
+
+
+@then("no request gets an answer")
+def check_unanswered(context):
+    """All connections broke before an answer was complete."""
+    answered = [c.prompt for c in context.system.requests if c.outcome.complete]
+    assert not answered, answered
