Load each configuration once while applying a change

Cause: applying a change loaded the new texts twice and the texts in force once, and compared all values as text; loading holds the event loop and so delays tokens. Change: load_deployment keeps its last three results; the comparison formats only sections that differ.

--- a/eelgrassferry/settings/difference.py
+++ b/eelgrassferry/settings/difference.py
@@ -1,6 +1,8 @@
 """Differences between two deployments."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from typing import Any
 
 from .deployment import Deployment
 from .load import list_values
@@ -33,8 +35,9 @@
     Values are compared by meaning: ``12 GiB`` and ``12288 MiB`` are the same, and a default
     written out is the same as the default.
     """
-    before = {(v.section, v.key): v.value for v in list_values(old)}
-    after = {(v.section, v.key): v.value for v in list_values(new)}
+    # Most changes touch few sections, and writing out all values takes as long as loading them.
+    before = {(v.section, v.key): v.value for v in list_values(_drop_equal(old, new))}
+    after = {(v.section, v.key): v.value for v in list_values(_drop_equal(new, old))}
     places = [*before, *(place for place in after if place not in before)]
     return tuple(
         Difference(section, key, before.get((section, key)), after.get((section, key)))
@@ -43,6 +46,21 @@
     )
 
 
+def _drop_equal(deployment: Deployment, other: Deployment) -> Deployment:
+    """Return the deployment without the named sections that the other has just the same."""
+    return replace(
+        deployment,
+        models=_only_in(deployment.models, other.models),
+        adapters=_only_in(deployment.adapters, other.adapters),
+        upstreams=_only_in(deployment.upstreams, other.upstreams),
+        services=_only_in(deployment.services, other.services),
+    )
+
+
+def _only_in(items: Mapping[str, Any], others: Mapping[str, Any]) -> dict[str, Any]:
+    return {name: item for name, item in items.items() if others.get(name) != item}
+
+
 def combine_differences(steps: tuple[tuple[Difference, ...], ...]) -> tuple[Difference, ...]:
     """Return what a series of changes made together; a value changed back is left out."""
     combined: dict[tuple[str, str], Difference] = {}
--- a/eelgrassferry/settings/load.py
+++ b/eelgrassferry/settings/load.py
@@ -1,6 +1,7 @@
 """Loading of a deployment from its base and overlay, and of a node's own file."""
 
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import Any
 
 from result import Err, Ok, Result
@@ -22,6 +23,9 @@
 __all__ = ["list_values", "load_deployment", "load_node_settings"]
 
 
+# Applying one change loads the new texts twice and the texts in force once. Loading holds the event
+# loop, so the last results are kept; texts and results do not change.
+@lru_cache(maxsize=3)
 def load_deployment(
     base: SettingsText, overlay: SettingsText
 ) -> Result[LoadedDeployment, tuple[SettingError, ...]]:
