Let a slow platform's calls take effect halfway

Cause: all of the delay came before the effect, so a write whose caller gave up never took effect. Change: half of the time passes before the effect and half after; a domain that is cut off meanwhile gets no answer. Measured: the new test fails without the change and passes with it; 31 tests of the stand-ins pass. Conclusion: giving up on a write leaves its outcome open, as the design assumes.

--- a/eelgrassferry/standins/platform.py
+++ b/eelgrassferry/standins/platform.py
@@ -103,9 +103,14 @@
             self.counts[f"refused.{refused.reason}"] += 1
             await out.send(refusal(refused))
             return
-        await asyncio.sleep((self.options.answer_ms + self.faults.delay_ms) / 1000.0)
+        # Half of the time passes before the call takes effect and half after, so that a caller
+        # that gives up may or may not have written.
+        half_s = (self.options.answer_ms + self.faults.delay_ms) / 2000.0
+        await asyncio.sleep(half_s)
         self._check_domain(req)
         response = await self._answer(kind, req, path)
+        await asyncio.sleep(half_s)
+        self._check_domain(req)
         if writes and response.status == 200 and self.faults.lose_answers > 0:
             left = self.faults.lose_answers - 1
             self.faults = dataclasses.replace(self.faults, lose_answers=left)
--- a/eelgrassferry/standins/tests/test_platform.py
+++ b/eelgrassferry/standins/tests/test_platform.py
@@ -55,6 +55,16 @@
         self.assertEqual((await self.call(platform, "GET", "/objects/a")).body, b"x")
         self.assertEqual((await self.put(platform, "a", b"y", 1)).status, 200)
 
+    async def test_write_of_a_caller_that_gave_up_may_take_effect(self):
+        """Guards against a slow platform on which giving up always undoes the write."""
+        platform = await self.serve(PlatformStandin())
+        await self.set_faults(platform, delay_ms=200)
+        late = asyncio.ensure_future(self.put(platform, "a", b"x"))
+        await self.wait_until(lambda: platform.objects.version == 1)
+        self.assertFalse(late.done())
+        late.cancel()
+        self.assertEqual((await self.call(platform, "GET", "/objects/a")).body, b"x")
+
     async def test_down_and_cut_domains(self):
         """Guards against a partition that also cuts callers of other domains."""
         platform = await self.serve(PlatformStandin())
