Write the settings of a scenario's deployment from its processes

Cause: scenarios that run nodes need base, overlay and node files that name kernel-chosen ports. Ending a process that never got ready failed a second time on its closed log file; end is now idempotent.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,13 +1,14 @@
 """Set-up and end of each scenario."""
 
 import sys
+import tempfile
 from pathlib import Path
 
 sys.path[:0] = [str(Path(__file__).resolve().parent), str(Path(__file__).resolve().parents[1])]
 
 import parse  # noqa: E402
 from behave import register_type  # noqa: E402
-from harness import System, check_invariants  # noqa: E402
+from harness import Deployment, System, check_invariants  # noqa: E402
 
 
 @parse.with_pattern(r'[^"]*')
@@ -22,6 +23,8 @@
 def before_scenario(context, scenario):
     """Start with no processes."""
     context.system = System()
+    context.directory = tempfile.TemporaryDirectory()
+    context.deployment = Deployment(context.system, Path(context.directory.name))
 
 
 def after_scenario(context, scenario):
@@ -33,6 +36,7 @@
         broken = check_invariants(system)
     finally:
         system.end()
+        context.directory.cleanup()
         if broken or scenario.status.name != "passed":
             for process in system.processes.values():
                 if process.log_text:
--- a/features/harness/process.py
+++ b/features/harness/process.py
@@ -21,14 +21,18 @@
 class Process:
     """``python -m eelgrassferry <command>``, from its ready line to its end.
 
-    Signals go to the process id of this process only. ``log`` returns what it wrote to standard
-    error. ``broke`` is True once it was killed, so that its callers may see broken connections.
+    Signals go to the process id of this process only. ``domain`` and ``options`` describe it in the
+    deployment's settings. ``broke`` is True once it was killed, so that its callers may see broken
+    connections. ``log_text`` has its standard error after ``end``.
     """
 
     def __init__(self, name: str, kind: str, command: Sequence[str]) -> None:
         self.name = name
         self.kind = kind
         self.broke = False
+        self.domain = "d1"
+        self.options: dict[str, Any] = {}
+        self.log_text = ""
         self.ready: dict[str, Any] = {}
         self.last_counts: dict[str, Any] = {}
         self._frozen = False
@@ -93,7 +97,9 @@
         return self._process.wait(STOP_S)
 
     def end(self) -> None:
-        """End the process in any state and release its files."""
+        """End the process in any state and release its files; again, it does nothing."""
+        if self._stderr.closed:
+            return
         self.resume()
         if self.runs:
             self._process.terminate()
--- a/features/harness/system.py
+++ b/features/harness/system.py
@@ -25,7 +25,12 @@
         self._sent = 0
 
     def start_standin(self, kind: str, name: str, /, **options: Any) -> Process:
-        """Start a stand-in with options as ``eelgrassferry standin`` names them."""
+        """Start a stand-in with options as ``eelgrassferry standin`` names them.
+
+        Text of a scenario's table may stand for a boolean: ``yes``, ``no``, ``true``, ``false``.
+        """
+        words = {"yes": True, "true": True, "no": False, "false": False}
+        options = {option: words.get(str(v).lower(), v) for option, v in options.items()}
         flags: list[str] = []
         for option, value in options.items():
             flag = option.replace("_", "-")
@@ -36,7 +41,9 @@
                     flags += [part for item in value for part in (f"--{flag}", str(item))]
                 case _:
                     flags += [f"--{flag}", str(value)]
-        return self.start(kind, name, ("standin", kind, *flags))
+        process = self.start(kind, name, ("standin", kind, *flags))
+        process.options = options
+        return process
 
     def start(self, kind: str, name: str, command: Sequence[str]) -> Process:
         """Start a process and wait until it is ready."""
