Keep the counts of stopped and replaced stand-ins in the scenarios' checks

Cause: counts read before a planned stop missed what ran until the stop, a replaced process took its counts with it, and an engine that was restarting after a crash was judged by old counts. Change: a stand-in prints its counts as it stops; replaced processes stay in the sums; reading counts waits for a restart. Scenarios can start a killed process again at its address, send a request again, and a request that crashes engines may be started at most twice by nodes. Conclusion: the checks after a scenario count all work of all processes, except what a process did between the last read and a kill.

--- a/eelgrassferry/cli/standin.py
+++ b/eelgrassferry/cli/standin.py
@@ -59,7 +59,11 @@
 
 
 async def _serve(standin: Standin[Any], grace_s: float) -> None:
-    """Serve until SIGTERM or SIGINT, then finish requests in flight within ``grace_s`` seconds."""
+    """Serve until SIGTERM or SIGINT, then finish requests in flight within ``grace_s`` seconds.
+
+    The last line on standard output is ``{"counts": ...}``, for counts read before the stop would
+    miss what ran until then.
+    """
     configure_logs("warning")
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -69,3 +73,4 @@
     print(json.dumps({"ready": True, "address": standin.address}), flush=True)
     await stopped.wait()
     await standin.close(grace_s)
+    print(json.dumps({"counts": standin.read_counts()}), flush=True)
--- a/eelgrassferry/cli/tests/test_standin.py
+++ b/eelgrassferry/cli/tests/test_standin.py
@@ -36,7 +36,9 @@
                     if kind == "engine":
                         self.assertEqual(counts.unwrap().json()["max_used_mib"], 50)
                     process.send_signal(signal.SIGTERM)
-                    self.assertEqual(await asyncio.wait_for(process.wait(), 10), 0)
+                    last, _ = await asyncio.wait_for(process.communicate(), 10)
+                    self.assertEqual(process.returncode, 0)
+                    self.assertEqual(json.loads(last)["counts"], counts.unwrap().json())
                 finally:
                     if process.returncode is None:
                         process.kill()
--- a/features/engine.feature
+++ b/features/engine.feature
@@ -81,6 +81,33 @@
     And "e1" has crashed 1 time
     And "e1" uses 0 MiB
 
+  Scenario: A request that crashes each engine that runs it
+    Given an engine "e1" of 24000 MiB that holds model "results" of 8000 MiB
+      | option       | value    |
+      | crash marker | overflow |
+      | restart s    | 0.3      |
+    And an engine "e2" of 24000 MiB that holds model "results" of 8000 MiB
+      | option       | value    |
+      | crash marker | overflow |
+      | restart s    | 0.3      |
+    When a request for model "results" that contains "overflow" is sent to "e1"
+    And the last request is sent again to "e2"
+    Then no request gets an answer
+    And "e1" has crashed 1 time
+    And "e2" has crashed 1 time
+
+  Scenario: A replaced engine is empty and is loaded anew
+    Given an engine "e1" of 24000 MiB
+    When engine order "o1" loads model "results" version "1" of 8000 MiB on "e1"
+    Then engine order "o1" is "done" on "e1"
+    When "e1" is killed
+    And "e1" is started again
+    Then "e1" uses 0 MiB
+    When engine order "o2" loads model "results" version "1" of 8000 MiB on "e1"
+    Then engine order "o2" is "done" on "e1"
+    When 2 requests for model "results" are sent to "e1"
+    Then every request is answered in full
+
   Scenario: A paused engine goes on where it was
     Given an engine "e1" of 24000 MiB that holds model "results" of 8000 MiB
     When 4 streamed requests of 40 tokens for model "results" are sent to "e1"
--- a/features/harness/invariants.py
+++ b/features/harness/invariants.py
@@ -4,6 +4,8 @@
 
 __all__ = ["check_invariants"]
 
+MAX_CRASHES = 2
+
 
 def check_invariants(system: System) -> list[str]:
     """Return a line for each broken invariant of design section 1.2, by the stand-ins' counts."""
@@ -12,13 +14,14 @@
         *check_orders(system),
         *check_requests(system),
         *check_leaving(system),
+        *check_crashes(system),
     ]
 
 
 def check_memory(system: System) -> list[str]:
     """I1: no engine was ever asked to hold more than its memory."""
     faults = []
-    for process in system.of_kind("engine"):
+    for process in system.all_of_kind("engine"):
         counts = system.read_counts(process)
         if counts.get("overcommits", 0):
             faults.append(f"I1: {process.name} refused {counts['overcommits']} overcommits")
@@ -77,10 +80,24 @@
 def check_leaving(system: System) -> list[str]:
     """I6: an upstream that leaves got no new work later than 3 s after."""
     faults = []
-    for process in (*system.of_kind("engine"), *system.of_kind("service")):
+    for process in (*system.all_of_kind("engine"), *system.all_of_kind("service")):
         late = system.read_counts(process).get("late_requests", 0)
         if late:
             faults.append(
                 f"I6: {process.name} got {late} requests over 3 s after it began to leave"
             )
     return faults
+
+
+def check_crashes(system: System) -> list[str]:
+    """I10: nodes let each request that crashes engines crash at most two of them."""
+    crashing = [call for call in system.requests if call.crashes]
+    if any(call.target.kind != "node" for call in crashing):
+        return []
+    starts = system.count_starts()
+    digests = {call.digest: call.prompt for call in crashing}
+    return [
+        f"I10: {prompt!r} was started {starts[digest]} times"
+        for digest, prompt in digests.items()
+        if starts[digest] > MAX_CRASHES
+    ]
--- a/features/harness/process.py
+++ b/features/harness/process.py
@@ -35,6 +35,7 @@
         self.log_text = ""
         self.ready: dict[str, Any] = {}
         self.last_counts: dict[str, Any] = {}
+        self.command = tuple(command)
         self._frozen = False
         # Closed in ``end``; a file cannot fill up as a pipe does.
         self._stderr = tempfile.TemporaryFile(mode="w+")  # noqa: SIM115
@@ -91,10 +92,14 @@
         self._process.wait()
 
     def stop(self) -> int:
-        """Ask the process to stop, and return its exit code."""
+        """Ask the process to stop, keep the counts it ends with, and return its exit code."""
         self.resume()
         self._process.terminate()
-        return self._process.wait(STOP_S)
+        output, _ = self._process.communicate(timeout=STOP_S)
+        for line in output.splitlines():
+            if line.startswith('{"counts"'):
+                self.last_counts = json.loads(line)["counts"]
+        return self._process.returncode
 
     def end(self) -> None:
         """End the process in any state and release its files; again, it does nothing."""
--- a/features/harness/request_call.py
+++ b/features/harness/request_call.py
@@ -35,7 +35,10 @@
 
 @dataclass(frozen=True)
 class RequestCall:
-    """A request to ``target``. Prompts differ, so each digest belongs to one request."""
+    """A request to ``target``. Prompts differ, so each digest belongs to one request.
+
+    ``crashes`` says that its prompt contains the engines' crash marker.
+    """
 
     target: Process
     model: str
@@ -43,6 +46,7 @@
     max_tokens: int
     stream: bool = False
     patient: bool = False
+    crashes: bool = False
     resume: tuple[str, int] | None = None
     future: "Future[RequestOutcome] | None" = None
 
--- a/features/harness/system.py
+++ b/features/harness/system.py
@@ -22,6 +22,7 @@
         self.processes: dict[str, Process] = {}
         self.requests: list[RequestCall] = []
         self.orders: list[OrderCall] = []
+        self._ended: list[Process] = []
         self._sent = 0
 
     def start_standin(self, kind: str, name: str, /, **options: Any) -> Process:
@@ -52,6 +53,17 @@
         process.wait_ready()
         return process
 
+    def restart(self, name: str) -> Process:
+        """Start an ended stand-in anew at the same address; its memory is gone."""
+        old = self.find(name)
+        assert not old.runs, f"{name} is still running"
+        port = old.address.rpartition(":")[2]
+        self._ended.append(self.processes.pop(name))
+        port_flag = () if "--port" in old.command else ("--port", port)
+        process = self.start(old.kind, name, (*old.command, *port_flag))
+        process.options, process.domain = old.options, old.domain
+        return process
+
     def find(self, name: str) -> Process:
         """Return a process by its name in the scenario."""
         assert name in self.processes, f"no process {name!r}; there are {sorted(self.processes)}"
@@ -68,7 +80,8 @@
             self._sent += 1
             prompt = f"request {self._sent} of the scenario {marker}".strip()
             fields.setdefault("max_tokens", 16)
-            self.send_request(RequestCall(self.find(target), model, prompt, **fields))
+            call = RequestCall(self.find(target), model, prompt, crashes=bool(marker), **fields)
+            self.send_request(call)
 
     def send_request(self, call: RequestCall) -> RequestCall:
         """Send one request without waiting for its answer."""
@@ -91,31 +104,44 @@
         process.kill()
 
     def read_counts(self, process: Process) -> dict[str, Any]:
-        """Return the counts of a stand-in, the last ones read if it no longer answers."""
-        if process.kind != "node" and process.runs:
+        """Return the counts of a stand-in, the last ones known if it has ended.
+
+        An engine that restarts after a crash refuses connections for a while and is waited for.
+        """
+
+        def has_answered() -> bool:
             answer = self.calls.send(process.address, "GET", "/counts")
-            if not isinstance(answer, Err):
-                process.last_counts = answer.ok_value.json()
+            if isinstance(answer, Err):
+                return False
+            process.last_counts = answer.ok_value.json()
+            return True
+
+        if process.kind != "node" and process.runs:
+            self.calls.wait_until(has_answered, f"the counts of {process.name}")
         return process.last_counts
 
     def count_orders(self) -> Counter[str]:
         """Return how often each order ran, over all services."""
         runs: Counter[str] = Counter()
-        for process in self.of_kind("service"):
+        for process in self.all_of_kind("service"):
             runs.update(self.read_counts(process).get("orders", {}))
         return runs
 
     def count_starts(self) -> Counter[str]:
         """Return how often each request digest was started, over all engines."""
         starts: Counter[str] = Counter()
-        for process in self.of_kind("engine"):
+        for process in self.all_of_kind("engine"):
             starts.update(self.read_counts(process).get("digests", {}))
         return starts
 
     def of_kind(self, kind: str) -> list[Process]:
-        """Return the processes of a kind, those that have ended included."""
+        """Return the present process of each name of a kind, running or not."""
         return [process for process in self.processes.values() if process.kind == kind]
 
+    def all_of_kind(self, kind: str) -> list[Process]:
+        """Return the processes of a kind with those that were replaced, for sums of counts."""
+        return [*(old for old in self._ended if old.kind == kind), *self.of_kind(kind)]
+
     def settle(self) -> None:
         """Let frozen processes go on and wait until all work has an outcome."""
         for process in self.processes.values():
@@ -126,5 +152,5 @@
     def end(self) -> None:
         """End all processes, the callers' side first."""
         self.calls.close()
-        for process in reversed(self.processes.values()):
+        for process in (*reversed(self.processes.values()), *self._ended):
             process.end()
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -9,6 +9,12 @@
     context.system.kill(name)
 
 
+@when('"{name:Word}" is started again')
+def restart_process(context, name):
+    """A new process at the same address, without the old one's memory."""
+    context.system.restart(name)
+
+
 @when('"{name:Word}" is paused')
 def freeze_process(context, name):
     """SIGSTOP: the process keeps its memory and its connections."""
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -55,6 +55,14 @@
         system.send_request(replace(call, target=system.find(target), resume=resume))
 
 
+@when('the last request is sent again to "{target:Word}"')
+def send_again(context, target):
+    """The same prompt, as a caller does that got no answer."""
+    last = context.system.requests[-1]
+    _ = last.outcome
+    context.system.send_request(replace(last, target=context.system.find(target)))
+
+
 @then("every request is answered in full")
 def check_all_answered(context):
     """All tokens, each once and in order, of the request's own prompt."""
