Avoid upstreams with slow tokens and late first tokens

Cause: with one upstream four times slower, its tokens came 50 ms apart, past the target, and nothing noticed. Late first tokens came from waits of 0.4 to 0.7 s in the engines' own queues: on the smallest engine one place in the queue costs 0.3 s. Patient requests waited there too.

Change: the time between tokens is learned for each upstream; one too slow gets single probes, and others only when nothing fast is in sight. An urgent request is not sent where its estimate misses the deadline while another upstream would be in time. The patient limit never exceeds four fifths of the batch. While all peers are heard, their exact figures replace the lagging report.

--- a/eelgrassferry/bench/engine.py
+++ b/eelgrassferry/bench/engine.py
@@ -17,7 +17,8 @@
 
 @dataclass(eq=False)
 class Run:
-    """One request at the engine. ``tokens_before`` were produced elsewhere and are not repeated."""
+    """One request at the engine. ``tokens_before`` were produced elsewhere and are not repeated;
+    ``told`` is how many of the others the router has heard of."""
 
     arrival: Arrival
     tokens_before: int
@@ -27,6 +28,7 @@
     first_token_at: float | None = None
     gap_s: float = 0.0
     ended: bool = False
+    told: int = 0
 
     def tokens(self, now: float) -> int:
         """Return the tokens produced up to now, including those from elsewhere."""
--- a/eelgrassferry/bench/mover.py
+++ b/eelgrassferry/bench/mover.py
@@ -19,10 +19,17 @@
 class Mover:
     """Smooths demand, asks the planner, drains copies that are to go, and starts the loads."""
 
-    def __init__(self, fleet: Fleet, planner: Planner, spread: Callable[[Engine], None]) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        planner: Planner,
+        spread: Callable[[Engine], None],
+        speed: Callable[[Engine], float],
+    ) -> None:
         self._fleet = fleet
         self._planner = planner
         self._spread = spread
+        self._speed = speed
         self._fresh: dict[str, float] = {}
         self._demand = {name: [0.0, 0.0] for name in fleet.deployment.models}
         self._pending: list[CopyMove] = []
@@ -87,9 +94,6 @@
             {name: frozenset(engine.models) for name, engine in engines.items()},
             {name: frozenset(engine.loading) for name, engine in engines.items()},
             {model: max(rates) for model, rates in self._demand.items()},
-            {
-                name: engine.upstream.decode_tokens_per_s if engine.reachable else 0.0
-                for name, engine in engines.items()
-            },
+            {name: self._speed(engine) for name, engine in engines.items()},
             self._fleet.store.waiting,
         )
--- a/eelgrassferry/bench/routed.py
+++ b/eelgrassferry/bench/routed.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from random import Random
+from statistics import median
 
 from ..routing import (
     Action,
@@ -40,6 +41,7 @@
 TICK_S = 0.05
 EVENTS_EVERY_S = 0.5
 EVENT_LOSS = 0.02
+TOKENS_EVERY_S = 0.25
 
 
 class RoutedNodes:
@@ -48,7 +50,7 @@
     def __init__(self, fleet: Fleet, nodes: int, planner: Planner, rng: Random) -> None:
         self.fleet = fleet
         self._rng = rng
-        self._mover = Mover(fleet, planner, self._spread)
+        self._mover = Mover(fleet, planner, self._spread, self._speed)
         domains = fleet.deployment.site.domains
         self._names = [f"node-{index}" for index in range(nodes)]
         self.routers = {
@@ -74,6 +76,7 @@
         clock.every(REPORT_EVERY_S, until, self._report)
         clock.every(GOSSIP_S, until, self._gossip)
         clock.every(EVENTS_EVERY_S, until, self._tell_events)
+        clock.every(TOKENS_EVERY_S, until, self._tell_tokens)
         self._mover.start(until)
 
     def arrive(self, arrival: Arrival) -> None:
@@ -178,7 +181,7 @@
         request_id = run.arrival.request_id
         node = self._names[run.arrival.node]
         router = self.routers[node]
-        router.note_tokens(request_id, run.arrival.output_tokens - run.tokens_before, now)
+        self._tell_run_tokens(run)
         del self._arrivals[request_id]
         del self._runs[request_id]
         self._carry_out(node, router.finish(request_id, now))
@@ -214,6 +217,28 @@
                 for router in self.routers.values():
                     router.update_cache_events(name, kept, self.fleet.clock.now)
 
+    def _tell_tokens(self) -> None:
+        for engine in self.fleet.live():
+            for run in list(engine.running.values()):
+                if run.first_token_at is not None:
+                    self._tell_run_tokens(run)
+
+    def _tell_run_tokens(self, run: Run) -> None:
+        now = self.fleet.clock.now
+        tokens = run.arrival.output_tokens if run.ended else run.tokens(now)
+        router = self.routers[self._names[run.arrival.node]]
+        router.note_tokens(run.arrival.request_id, tokens - run.tokens_before - run.told, now)
+        run.told = tokens - run.tokens_before
+
+    def _speed(self, engine: Engine) -> float:
+        """Return the speed that the planner is told: settings over what the routers observe."""
+        if not engine.reachable:
+            return 0.0
+        now = self.fleet.clock.now
+        name = engine.upstream.name
+        slowness = median(router.slowness(name, now) for router in self.routers.values())
+        return engine.upstream.decode_tokens_per_s / max(1.0, slowness)
+
     def _residency(self, engine: Engine) -> tuple[tuple[ResidentCopy, ...], UpstreamState]:
         if not engine.reachable:
             return (), UpstreamState.GONE
--- a/eelgrassferry/routing/choice.py
+++ b/eelgrassferry/routing/choice.py
@@ -36,13 +36,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """An upstream that could take the request, with its estimated time to first token."""
+    """An upstream that could take the request, with its estimated time to first token.
+
+    ``slow`` says that its tokens come further apart than the model's target allows.
+    """
 
     upstream: str
     version: str
     load_adapter: bool
     estimate_s: float
     room: float
+    slow: bool = False
 
 
 def estimate_first_token_s(prompt_tokens: int, conditions: Conditions) -> float:
--- a/eelgrassferry/routing/job.py
+++ b/eelgrassferry/routing/job.py
@@ -23,6 +23,8 @@
     prefill_tokens: float
     alone: bool
     first_token_at: float | None = None
+    tokens: int = 0
+    gap_noted_at: int = 0
     preempting: bool = False
 
 
--- a/eelgrassferry/routing/limit.py
+++ b/eelgrassferry/routing/limit.py
@@ -26,6 +26,7 @@
 
     def __init__(self, start: float) -> None:
         self.value = float(max(1, start))
+        self._batch = float(max(1, start))
         self._ceiling = max(2.0, CEILING_BATCHES * start)
 
     def note(self, took_s: float, target_s: float, in_flight: float) -> None:
@@ -38,9 +39,10 @@
     def room(self, urgent: bool, in_flight: float) -> float:
         """Return how many more requests of the class fit; at most 0 when none does.
 
-        Patient requests see a smaller limit, but always one of at least 1: an upstream without
-        any request takes a patient one.
+        Patient requests see a smaller limit, which never makes them wait in the engine's own queue
+        in front of urgent ones, but always one of at least 1: an upstream without any request
+        takes a patient one.
         """
         if urgent:
             return int(self.value) - in_flight
-        return max(1.0, int(self.value * (1.0 - CLOSED_TO_PATIENT))) - in_flight
+        return max(1.0, int(min(self.value, self._batch) * (1.0 - CLOSED_TO_PATIENT))) - in_flight
--- a/eelgrassferry/routing/load.py
+++ b/eelgrassferry/routing/load.py
@@ -4,6 +4,9 @@
 there at that time is known exactly, so the rest of the report is the peers' share. To that are
 added the changes since: this node's own, exactly, and each peer's as it gossips them. As a newer
 report arrives, the changes it already contains drop out of the sum by themselves.
+
+While every peer is heard, the sum of what the nodes have sent is closer to the truth than a
+report, because only one lag enters it.
 """
 
 from bisect import bisect_right
@@ -15,6 +18,8 @@
 
 # A report or a peer's figure older than this says nothing about the present.
 STALE_AFTER_S = 5.0
+# A peer heard within this time counts as heard; gossip comes several times a second.
+FRESH_S = 0.6
 # Steps of in-flight history kept for each source; reports lag by a second or two at most.
 HISTORY_STEPS = 256
 
@@ -47,6 +52,8 @@
 class LoadBook:
     """Own, peers' and reported requests for every upstream.
 
+    ``peers`` is the number of peers that send their exact figures, or 0 when not all do.
+
     >>> book = LoadBook()
     >>> book.change_own("u1", 1, now=0.0)
     >>> book.report(LoadReport("u1", running=4, queued=0, measured_at=1.0))
@@ -56,6 +63,7 @@
     """
 
     def __init__(self) -> None:
+        self.peers = 0
         self._own: dict[str, _Level] = {}
         self._peers: dict[str, dict[str, _Level]] = {}
         self._heard: dict[str, float] = {}
@@ -120,12 +128,10 @@
     def _estimate(self, upstream: str, now: float) -> float:
         own = self._own.get(upstream)
         own_now = own.value if own else 0.0
-        peers = self._peers.get(upstream)
-        fresh = [
-            level
-            for node, level in (peers or {}).items()
-            if now - self._heard.get(node, now - 2 * STALE_AFTER_S) <= STALE_AFTER_S
-        ]
+        peers = self._peers.get(upstream, {})
+        fresh = [level for node, level in peers.items() if now - self._heard[node] <= STALE_AFTER_S]
+        if self.peers and sum(now - at <= FRESH_S for at in self._heard.values()) >= self.peers:
+            return own_now + sum(level.value for level in fresh)
         report = self._reports.get(upstream)
         if report is None or now - report.measured_at > STALE_AFTER_S:
             return own_now + sum(level.value for level in fresh)
--- a/eelgrassferry/routing/router.py
+++ b/eelgrassferry/routing/router.py
@@ -64,6 +64,7 @@
         if job is not None and job.flight is not None:
             job.tokens_done += count
             job.version = job.flight.version
+            self._scheduler.note_tokens(job.flight, count, now)
         return ()
 
     def finish(self, request_id: str, now: float) -> tuple[Action, ...]:
@@ -178,6 +179,7 @@
             self._scheduler.load.forget_peer(gone)
         self._live = live
         self._scheduler.nodes = len(live)
+        self._scheduler.load.peers = len(live) - 1
         return self._desk.settle(self._desk.isolation.set_nodes(live), now)
 
     # Crash isolation between nodes
@@ -249,6 +251,10 @@
         """Return how many requests this node has in flight at each upstream, for gossip."""
         return self._scheduler.load.own_all()
 
+    def slowness(self, upstream: str, now: float) -> float:
+        """Return how many times slower than its settings an upstream is, for the planner."""
+        return self._scheduler.slowness(upstream, now)
+
     def snapshot(self, now: float) -> RouterSnapshot:
         """Return the figures of the status page."""
         scheduler = self._scheduler
@@ -260,7 +266,7 @@
                 scheduler.load.own(name),
                 scheduler.load.in_flight(name, now),
                 limit.value if limit else 0.0,
-                scheduler.speed.factor(name, now),
+                scheduler.slowness(name, now),
                 tuple(copy.name for copy in scheduler.residency.residents(name)),
             )
         suspects, confirmed = self._desk.isolation.suspects.counts()
--- a/eelgrassferry/routing/scheduler.py
+++ b/eelgrassferry/routing/scheduler.py
@@ -30,6 +30,14 @@
 # After this many urgent requests in a row, an upstream's next place goes to patient work if any
 # waits, so that it keeps a sixteenth of the capacity however long the urgent demand lasts.
 URGENT_RUN = 15
+# An upstream whose tokens come too slowly gets one request of this node in this time, to notice
+# when it has recovered.
+PROBE_EVERY_S = 15.0
+# A waiting request is sent to such an upstream after this share of the time to its deadline: a
+# slow answer is better than none.
+WAIT_FOR_FAST = 0.5
+# Tokens after which the time between them is noted, over and over during a stream.
+GAP_TOKENS = 16
 DEFAULT_OUTPUT_TOKENS = 128.0
 OUTPUT_WEIGHT = 0.02
 
@@ -53,6 +61,7 @@
         self._reserved: dict[str, Job] = {}
         self._urgent_run: dict[str, int] = {}
         self._output_tokens: dict[str, float] = {}
+        self._probed_at: dict[str, float] = {}
 
     def set_deployment(self, deployment: Deployment) -> None:
         """Use another revision of the deployment."""
@@ -78,6 +87,7 @@
         """Drop what was learned about an upstream that is gone or crashed."""
         self.load.forget_upstream(upstream)
         self.prefix.forget(upstream)
+        self.speed.forget(upstream)
         self.limits.pop(upstream, None)
 
     def pause(self, upstream: str, now: float) -> None:
@@ -97,6 +107,8 @@
         if len(places) > MAX_CANDIDATES:
             places = self._rng.sample(places, MAX_CANDIDATES)
         output = self._output_tokens.get(request.name, DEFAULT_OUTPUT_TOKENS)
+        model = self.model(request.name)
+        target_gap_s = model.token_gap_s if model else float("inf")
         found = []
         for place in places:
             upstream = self.deployment.upstreams.get(place.upstream)
@@ -113,6 +125,7 @@
                     place.load_adapter,
                     estimate_first_token_s(request.prompt_tokens + job.tokens_done, conditions),
                     room,
+                    self._is_slow(upstream, target_gap_s),
                 )
             )
         if not found and job.avoid:
@@ -132,6 +145,9 @@
             if not open_now:
                 self._reserve(job, known)
                 return None
+        open_now = self._prefer_fast(
+            job, known, self._prefer_timely(job, known, open_now, now), now
+        )
         if not open_now:
             return None
         chosen = choose(open_now, self._rng)
@@ -230,6 +246,22 @@
         self._limit(upstream).note(took_s, target_s, in_flight)
         self.speed.note(flight.upstream, flight.expected_s, took_s, now)
 
+    def note_tokens(self, flight: Flight, count: int, now: float) -> None:
+        """Learn from the time between tokens, during a stream and not only at its end."""
+        flight.tokens += count
+        fresh = flight.tokens - flight.gap_noted_at
+        upstream = self.deployment.upstreams.get(flight.upstream)
+        if flight.first_token_at is None or fresh < GAP_TOKENS or upstream is None:
+            return
+        flight.gap_noted_at = flight.tokens
+        observed_s = (now - flight.first_token_at) / max(1, flight.tokens - 1)
+        expected_s = upstream.max_batch / upstream.decode_tokens_per_s
+        self.speed.note_gap(flight.upstream, expected_s, observed_s)
+
+    def slowness(self, upstream: str, now: float) -> float:
+        """Return how many times slower than its settings an upstream is."""
+        return max(self.speed.factor(upstream, now), self.speed.gap_factor(upstream))
+
     def note_output(self, name: str, tokens: int) -> None:
         """Learn the length of a complete answer."""
         mean = self._output_tokens.get(name, DEFAULT_OUTPUT_TOKENS)
@@ -257,6 +289,40 @@
             return False
         return now >= self._paused.get(upstream, now)
 
+    def _is_slow(self, upstream: Upstream, target_gap_s: float) -> bool:
+        gap_s = upstream.max_batch / upstream.decode_tokens_per_s
+        return gap_s * self.speed.gap_factor(upstream.name) > target_gap_s
+
+    def _prefer_timely(
+        self, job: Job, known: list[Candidate], open_now: list[Candidate], now: float
+    ) -> list[Candidate]:
+        """Leave out upstreams where the first token would be late, as far as there are others.
+
+        One place in the queue of a small engine costs more than the whole target, while the same
+        place at a large one costs little.
+        """
+        left_s = job.deadline_at - now
+        if job.tokens_done or not any(c.estimate_s <= left_s for c in known):
+            return open_now
+        return [c for c in open_now if c.estimate_s <= left_s]
+
+    def _prefer_fast(
+        self, job: Job, known: list[Candidate], open_now: list[Candidate], now: float
+    ) -> list[Candidate]:
+        """Leave out upstreams whose tokens come too slowly, as far as there are others."""
+        slow = [c for c in open_now if c.slow]
+        if not slow:
+            return open_now
+        for candidate in slow:
+            if now - self._probed_at.get(candidate.upstream, 0.0) >= PROBE_EVERY_S:
+                self._probed_at[candidate.upstream] = now
+                return [candidate]
+        fast = [c for c in open_now if not c.slow]
+        if fast or all(c.slow for c in known):
+            return fast or slow
+        patience_s = WAIT_FOR_FAST * (job.deadline_at - job.submitted_at)
+        return slow if now - job.submitted_at >= patience_s else []
+
     def _limit(self, upstream: Upstream) -> InflightLimit:
         if upstream.name not in self.limits:
             self.limits[upstream.name] = InflightLimit(upstream.max_batch)
