--- a/eelgrassferry/placement/area_state.py
+++ b/eelgrassferry/placement/area_state.py
@@ -97,7 +97,8 @@
 
     ``probing`` copies have a version that is not probed yet. ``pinned`` gives the version and
     memory to keep for a name whose configured version was rejected. ``failures`` holds the number
-    of failed loads and the time until which none is tried again.
+    of failed loads and the time until which none is tried again. ``holders`` gives the upstreams
+    that reported a name as resident, and ``touched`` those whose record may need a write.
     """
 
     instance: str
@@ -111,19 +112,30 @@
     loaded_s: dict[Copy, float] = field(default_factory=dict)
     failures: dict[Copy, tuple[int, float]] = field(default_factory=dict)
     pinned: dict[str, tuple[Item, int]] = field(default_factory=dict)
+    holders: dict[str, dict[str, UpstreamState]] = field(default_factory=dict)
+    touched: set[str] = field(default_factory=set)
 
     def available(self, now: float) -> Iterator[UpstreamState]:
         """The upstreams that take part in placement, in the order of the deployment."""
         return (state for state in self.upstreams.values() if state.is_available(now))
 
+    def reindex(self, state: UpstreamState, before: tuple[Resident, ...]) -> None:
+        """Bring ``holders`` up to date after a status that followed on ``before``."""
+        name = state.upstream.name
+        after = state.residents()
+        for resident in before:
+            self.holders.get(resident.item.name, {}).pop(name, None)
+        for resident in after:
+            self.holders.setdefault(resident.item.name, {})[name] = state
+
     def copies_of(self, name: str, now: float) -> list[Copy]:
         """Return the resident copies of a name in any version, except those being unloaded."""
         return [
             copy
-            for state in self.available(now)
+            for upstream, state in self.holders.get(name, {}).items()
+            if upstream in self.upstreams and state.is_available(now)
             for r in state.ready()
-            if r.item.name == name
-            and (copy := Copy(state.upstream.name, r.item)) not in self.unloads
+            if r.item.name == name and (copy := Copy(upstream, r.item)) not in self.unloads
         ]
 
     def serving_copies(self, name: str, now: float) -> list[Copy]:
--- a/eelgrassferry/placement/controller.py
+++ b/eelgrassferry/placement/controller.py
@@ -7,7 +7,7 @@
 from ..leases import LeaseTerm
 from ..objects import Host, HostState, ObjectError
 from ..settings import Deployment
-from .actions import ControlAction, ProbeVersion, ReadRecord, ReadStatus, SendOrder, WriteRecord
+from .actions import ControlAction, ProbeVersion, SendOrder, WriteRecord
 from .area_state import AreaState, Copy, UpstreamState, Want
 from .engine import EngineOrder, EngineStatus, ItemKind, OrderKind
 from .explain import Explanation, Progress, explain_name, report_progress
@@ -15,6 +15,7 @@
 from .move_runner import MoveRunner
 from .pacer import LoadPacer
 from .planner import Planner
+from .read_schedule import ReadSchedule
 from .record import Reservation, UpstreamRecord
 from .version_runner import VersionRunner
 from .writers import Writers
@@ -22,6 +23,8 @@
 __all__ = ["AreaController"]
 
 PLAN_S = 1.0
+# Keeps periodic planning at about 0.4 % of a core on large areas, whose plans take longer.
+PLANNED_UPSTREAMS_PER_S = 100.0
 # Shortest time between plans when something has changed.
 REPLAN_S = 0.1
 RETRY_S = 0.5
@@ -29,7 +32,7 @@
 OPEN_STATUS_S = 0.5
 IDLE_STATUS_S = 2.0
 # Bounds the rate of status reads where nothing is under way.
-IDLE_READS_PER_S = 20.0
+IDLE_READS_PER_S = 10.0
 
 
 class AreaController:
@@ -61,16 +64,16 @@
         self.area = AreaState(instance)
         self._domains = domains
         self._store_share = store_share
-        self._request_tokens = request_tokens
         self._pacer: LoadPacer | None = None
         self._planner = Planner()
         self._moves = MoveRunner(self.area)
-        self._versions = VersionRunner(self.area, self._moves)
+        self._versions = VersionRunner(self.area, self._moves, request_tokens)
         self._writers = Writers(instance)
         self._term: LeaseTerm | None = None
         self._removed: dict[str, UpstreamState] = {}
         self._outbox: list[SendOrder] = []
         self._plan_due_s = 0.0
+        self._reads = ReadSchedule()
         self._planned_s = float("-inf")
         self._wake_s = 0.0
 
@@ -121,7 +124,8 @@
         self._end_term(now)
         for state in self.area.upstreams.values():
             state.ledger.begin_term(term.epoch, now)
-            state.record_due_s = state.status_due_s = now
+            self._reads.record_at(state, now)
+            self._reads.status_at(state, now)
         self._replan(now)
 
     def on_record(
@@ -140,7 +144,7 @@
         """Note that a record could not be read."""
         if state := self.area.upstreams.get(upstream):
             state.record_busy = False
-            state.record_due_s = now + RETRY_S
+            self._reads.record_at(state, now + RETRY_S)
 
     def on_record_written(self, upstream: str, res: Result[int, ObjectError], now: float) -> None:
         """Take the result of a write; the orders that it covers are sent by the next tick."""
@@ -148,8 +152,9 @@
         if state is None:
             return
         made = state.ledger.on_written(res, now)
+        self.area.touched.add(upstream)
         if isinstance(res, Err):
-            state.record_due_s = now + RETRY_S / 10
+            self._reads.record_at(state, now + RETRY_S / 10)
             self._moves.drop_unrecorded(state)
         self._moves.note_recorded(state, made)
         for reservation in made:
@@ -171,20 +176,22 @@
             return
         state.status_busy = False
         state.failing_since_s = None
+        before = state.residents()
         state.ledger.on_status(status, read_at, now)
+        self.area.reindex(state, before)
         if state.ledger.has_open or any(c.upstream == upstream for c in self.area.unloads):
             state.status_pause_s = min(OPEN_STATUS_S, 2 * state.status_pause_s + FIRST_STATUS_S)
-            state.status_due_s = now + state.status_pause_s
+            self._reads.status_at(state, now + state.status_pause_s)
         else:
             idle_s = max(IDLE_STATUS_S, len(self.area.upstreams) / IDLE_READS_PER_S)
-            state.status_due_s = now + idle_s
+            self._reads.status_at(state, now + idle_s)
         self._settled(state, now)
 
     def on_status_failed(self, upstream: str, now: float) -> None:
         """Note that an engine's status could not be read."""
         if state := self.area.upstreams.get(upstream):
             state.status_busy = False
-            state.status_due_s = now + RETRY_S
+            self._reads.status_at(state, now + RETRY_S)
             if state.failing_since_s is None:
                 state.failing_since_s = now
 
@@ -202,7 +209,7 @@
         else:
             state.ledger.on_unsent(order_id, now)
         state.status_pause_s = 0.0
-        state.status_due_s = now + FIRST_STATUS_S
+        self._reads.status_at(state, now + FIRST_STATUS_S)
 
     def on_probe(
         self, upstream: str, name: str, version: str, ok: bool, detail: str, now: float
@@ -239,6 +246,9 @@
         known = self.area.item_of(name)
         if known is None:
             return
+        for copy in self.area.copies_of(name, now):
+            # The caller found it missing: the engine may have restarted since its last status.
+            self._reads.status_at(self.area.upstreams[copy.upstream], now)
         want = self.area.wants.get(name)
         if want is None:
             self.area.wants[name] = Want(urgent, now, now)
@@ -288,21 +298,24 @@
                 self.on_order_lost(action.upstream, action.order.order_id, False, now)
             self._wake_s = now + RETRY_S
             return ()
+        self._wake_s = float("inf")
         actions: list[ControlAction] = list(outbox)
-        self._read_due(actions, now)
+        actions += self._reads.take_due(self.area.upstreams, now)
         self._moves.advance(now)
         if now >= self._plan_due_s:
             self._plan(actions, now)
         assert self._pacer is not None
         if self.area.wants:
             self._moves.serve_wants(self._pacer, now)
-        for state in self.area.upstreams.values():
-            self._write_due(state, actions, now)
+        touched, self.area.touched = self.area.touched, set()
+        for name in sorted(touched):
+            if state := self.area.upstreams.get(name):
+                self._write_due(state, actions, now)
         return tuple(actions)
 
     def wake_at(self) -> float:
         """Return when the next tick is due, unless an input comes earlier."""
-        return self._wake_s
+        return min(self._wake_s, self._plan_due_s, self._reads.first_s)
 
     def explain(self, name: str, now: float) -> Explanation:
         """Return why a model or adapter is loaded where it is, or is not loaded."""
@@ -317,35 +330,19 @@
 
     # Parts of a tick
 
-    def _read_due(self, actions: list[ControlAction], now: float) -> None:
-        wake_s = now + PLAN_S
-        for name, state in self.area.upstreams.items():
-            if state.ledger.draft is None and not state.record_busy:
-                if now >= state.record_due_s:
-                    state.record_busy = True
-                    actions.append(ReadRecord(name))
-                else:
-                    wake_s = min(wake_s, state.record_due_s)
-            if not state.status_busy:
-                if now >= state.status_due_s:
-                    state.status_busy = True
-                    actions.append(ReadStatus(name))
-                else:
-                    wake_s = min(wake_s, state.status_due_s)
-        self._wake_s = min(wake_s, max(now, self._plan_due_s))
-
     def _plan(self, actions: list[ControlAction], now: float) -> None:
         if now < self._planned_s + REPLAN_S:
             self._plan_due_s = self._planned_s + REPLAN_S
             return
         self._planned_s = now
-        self._plan_due_s = now + PLAN_S
+        size_s = len(self.area.upstreams) / PLANNED_UPSTREAMS_PER_S
+        self._plan_due_s = now + max(PLAN_S, size_s)
         assert self._pacer is not None
         for copy in self._versions.advance(self._pacer, now):
             item = copy.item
             actions.append(ProbeVersion(copy.upstream, item.name, item.version))
-        view = self._versions.plan_view(self._request_tokens, now)
-        self._moves.start_all(self._planner.plan(view, now), self._pacer, now)
+        view = self._versions.plan_view(now)
+        self._moves.start_all(self._planner.plan(view), self._pacer, now)
 
     def _write_due(self, state: UpstreamState, actions: list[ControlAction], now: float) -> None:
         ledger = state.ledger
@@ -367,17 +364,19 @@
 
     def _settled(self, state: UpstreamState, now: float) -> None:
         """Look at the moves of an upstream after its record or status has changed."""
+        self.area.touched.add(state.upstream.name)
         if self._moves.settle(state, now):
             self._replan(now)
 
     def _replan(self, now: float) -> None:
         self._plan_due_s = min(self._plan_due_s, now)
-        self._wake_s = now
 
     def _restore(self, state: UpstreamState, now: float) -> None:
         self.area.upstreams[state.upstream.name] = state
         if self._term is not None:
             state.ledger.begin_term(self._term.epoch, now)
+            self._reads.record_at(state, now)
+            self._reads.status_at(state, now)
 
     def _end_term(self, now: float) -> None:
         for action in self._outbox:
--- a/eelgrassferry/placement/demand.py
+++ b/eelgrassferry/placement/demand.py
@@ -1,12 +1,15 @@
 """Demand of each model and adapter, smoothed over a fast and a slow horizon."""
 
 import math
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 __all__ = ["Demand", "DemandEstimator"]
 
 FAST_S = 10.0
 SLOW_S = 300.0
+# Twenty slow horizons after its last request, a rate has become less than a billionth.
+FORGET_S = 20 * SLOW_S
 # Patient requests may wait until a burst is over, so a rate of theirs is worth less of a move.
 PATIENT_WEIGHT = 0.25
 # Share of a burst above the slow rate that is taken to last.
@@ -95,6 +98,15 @@
         rates.decay(now)
         return Demand(*rates.values, last_s=rates.last_s)
 
+    def demands(self, now: float) -> Iterator[tuple[str, Demand]]:
+        """Yield the names that have demand, and forget those that have none any more."""
+        for name, rates in list(self._rates.items()):
+            rates.decay(now)
+            if now > rates.last_s + FORGET_S:
+                del self._rates[name]
+            else:
+                yield name, Demand(*rates.values, last_s=rates.last_s)
+
     def last_s(self, name: str) -> float:
         """Return the time of the last request for a name."""
         rates = self._rates.get(name)
--- a/eelgrassferry/placement/engine.py
+++ b/eelgrassferry/placement/engine.py
@@ -74,6 +74,10 @@
     name: str
     version: str
 
+    def __hash__(self) -> int:
+        # An enum's hash is computed in Python and took a quarter of the time of a plan.
+        return hash((self.name, self.version))
+
     def sort_key(self) -> tuple[str, str, str]:
         """Return a key that puts items in a fixed order."""
         return (self.kind.value, self.name, self.version)
--- a/eelgrassferry/placement/move_runner.py
+++ b/eelgrassferry/placement/move_runner.py
@@ -66,6 +66,7 @@
         if made.is_err():
             return False
         pacer.start(kind, now)
+        self._area.touched.add(copy.upstream)
         self._area.loads[copy] = Load(order_id, now)
         return True
 
@@ -179,6 +180,7 @@
         kind = OrderKind.unload(item.kind)
         if state.ledger.reserve(kind, item.name, item.version, 0, order_id).is_ok():
             unload.order_id = order_id
+            self._area.touched.add(copy.upstream)
 
     def _may_lose(self, copy: Copy, now: float) -> bool:
         """Return whether a model has another serving copy, here or elsewhere."""
--- a/eelgrassferry/placement/planner.py
+++ b/eelgrassferry/placement/planner.py
@@ -4,7 +4,7 @@
 
 from .engine import ItemKind
 from .served import Served, estimate_served
-from .view import ItemPlan, Move, MoveKind, PlanView, UpstreamPlan
+from .view import ADAPTER_STAY_S, ItemPlan, Move, MoveKind, PlanView, UpstreamPlan
 
 __all__ = ["Planner"]
 
@@ -49,7 +49,7 @@
     def __init__(self) -> None:
         self.waiting: dict[str, str] = {}
 
-    def plan(self, view: PlanView, now: float) -> tuple[Move, ...]:
+    def plan(self, view: PlanView) -> tuple[Move, ...]:
         """Return the moves to make now."""
         work = _Work(view, count_holders(view), {n: u.free_mib for n, u in view.upstreams.items()})
         work.served = estimate_served(view, work.holders)
@@ -57,7 +57,7 @@
         for name in view.make_room:
             self._make_room(work, name)
         if not work.is_full:
-            self._place_gainful(work, now)
+            self._place_gainful(work)
         self.waiting = work.waiting
         return tuple(work.moves)
 
@@ -68,7 +68,7 @@
             if item.item.kind is ItemKind.MODEL and held < max(1, item.min_replicas):
                 if held and item.frozen:
                     continue
-                short.append((held, -item.demand.kept, -item.memory_mib, name))
+                short.append((held, -work.view.demand(name).kept, -item.memory_mib, name))
         for held, _, _, name in sorted(short):
             if work.is_full:
                 return
@@ -124,9 +124,17 @@
             return []
         options: list[tuple[float, float, str, int]] = []
         for name in upstream.copies:
-            if name in upstream.fixed or (upstream.name, name) in work.evicted:
+            now = work.view.now
+            fixed = now < upstream.fixed_until_s.get(name, float("-inf"))
+            if fixed or (upstream.name, name) in work.evicted:
                 continue
             item = work.view.items.get(name)
+            if (
+                item is not None
+                and item.base
+                and now < work.view.demand(name).last_s + ADAPTER_STAY_S
+            ):
+                continue
             freed_mib = freed_by(work, upstream, name)
             if item is None:
                 options.append((-1.0, 0.0, name, freed_mib))
@@ -134,7 +142,7 @@
             if item.frozen or not is_surplus(work, item):
                 continue
             loss = loss_of(work, upstream, name)
-            options.append((loss, item.demand.last_s, name, freed_mib))
+            options.append((loss, work.view.demand(name).last_s, name, freed_mib))
         chosen: list[str] = []
         for _, _, name, freed_mib in sorted(options):
             if missing_mib <= 0:
@@ -143,7 +151,7 @@
             missing_mib -= freed_mib
         return chosen if missing_mib <= 0 else None
 
-    def _place_gainful(self, work: _Work, now: float) -> None:
+    def _place_gainful(self, work: _Work) -> None:
         unmet = sorted(((-rate, name) for name, rate in work.served.unmet.items()))
         for negative, name in unmet[:MAX_CANDIDATES]:
             if work.is_full:
@@ -225,7 +233,8 @@
     room = sum(work.served.spare(u, work.view.upstreams[u].rate) for u in others)
     item = work.view.items.get(name)
     # An adapter is reloaded on demand, which costs one more move.
-    reload = 1.0 if item is not None and item.base and item.demand.kept > 0.0 else 0.0
+    used = item is not None and item.base and work.view.demand(name).kept > 0.0
+    reload = 1.0 if used else 0.0
     return max(0.0, share - room) + reload * work.view.move_cost / HORIZON_S
 
 
--- a/eelgrassferry/placement/served.py
+++ b/eelgrassferry/placement/served.py
@@ -34,10 +34,10 @@
     """
     served = Served()
     rates = {name: max(u.rate, 1e-9) for name, u in view.upstreams.items()}
-    for name, item in view.items.items():
-        demand = item.demand.expected
+    for name, demanded in view.demands.items():
+        demand = demanded.expected
         held = holders.get(name, [])
-        if demand <= 0.0:
+        if demand <= 0.0 or name not in view.items:
             continue
         if not held:
             served.unmet[name] = demand
--- a/eelgrassferry/placement/version_runner.py
+++ b/eelgrassferry/placement/version_runner.py
@@ -1,7 +1,9 @@
 """Runs the version changes of an area."""
 
+from ..settings import Deployment
 from .area_state import AreaState, Copy
-from .build_view import build_change_view, build_plan_view
+from .build_view import PlanViewBuilder, build_change_view
+from .engine import EngineStatus, Item
 from .move_runner import MoveRunner
 from .pacer import LoadPacer
 from .version_change import (
@@ -25,8 +27,11 @@
     A version whose probe failed is pinned to the old one until the configuration names another.
     """
 
-    def __init__(self, area: AreaState, moves: MoveRunner) -> None:
+    def __init__(self, area: AreaState, moves: MoveRunner, request_tokens: float) -> None:
         self._area = area
+        self._views = PlanViewBuilder(area, request_tokens)
+        self._looked_at: dict[str, EngineStatus | None] = {}
+        self._looked_for: Deployment | None = None
         self._moves = moves
         self._changes: dict[str, VersionChange] = {}
 
@@ -35,6 +40,7 @@
         self._changes.clear()
         self._area.probing.clear()
         self._area.pinned.clear()
+        self._looked_at.clear()
 
     def reasons(self) -> dict[str, tuple[VersionState, str]]:
         """Return the state and reason of each change under way."""
@@ -46,11 +52,10 @@
         if change is not None and change.target.version == version:
             change.on_probe(upstream, ok, detail)
 
-    def plan_view(self, request_tokens: float, now: float) -> PlanView:
+    def plan_view(self, now: float) -> PlanView:
         """Return the planner's view, in which items that are being changed are frozen."""
         waiting = tuple(n for n, c in self._changes.items() if c.state is VersionState.WAITING)
-        frozen = frozenset(self._changes)
-        return build_plan_view(self._area, now, frozen, request_tokens, MAX_MOVES, waiting)
+        return self._views.build(now, frozenset(self._changes), MAX_MOVES, waiting)
 
     def advance(self, pacer: LoadPacer, now: float) -> list[Copy]:
         """Carry changes on and return the copies to probe."""
@@ -64,19 +69,13 @@
             probes += self._advance_one(change, pacer, now)
             if change.is_over:
                 del self._changes[name]
+                self._looked_at.clear()
         self._area.probing = self._find_probing(now)
         return probes
 
     def _find(self, now: float) -> None:
         area = self._area
-        deployment = area.deployment
-        assert deployment is not None
-        residents = {
-            (r.item, r.memory_mib)
-            for state in area.available(now)
-            for r in state.ready()
-            if Copy(state.upstream.name, r.item) not in area.unloads
-        }
+        residents = self._find_residents(now)
         for name, (pinned, _) in list(area.pinned.items()):
             configured = area.configured(name)
             if configured is None or configured[0] == pinned or not area.is_rejected(configured[0]):
@@ -91,11 +90,28 @@
             change = VersionChange(target, target_mib)
             if area.is_rejected(target):
                 area.pinned[item.name] = (item, memory_mib)
-                if not any((target, size) in residents for _, size in residents):
+                if not any(c.item == target for c in area.copies_of(target.name, now)):
                     continue
                 change.on_probe("", False, "rejected before")
             self._changes[item.name] = change
 
+    def _find_residents(self, now: float) -> set[tuple[Item, int]]:
+        """Return item and memory of the copies on upstreams with a new status."""
+        area = self._area
+        if self._looked_for is not area.deployment:
+            self._looked_for = area.deployment
+            self._looked_at.clear()
+        residents: set[tuple[Item, int]] = set()
+        for state in area.available(now):
+            name = state.upstream.name
+            if self._looked_at.get(name) is state.ledger.status:
+                continue
+            self._looked_at[name] = state.ledger.status
+            for r in state.ready():
+                if Copy(name, r.item) not in area.unloads:
+                    residents.add((r.item, r.memory_mib))
+        return residents
+
     def _advance_one(self, change: VersionChange, pacer: LoadPacer, now: float) -> list[Copy]:
         deployment = self._area.deployment
         assert deployment is not None
@@ -113,6 +129,7 @@
                     self._moves.start_unload(copy, reason, now)
                 case RejectVersion(copy):
                     self._area.upstreams[copy.upstream].ledger.reject(copy.item)
+                    self._area.touched.add(copy.upstream)
                     if change.old is not None:
                         self._area.pinned[copy.item.name] = change.old
         return probes
