Move a last copy away where that makes room, and test the planner

Cause: a model, or a version change, could wait although free memory lay in two places. Conclusion: memory that is free in parts is used for models and for version changes.

--- a/eelgrassferry/placement/planner.py
+++ b/eelgrassferry/placement/planner.py
@@ -76,7 +76,7 @@
             reason = "min_replicas" if held else "no copy"
             found = self._choose_room(work, item)
             if found is None:
-                if not held:
+                if not held and not self._move_away(work, item):
                     work.waiting[name] = f"no upstream can make {item.memory_mib} MiB free"
                 continue
             upstream, evict = found
@@ -90,9 +90,42 @@
             evict = self._choose_evictions(work, upstream, item.memory_mib)
             if evict is not None and (best is None or (len(evict), upstream.name) < best[:2]):
                 best = (len(evict), upstream.name, evict)
-        if best is not None and best[0] and not work.is_full:
+        if best is None:
+            self._move_away(work, item)
+        elif best[0] and not work.is_full:
             unload_all(work, f"new version of {name}", best[1], best[2])
 
+    def _move_away(self, work: _Work, item: ItemPlan) -> bool:
+        """Load another model's last copy elsewhere, so that it can leave and make room.
+
+        Returns True also while such a load is under way; the eviction follows in a later plan.
+        """
+        best: tuple[int, str, str] | None = None
+        for upstream in work.view.upstreams.values():
+            if item.item.name in upstream.loading or item.item.name in upstream.barred:
+                continue
+            missing_mib = item.memory_mib - work.free[upstream.name] - upstream.retiring_mib
+            for name in upstream.copies:
+                other = work.view.items.get(name)
+                if other is None or other.item.kind is ItemKind.ADAPTER or other.frozen:
+                    continue
+                if name == item.item.name or freed_by(work, upstream, name) < missing_mib:
+                    continue
+                holders = work.holders[name]
+                if any(name in work.view.upstreams[u].loading for u in holders):
+                    return True
+                for place in work.view.upstreams.values():
+                    fits = work.free[place.name] >= other.memory_mib and can_hold(place, name)
+                    if not fits or place.name == upstream.name:
+                        continue
+                    if best is None or (other.memory_mib, name, place.name) < best:
+                        best = (other.memory_mib, name, place.name)
+        if best is None:
+            return False
+        _, name, place_name = best
+        apply(work, work.view.items[name], place_name, [], f"away for {item.item.name}", 0.0)
+        return True
+
     def _choose_room(self, work: _Work, item: ItemPlan) -> tuple[str, list[str]] | None:
         """Return the best upstream for an item and the copies to evict there."""
         name = item.item.name
--- a/eelgrassferry/placement/tests/test_controller.py
+++ b/eelgrassferry/placement/tests/test_controller.py
@@ -1,6 +1,7 @@
 """Tests of the controller against engines in memory and in virtual time."""
 
 import unittest
+from dataclasses import replace
 
 from .. import AreaController
 from .deployments import make_area, make_deployment
@@ -168,3 +169,30 @@
         area.take_over(AreaController("n2:b"))
         area.run(40.0)
         self.assertEqual(area.residents("m1"), {("u0", "2")})
+
+    def test_change_frees_memory_elsewhere_first(self):
+        """Guards against a change that waits beside memory that could be made free."""
+        area = make_area(models=("m1", "m2", "m3"), upstreams=3, memory_mib=60)
+        sizes = {"m1": 40, "m2": 25, "m3": 25}
+
+        def set_version(version):
+            models = {
+                name: replace(model, memory_mib=sizes[name])
+                for name, model in area.deployment.models.items()
+            }
+            models["m1"] = replace(models["m1"], version=version)
+            area.deployment = replace(area.deployment, models=models)
+
+        set_version("1")
+        area.take_over(AreaController("n1:a"))
+        area.run(15.0)
+        self.assertEqual({len(engine.residents) for engine in area.engines.values()}, {1})
+        set_version("2")
+        area.controller.update_deployment(area.deployment, area.now)
+        for _ in range(6000):
+            area.step()
+            area.now += 0.01
+            for name in sizes:
+                self.assertTrue(area.residents(name))
+        self.assertEqual({version for _, version in area.residents("m1")}, {"2"})
+        self.assertEqual(sum(engine.overcommits for engine in area.engines.values()), 0)
