--- a/eelgrassferry/placement/planner.py
+++ b/eelgrassferry/placement/planner.py
@@ -4,7 +4,7 @@
 
 from .engine import ItemKind
 from .served import Served, estimate_served
-from .view import ItemPlan, Move, MoveKind, PlanView, UpstreamPlan
+from .view import ADAPTER_STAY_S, ItemPlan, Move, MoveKind, PlanView, UpstreamPlan
 
 __all__ = ["Planner"]
 
@@ -49,7 +49,7 @@
     def __init__(self) -> None:
         self.waiting: dict[str, str] = {}
 
-    def plan(self, view: PlanView, now: float) -> tuple[Move, ...]:
+    def plan(self, view: PlanView) -> tuple[Move, ...]:
         """Return the moves to make now."""
         work = _Work(view, count_holders(view), {n: u.free_mib for n, u in view.upstreams.items()})
         work.served = estimate_served(view, work.holders)
@@ -57,7 +57,7 @@
         for name in view.make_room:
             self._make_room(work, name)
         if not work.is_full:
-            self._place_gainful(work, now)
+            self._place_gainful(work)
         self.waiting = work.waiting
         return tuple(work.moves)
 
@@ -68,7 +68,7 @@
             if item.item.kind is ItemKind.MODEL and held < max(1, item.min_replicas):
                 if held and item.frozen:
                     continue
-                short.append((held, -item.demand.kept, -item.memory_mib, name))
+                short.append((held, -work.view.demand(name).kept, -item.memory_mib, name))
         for held, _, _, name in sorted(short):
             if work.is_full:
                 return
@@ -76,7 +76,7 @@
             reason = "min_replicas" if held else "no copy"
             found = self._choose_room(work, item)
             if found is None:
-                if not held:
+                if not held and not self._move_away(work, item):
                     work.waiting[name] = f"no upstream can make {item.memory_mib} MiB free"
                 continue
             upstream, evict = found
@@ -90,9 +90,42 @@
             evict = self._choose_evictions(work, upstream, item.memory_mib)
             if evict is not None and (best is None or (len(evict), upstream.name) < best[:2]):
                 best = (len(evict), upstream.name, evict)
-        if best is not None and best[0] and not work.is_full:
+        if best is None:
+            self._move_away(work, item)
+        elif best[0] and not work.is_full:
             unload_all(work, f"new version of {name}", best[1], best[2])
 
+    def _move_away(self, work: _Work, item: ItemPlan) -> bool:
+        """Load another model's last copy elsewhere, so that it can leave and make room.
+
+        Returns True also while such a load is under way; the eviction follows in a later plan.
+        """
+        best: tuple[int, str, str] | None = None
+        for upstream in work.view.upstreams.values():
+            if item.item.name in upstream.loading or item.item.name in upstream.barred:
+                continue
+            missing_mib = item.memory_mib - work.free[upstream.name] - upstream.retiring_mib
+            for name in upstream.copies:
+                other = work.view.items.get(name)
+                if other is None or other.item.kind is ItemKind.ADAPTER or other.frozen:
+                    continue
+                if name == item.item.name or freed_by(work, upstream, name) < missing_mib:
+                    continue
+                holders = work.holders[name]
+                if any(name in work.view.upstreams[u].loading for u in holders):
+                    return True
+                for place in work.view.upstreams.values():
+                    fits = work.free[place.name] >= other.memory_mib and can_hold(place, name)
+                    if not fits or place.name == upstream.name:
+                        continue
+                    if best is None or (other.memory_mib, name, place.name) < best:
+                        best = (other.memory_mib, name, place.name)
+        if best is None:
+            return False
+        _, name, place_name = best
+        apply(work, work.view.items[name], place_name, [], f"away for {item.item.name}", 0.0)
+        return True
+
     def _choose_room(self, work: _Work, item: ItemPlan) -> tuple[str, list[str]] | None:
         """Return the best upstream for an item and the copies to evict there."""
         name = item.item.name
@@ -124,9 +157,17 @@
             return []
         options: list[tuple[float, float, str, int]] = []
         for name in upstream.copies:
-            if name in upstream.fixed or (upstream.name, name) in work.evicted:
+            now = work.view.now
+            fixed = now < upstream.fixed_until_s.get(name, float("-inf"))
+            if fixed or (upstream.name, name) in work.evicted:
                 continue
             item = work.view.items.get(name)
+            if (
+                item is not None
+                and item.base
+                and now < work.view.demand(name).last_s + ADAPTER_STAY_S
+            ):
+                continue
             freed_mib = freed_by(work, upstream, name)
             if item is None:
                 options.append((-1.0, 0.0, name, freed_mib))
@@ -134,7 +175,7 @@
             if item.frozen or not is_surplus(work, item):
                 continue
             loss = loss_of(work, upstream, name)
-            options.append((loss, item.demand.last_s, name, freed_mib))
+            options.append((loss, work.view.demand(name).last_s, name, freed_mib))
         chosen: list[str] = []
         for _, _, name, freed_mib in sorted(options):
             if missing_mib <= 0:
@@ -143,7 +184,7 @@
             missing_mib -= freed_mib
         return chosen if missing_mib <= 0 else None
 
-    def _place_gainful(self, work: _Work, now: float) -> None:
+    def _place_gainful(self, work: _Work) -> None:
         unmet = sorted(((-rate, name) for name, rate in work.served.unmet.items()))
         for negative, name in unmet[:MAX_CANDIDATES]:
             if work.is_full:
@@ -225,7 +266,8 @@
     room = sum(work.served.spare(u, work.view.upstreams[u].rate) for u in others)
     item = work.view.items.get(name)
     # An adapter is reloaded on demand, which costs one more move.
-    reload = 1.0 if item is not None and item.base and item.demand.kept > 0.0 else 0.0
+    used = item is not None and item.base and work.view.demand(name).kept > 0.0
+    reload = 1.0 if used else 0.0
     return max(0.0, share - room) + reload * work.view.move_cost / HORIZON_S
 
 
