Wait for started rather than running requests in scenarios

Cause: on a busy machine a request can end between two looks at the number of running requests, and the step would then wait in vain. Change: the step reads the count of started requests. A test checks adapters' answers and that the version loaded first serves requests that name none. Conclusion: the step no longer depends on the machine's speed.

--- a/eelgrassferry/standins/tests/test_engine_orders.py
+++ b/eelgrassferry/standins/tests/test_engine_orders.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from ...http import HttpResponse, HttpServer
-from .. import EngineOptions, EngineStandin
+from .. import EngineOptions, EngineStandin, expected_tokens
 from .support import StandinCase
 
 
@@ -57,6 +57,12 @@
         self.assertEqual(early, 422)
         await self.order(engine, "a1", "load_adapter", "a1", 5, base="m1")
         await self.settle(engine, "a1")
+        body = {"model": "a1", "prompt": "x", "max_tokens": 2}
+        answer = (await self.call(engine, "POST", "/v1/completions", body)).json()
+        self.assertEqual(tuple(answer["tokens"]), expected_tokens("a1", "1", "x", 2))
+        body["model"] = "m1"
+        answer = (await self.call(engine, "POST", "/v1/completions", body)).json()
+        self.assertEqual(answer["version"], "1")
         await self.order(engine, "u1", "unload_model", "m1", version="1")
         await self.settle(engine, "u1")
         names = [(r["name"], r["version"]) for r in (await self.status(engine))["residents"]]
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -34,13 +34,13 @@
 @when('"{name:Word}" has started {count:d} request')
 @when('"{name:Word}" has started {count:d} requests')
 def wait_started(context, name, count):
-    """Wait until an engine has this many requests running."""
+    """Wait until an engine has started this many requests, whether they still run or not."""
     system = context.system
 
     def has_started() -> bool:
-        return system.calls.read(system.address(name), "/admin/status")["running"] >= count
+        return system.calls.read(system.address(name), "/counts").get("requests", 0) >= count
 
-    system.calls.wait_until(has_started, f"{count} running requests on {name}")
+    system.calls.wait_until(has_started, f"{count} requests started on {name}")
 
 
 @when('the broken streams are resumed at "{target:Word}"')
