Connect all parts into the entry node and an embedded deployment

Cause: the packages ran only in their own tests; no request was served from end to end. Known gaps, seen in trials: adapters that are not resident are refused while the object API is down; a frozen engine costs requests of models that only it holds; a leaving engine with single copies.

--- a/eelgrassferry/cli/run_commands.py
+++ b/eelgrassferry/cli/run_commands.py
@@ -51,7 +51,7 @@
     log_level
         The lowest level that is logged.
     """
-    from ..node import run_demo
+    from ..embedded import run_demo
 
     configure_logs(log_level)
     return _exit_code_of(asyncio.run(run_demo(site, seconds)))
--- a/eelgrassferry/cli/tests/test_cli.py
+++ b/eelgrassferry/cli/tests/test_cli.py
@@ -90,10 +90,15 @@
         def standin_app(tokens, **_options):
             calls.append(("standin", *tokens))
 
-        node = types.SimpleNamespace(run_node=run_node, run_demo=run_demo)
+        node = types.SimpleNamespace(run_node=run_node)
+        embedded = types.SimpleNamespace(run_demo=run_demo)
         standin = types.SimpleNamespace(standin_app=standin_app)
         package = __package__.partition(".")[0]
-        modules = {f"{package}.node": node, f"{package}.cli.standin": standin}
+        modules = {
+            f"{package}.node": node,
+            f"{package}.embedded": embedded,
+            f"{package}.cli.standin": standin,
+        }
         with mock.patch.dict(sys.modules, modules):
             self.assertEqual(run("node", "--settings", str(SAMPLES / "node.ini"))[0], 0)
             self.assertEqual(run("demo", "--site", "uy-sur", "--seconds", "2")[0], 1)
--- /dev/null
+++ b/eelgrassferry/embedded/__init__.py
@@ -0,0 +1,16 @@
+"""A whole deployment in one process on loopback, for trying it out and for tests."""
+
+from .demo import run_demo
+from .deployment import EmbeddedDeployment
+from .load import CallResult, LoadMix, run_load
+from .report import Report, format_report
+
+__all__ = [
+    "CallResult",
+    "EmbeddedDeployment",
+    "LoadMix",
+    "Report",
+    "format_report",
+    "run_demo",
+    "run_load",
+]
--- /dev/null
+++ b/eelgrassferry/embedded/report.py
@@ -0,0 +1,115 @@
+"""The table that ends a run: attainment, moves, refusals by reason, and invariants."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from .deployment import EmbeddedDeployment
+from .load import CallKind, CallResult
+
+__all__ = ["Report", "format_report", "make_report"]
+
+
+@dataclass(frozen=True)
+class KindRow:
+    """The results of one kind of request."""
+
+    kind: CallKind
+    offered: int
+    served: int
+    in_target: int
+
+
+@dataclass(frozen=True)
+class Report:
+    """The figures of one run. ``faults`` lists violated invariants."""
+
+    site: str
+    accelerators: int
+    rows: tuple[KindRow, ...]
+    loads: int
+    unloads: int
+    role_changes: int
+    adapter_loads: int
+    refusals: tuple[tuple[str, int], ...]
+    orders_run: int
+    faults: tuple[str, ...]
+
+    @property
+    def attainment(self) -> float:
+        """Model requests served within target for each accelerator."""
+        models = (CallKind.URGENT, CallKind.PATIENT)
+        served = sum(row.in_target for row in self.rows if row.kind in models)
+        return served / self.accelerators
+
+
+def make_report(deployment: EmbeddedDeployment, results: tuple[CallResult, ...]) -> Report:
+    """Add up what callers saw and what the stand-ins counted."""
+    rows = []
+    for kind in CallKind:
+        mine = [result for result in results if result.kind is kind]
+        rows.append(
+            KindRow(
+                kind,
+                len(mine),
+                sum(result.correct for result in mine),
+                sum(result.in_target for result in mine),
+            )
+        )
+    counts = [engine.read_counts() for engine in deployment.engines.values()]
+    runs: Counter[str] = Counter()
+    for service in deployment.services.values():
+        runs.update(service.read_counts()["orders"])
+    return Report(
+        deployment.deployment.site.name,
+        deployment.accelerators,
+        tuple(rows),
+        sum(count.get("loads", 0) for count in counts),
+        sum(count.get("unloads", 0) for count in counts),
+        sum(count.get("role_changes", 0) for count in counts),
+        sum(count.get("adapter_loads", 0) for count in counts),
+        tuple(sorted(Counter(r.reason for r in results if r.reason).items())),
+        sum(runs.values()),
+        find_faults(results, counts, runs),
+    )
+
+
+def find_faults(
+    results: tuple[CallResult, ...], counts: list[dict], runs: Counter[str]
+) -> tuple[str, ...]:
+    """Return every violated invariant: memory, orders at most once, whole and true answers."""
+    faults = []
+    overcommits = sum(count["overcommits"] for count in counts)
+    if overcommits:
+        faults.append(f"{overcommits} engine orders would have overcommitted memory")
+    faults += [f"order {key} ran {count} times" for key, count in runs.items() if count > 1]
+    for result in results:
+        if result.reason == "wrong_answer":
+            faults.append(f"a {result.kind.value} got an answer that is not whole or not its own")
+        if result.key and result.ran == "no" and runs[result.key]:
+            faults.append(f"order {result.key} ran, and its caller was told that it did not")
+        if result.key and result.correct and not runs[result.key]:
+            faults.append(f"order {result.key} was confirmed and did not run")
+    return tuple(faults)
+
+
+def format_report(report: Report) -> str:
+    """Return the report as a table."""
+    lines = [
+        f"site {report.site}: {report.accelerators} accelerators",
+        f"{'requests':<24}{'offered':>9}{'served':>9}{'in target':>11}",
+    ]
+    for row in report.rows:
+        lines.append(f"{row.kind.value:<24}{row.offered:>9}{row.served:>9}{row.in_target:>11}")
+    lines.append(f"attainment: {report.attainment:.2f} requests in target for each accelerator")
+    moves = report.loads + report.unloads + report.role_changes
+    lines.append(
+        f"moves: {moves} ({report.loads} loads, {report.unloads} unloads, "
+        f"{report.role_changes} role changes); {report.adapter_loads} adapter loads"
+    )
+    lines.append(f"orders run by the services: {report.orders_run}")
+    refusals = ", ".join(f"{reason} {count}" for reason, count in report.refusals) or "none"
+    lines.append(f"refusals by reason: {refusals}")
+    lines += [f"VIOLATED: {fault}" for fault in report.faults]
+    if not report.faults:
+        lines.append("invariants: none violated")
+    return "\n".join(lines)
--- /dev/null
+++ b/eelgrassferry/node/control.py
@@ -0,0 +1,142 @@
+"""The control duties of a node: the lease of its planning area and the area's controller."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import structlog
+from result import Ok
+
+from ..http import HttpClient
+from ..leases import LeaseKeeper, LeaseMachine, LeaseTerm
+from ..objects import HostList, ObjectStore
+from ..placement import AreaController, AreaShell, Copy, Explanation, Progress
+from ..routing import ResidentCopy
+from ..settings import Deployment
+
+__all__ = ["Control"]
+
+PUBLISH_PERIOD_S = 0.05
+HOSTS_PERIOD_S = 1.0
+HOLDER_PERIOD_S = 1.0
+
+log = structlog.get_logger()
+
+
+class Control:
+    """Competes for the area's lease and, as its holder, decides what is loaded where.
+
+    ``on_residency`` is called with an engine's copies when they have changed, ``on_holder`` with
+    the epoch now and then while this node holds the lease.
+    """
+
+    def __init__(
+        self,
+        area: str,
+        instance: str,
+        lease_s: float,
+        store: ObjectStore,
+        hosts: HostList,
+        client: HttpClient,
+        engine_token: str,
+        on_residency: Callable[[str, tuple[ResidentCopy, ...]], None],
+        on_holder: Callable[[str, int], None],
+    ) -> None:
+        self._area = area
+        self._hosts = hosts
+        self._on_residency = on_residency
+        self._on_holder = on_holder
+        self._controller = AreaController(instance)
+        self._shell = AreaShell(self._controller, store, client, token=engine_token)
+        machine = LeaseMachine(area, instance, lease_s)
+        self._keeper = LeaseKeeper(store, machine, on_change=self._take_term)
+        self._published: dict[str, tuple[ResidentCopy, ...]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def is_holder(self) -> bool:
+        """Whether this node may act for the area at this moment."""
+        return self._keeper.term() is not None
+
+    def update_deployment(self, deployment: Deployment) -> None:
+        """Take a new deployment."""
+        self._controller.update_deployment(deployment, time.monotonic())
+        self._shell.wake()
+
+    def want(self, name: str, urgent: bool) -> bool:
+        """Ask for a copy of ``name``; False where this node does not hold the lease."""
+        if not self.is_holder:
+            return False
+        self._controller.want(name, urgent, time.monotonic())
+        self._shell.wake()
+        return True
+
+    def note_demand(self, demand: dict[str, tuple[int, int]]) -> None:
+        """Count urgent and patient requests by name."""
+        now = time.monotonic()
+        for name, (urgent, patient) in demand.items():
+            if urgent:
+                self._controller.note_demand(name, True, now, urgent)
+            if patient:
+                self._controller.note_demand(name, False, now, patient)
+
+    def explain(self, name: str) -> Explanation:
+        """Return why a model or adapter is loaded where it is."""
+        return self._controller.explain(name, time.monotonic())
+
+    def progress(self) -> Progress:
+        """Return what is under way."""
+        return self._controller.progress(time.monotonic())
+
+    def start(self) -> None:
+        """Start to compete for the lease and to act."""
+        for work in (self._keeper.run(), self._shell.run(), self._publish(), self._watch_hosts()):
+            self._tasks.append(asyncio.ensure_future(work))
+
+    async def close(self) -> None:
+        """Give the lease back and stop."""
+        await self._keeper.release()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.wait(self._tasks, timeout=1.0)
+
+    def _take_term(self, term: LeaseTerm | None) -> None:
+        self._controller.update_term(term, time.monotonic())
+        self._published.clear()
+        self._shell.wake()
+        if term is not None:
+            self._on_holder(self._area, term.epoch)
+
+    def _residency(self) -> dict[str, tuple[ResidentCopy, ...]]:
+        held_back = self._controller.held_back()
+        return {
+            name: tuple(
+                ResidentCopy(r.item.name, r.item.version, Copy(name, r.item) not in held_back)
+                for r in state.residents()
+                if not r.leaving
+            )
+            for name, state in self._controller.area.upstreams.items()
+        }
+
+    async def _watch_hosts(self) -> None:
+        while True:
+            if self.is_holder:
+                read = await self._hosts.read()
+                if isinstance(read, Ok):
+                    self._controller.on_hosts(read.ok_value, time.monotonic())
+            await asyncio.sleep(HOSTS_PERIOD_S)
+
+    async def _publish(self) -> None:
+        """Tell changes of residency soon, and the holder's name every second."""
+        told_at = 0.0
+        while True:
+            term = self._keeper.term()
+            if term is not None:
+                for upstream, copies in self._residency().items():
+                    if self._published.get(upstream) != copies:
+                        self._published[upstream] = copies
+                        self._on_residency(upstream, copies)
+                if time.monotonic() - told_at > HOLDER_PERIOD_S:
+                    told_at = time.monotonic()
+                    self._on_holder(self._area, term.epoch)
+            await asyncio.sleep(PUBLISH_PERIOD_S)
--- /dev/null
+++ b/eelgrassferry/node/engine_poll.py
@@ -0,0 +1,102 @@
+"""Reads an engine's status, load report and cache events."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from ..http import HttpClient, HttpError, HttpResponse
+from ..routing import CacheEvent, CacheEventKind, LoadReport, ResidentCopy
+
+__all__ = ["EngineView", "read_engine_events", "read_engine_load", "read_engine_status"]
+
+POLL_TIMEOUT_S = 1.0
+# Engines do not tell how far their load reports lag. Dispatches since the assumed time are added
+# to the report, so too small a figure would hide a node's own latest requests from it.
+LOAD_LAG_S = 0.25
+
+
+@dataclass(frozen=True)
+class EngineView:
+    """What one status of an engine showed."""
+
+    upstream: str
+    instance: str
+    copies: tuple[ResidentCopy, ...]
+    leaving: bool
+    memory_mib: int
+    used_mib: int
+
+
+async def read_engine_status(
+    client: HttpClient, upstream: str, address: str
+) -> Result[EngineView, HttpError]:
+    """Read ``/admin/status``: residents, memory and whether the engine is leaving."""
+    document = await _get_json(client, address, "/admin/status")
+    return document.and_then(lambda value: _decode(address, lambda: _to_view(upstream, value)))
+
+
+async def read_engine_load(
+    client: HttpClient, upstream: str, address: str
+) -> Result[LoadReport, HttpError]:
+    """Read ``/admin/load``, which lags behind the engine by a time it does not tell."""
+    document = await _get_json(client, address, "/admin/load")
+    measured_at = time.monotonic() - LOAD_LAG_S
+    return document.and_then(
+        lambda value: _decode(address, lambda: _to_report(upstream, value, measured_at))
+    )
+
+
+async def read_engine_events(
+    client: HttpClient, address: str, after: int
+) -> Result[tuple[CacheEvent, ...], HttpError]:
+    """Read the prefix cache events numbered above ``after``."""
+    document = await _get_json(client, address, f"/admin/events?after={after}")
+    return document.and_then(lambda value: _decode(address, lambda: _to_events(value)))
+
+
+async def _get_json(client: HttpClient, address: str, target: str) -> Result[Any, HttpError]:
+    sent = await client.request(address, "GET", target, timeout_s=POLL_TIMEOUT_S)
+    match sent:
+        case Ok(HttpResponse(status=200) as res):
+            return _decode(address, res.json)
+        case Ok(res):
+            return Err(HttpError("status", address, True, f"status {res.status}"))
+        case failure:
+            return failure
+
+
+def _decode(address: str, read: Callable[[], Any]) -> Result[Any, HttpError]:
+    try:
+        return Ok(read())
+    except (ValueError, KeyError, TypeError) as exc:
+        return Err(HttpError("decode", address, True, f"malformed answer: {exc!r}"))
+
+
+def _to_view(upstream: str, value: Any) -> EngineView:
+    copies = tuple(
+        ResidentCopy(str(r["name"]), str(r["version"]))
+        for r in value["residents"]
+        if r["state"] == "ready"
+    )
+    return EngineView(
+        upstream,
+        str(value["instance"]),
+        copies,
+        value.get("state") == "leaving",
+        int(value["memory_mib"]),
+        int(value["used_mib"]),
+    )
+
+
+def _to_report(upstream: str, value: Any, measured_at: float) -> LoadReport:
+    return LoadReport(upstream, int(value["running"]), int(value["queued"]), measured_at)
+
+
+def _to_events(value: Any) -> tuple[CacheEvent, ...]:
+    return tuple(
+        CacheEvent(int(e["seq"]), CacheEventKind(e["kind"]), tuple(e["blocks"]))
+        for e in value["events"]
+    )
--- /dev/null
+++ b/eelgrassferry/node/node_members.py
@@ -0,0 +1,66 @@
+"""The node's view of its peers, from the host list and from gossip."""
+
+import asyncio
+
+import structlog
+from result import Err, Ok
+
+from ..metrics import Metrics
+from ..objects import HostList, HostState
+from ..peers import Gossiper, HostEntry, Membership
+from .upstream_watch import jitter
+
+__all__ = ["NodeMembers"]
+
+HOSTS_PERIOD_S = 2.0
+NODE_KIND = "node"
+
+log = structlog.get_logger()
+
+
+class NodeMembers:
+    """Feeds the host list to the membership and answers who owns what.
+
+    The host list names the peer listener of each host of kind ``node``.
+    """
+
+    def __init__(
+        self, name: str, domain: str, gossiper: Gossiper, hosts: HostList, metrics: Metrics
+    ) -> None:
+        self._name = name
+        self._domain = domain
+        self._gossiper = gossiper
+        self._hosts = hosts
+        self._metrics = metrics
+
+    @property
+    def view(self) -> Membership:
+        """The membership."""
+        return self._gossiper.membership
+
+    def live_names(self) -> tuple[str, ...]:
+        """Return the names of the live nodes."""
+        return tuple(entry.name for entry in self.view.live())
+
+    def owner_of(self, key: str) -> str:
+        """Return the live node that owns a key; this node where no other is known."""
+        return self.view.owner_of(key) or self._name
+
+    def is_watcher(self) -> bool:
+        """Return whether this node watches the object API for its failure domain."""
+        return self.view.owner_of("config-watch", domain=self._domain) == self._name
+
+    async def run(self) -> None:
+        """Read the host list until cancelled."""
+        while True:
+            match await self._hosts.read():
+                case Err(error):
+                    self._metrics.count("hosts.read_failed")
+                    log.debug("host list not read", step="hosts", peer=error.peer)
+                case Ok(hosts):
+                    self._gossiper.set_hosts(
+                        HostEntry(h.id, h.domain, h.address, h.state is HostState.LEAVING)
+                        for h in hosts
+                        if h.kind == NODE_KIND
+                    )
+            await asyncio.sleep(jitter(HOSTS_PERIOD_S))
--- /dev/null
+++ b/eelgrassferry/node/operator_view.py
@@ -0,0 +1,86 @@
+"""The node's side of the operators' listener."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from ..placement import Explanation as PlacementExplanation
+from ..settings import DrainError, Explanation, NodeState, StatusView, UpstreamKind, UpstreamState
+
+if TYPE_CHECKING:
+    from .node import Node
+
+__all__ = ["OperatorView"]
+
+
+class OperatorView:
+    """Answers the operators' questions about one node."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def status(self) -> StatusView:
+        """Return the view of this node, its peers and its upstreams."""
+        node = self._node
+        nodes = tuple(
+            NodeState(entry.name, entry.domain, entry.state.value, entry.revision)
+            for entry in node.members.view.entries()
+        )
+        counters = dict(sorted(node.metrics.counters.items()))
+        return StatusView(
+            node.settings.name, node.holder.revision, nodes, self._upstreams(), counters
+        )
+
+    async def drain(self, name: str) -> Result[str, DrainError]:
+        """Start to drain an upstream or this node."""
+        node = self._node
+        if name == node.settings.name:
+            node.request_stop()
+            return Ok("draining")
+        if node.watch.set_drained(name):
+            return Ok("leaving")
+        message = f"no upstream is named {name!r}, and this node is {node.settings.name!r}"
+        return Err(DrainError("drain", name, message))
+
+    def explain(self, request_id: str, model: str) -> Explanation | None:
+        """Explain a request or a model."""
+        node = self._node
+        lines = node.driver.router.explain(request_id or model)
+        if model and node.control.is_holder:
+            lines = (*lines, *_describe(node.control.explain(model)))
+        elif model:
+            lines = (*lines, f"placement is decided by {node.bridge.holder or 'no node yet'}")
+        return Explanation(request_id or model, lines) if lines else None
+
+    def _upstreams(self) -> tuple[UpstreamState, ...]:
+        node = self._node
+        deployment = node.deployment()
+        if deployment is None:
+            return ()
+        work = node.driver.router.own_dispatches()
+        found = []
+        for upstream in sorted(deployment.upstreams.values(), key=lambda u: u.name):
+            view = node.watch.views.get(upstream.name)
+            state = node.watch.state_of(upstream.name).value
+            if upstream.kind is UpstreamKind.SERVICE or view is None:
+                found.append(UpstreamState(upstream.name, upstream.domain, state))
+                continue
+            found.append(
+                UpstreamState(
+                    upstream.name,
+                    upstream.domain,
+                    state,
+                    int(work.get(upstream.name, 0)),
+                    view.memory_mib,
+                    view.used_mib,
+                    tuple(copy.name for copy in view.copies),
+                )
+            )
+        return tuple(found)
+
+
+def _describe(found: PlacementExplanation) -> tuple[str, ...]:
+    copies = tuple(f"copy: {copy}" for copy in found.copies) or ("no copy is loaded",)
+    return (*copies, f"demand: {found.demand}", f"placement: {found.reason}")
--- a/eelgrassferry/placement/shell.py
+++ b/eelgrassferry/placement/shell.py
@@ -46,11 +46,14 @@
         store: ObjectStore,
         client: HttpClient,
         clock: Callable[[], float] = time.monotonic,
+        token: str = "",
     ) -> None:
         self._controller = controller
         self._store = store
         self._client = client
         self._clock = clock
+        auth = (("authorization", f"Bearer {token}"),) if token else ()
+        self._order_headers = (("content-type", "application/json"), *auth)
         self._woken = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._status_reads = asyncio.Semaphore(MAX_STATUS_READS)
@@ -155,7 +158,7 @@
             address,
             "POST",
             "/admin/orders",
-            headers=(("content-type", "application/json"),),
+            headers=self._order_headers,
             body=json.dumps(order.to_json()).encode(),
             timeout_s=ORDER_TIMEOUT_S,
             guard=lambda: controller.may_send(action, self._clock()),
--- a/eelgrassferry/routing/desk.py
+++ b/eelgrassferry/routing/desk.py
@@ -174,6 +174,15 @@
             actions += self.give_up(job, reason, detail, now)
         return tuple(actions)
 
+    def repeat_wants(self, now: float) -> tuple[Action, ...]:
+        """Ask again for what queued jobs wait for, since a request to the planner can be lost."""
+        actions: tuple[Action, ...] = ()
+        for queue in self.scheduler.queues.values():
+            job = queue.next()
+            if job is not None and not self.scheduler.residency.placements(job.request.name):
+                actions += self._want(job, now)
+        return actions
+
     def refusal(
         self,
         job: Job,
--- a/eelgrassferry/routing/router.py
+++ b/eelgrassferry/routing/router.py
@@ -241,7 +241,8 @@
 
     def tick(self, now: float) -> tuple[Action, ...]:
         """Refuse what waited too long and place what fits. Call about every 20 ms."""
-        return (*self._desk.expire(now), *self._desk.pump_all(now))
+        expired, placed = self._desk.expire(now), self._desk.pump_all(now)
+        return (*expired, *placed, *self._desk.repeat_wants(now))
 
     def explain(self, key: str) -> tuple[str, ...]:
         """Return recent decisions about a request id, or about a model or adapter."""
--- a/eelgrassferry/settings/node_settings.py
+++ b/eelgrassferry/settings/node_settings.py
@@ -9,8 +9,9 @@
 class NodeSettings:
     """What one node is told about itself. Addresses are ``ip:port``; port 0 lets the kernel pick.
 
-    ``peer_keys`` holds the keys accepted from peers; the first is used to sign. ``seeds`` are
-    peer addresses to try when the host list cannot be read.
+    ``engine_token`` is shown to engines that check who gives them an order. ``peer_keys`` holds
+    the keys accepted from peers; the first is used to sign. ``seeds`` are peer addresses to try
+    when the host list cannot be read.
     """
 
     name: str
@@ -22,6 +23,7 @@
     platform: str
     operator_token: str
     peer_keys: tuple[str, ...]
+    engine_token: str = ""
     seeds: tuple[str, ...] = ()
     statsd: str = ""
     base_file: str = ""
--- a/eelgrassferry/settings/schema.py
+++ b/eelgrassferry/settings/schema.py
@@ -152,6 +152,7 @@
         _key("peer_listen", ValueKind.BIND_ADDRESS),
         _key("platform", ValueKind.ADDRESS),
         _key("operator_token", ValueKind.TEXT),
+        _key("engine_token", ValueKind.TEXT),
         _key("peer_keys", ValueKind.TEXTS),
         _key("seeds", ValueKind.ADDRESSES),
         _key("statsd", ValueKind.ADDRESS),
--- a/eelgrassferry/standins/engine_run.py
+++ b/eelgrassferry/standins/engine_run.py
@@ -58,11 +58,13 @@
         self.cache = PrefixCache(options.cache_blocks, gap=options.event_gap, seed=options.seed)
         self.digests: Counter[str] = Counter()
         self._works: dict[Job, _Work] = {}
+        self._crashing = False
         self._busy = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Start to make progress."""
+        self._crashing = False
         self._task = asyncio.ensure_future(self._make_progress())
 
     async def stop(self) -> None:
@@ -109,6 +111,7 @@
         self.digests[request_digest(completion.name, prompt)] += 1
         marker = self._options.crash_marker
         if marker and marker in prompt:
+            self._crashing = True
             self._on_crash()
         block = self._options.block_tokens
         blocks = block_hashes(resident.name, resident.version, prompt, block)
@@ -157,9 +160,12 @@
         await out.send(HttpResponse.of_json(body, headers=(request_id,)))
 
     async def _end_cancelled(self, completion: Completion, job: Job, out: Responder) -> None:
-        """End a cancelled request: a begun stream breaks, so that it cannot look complete."""
+        """End a cancelled request: a begun stream breaks, so that it cannot look complete.
+
+        A crashing engine answers nothing, although its connections are cut a loop step later.
+        """
         self._counts["cancelled"] += 1
-        if out.started:
+        if out.started or self._crashing:
             raise ConnectionResetError("the request was cancelled")
         ran = Ran.YES if job.started else Ran.NO
         detail = "the request was cancelled"
