--- a/eelgrassferry/peers/gossip_state.py
+++ b/eelgrassferry/peers/gossip_state.py
@@ -15,6 +15,9 @@
 
 __all__ = ["Applied", "Change", "GossipState", "Outgoing"]
 
+# An incarnation near 2**64 could not be raised above any more, since msgpack ends there.
+MAX_VERSION = 1 << 48
+
 
 @dataclass(frozen=True)
 class Change:
@@ -167,7 +170,7 @@
         malformed = 0
         for told in delta.nodes:
             for entry in told.entries:
-                if entry.topic not in Topic.__members__.values():
+                if not _is_plausible(told, entry):
                     malformed += 1
                     continue
                 topic = Topic(entry.topic)
@@ -263,3 +266,8 @@
         delta = Delta(tuple(nodes), wants)
         self._queue.spend(self._limits.reply_bytes - room + 40)
         return delta
+
+
+def _is_plausible(told: NodeDelta, entry: TopicEntry) -> bool:
+    topics = Topic.__members__.values()
+    return entry.topic in topics and max(told.incarnation, entry.counter) < MAX_VERSION
--- a/eelgrassferry/peers/tests/test_gossip.py
+++ b/eelgrassferry/peers/tests/test_gossip.py
@@ -67,10 +67,11 @@
             TopicEntry(99, 1, b""),
             TopicEntry(Topic.LOADS, 2, b"\xc1"),
             TopicEntry(Topic.REVISION, 3, encode_value(Suspects((), ()))),
+            TopicEntry(Topic.REVISION, 1 << 60, encode_value(ConfigRevision(8))),
             TopicEntry(Topic.REVISION, 4, encode_value(ConfigRevision(8))),
         )
         applied = self.state.apply("b", Delta((NodeDelta("b", 1, entries),)), 1.0)
-        self.assertEqual((applied.malformed, len(applied.changes)), (3, 1))
+        self.assertEqual((applied.malformed, len(applied.changes)), (4, 1))
 
     def test_exact_load_stays_in_the_domain(self):
         """Guards against traffic that grows with the fleet in place of the domain."""
