Exchange little used last copies for copies that bursts need

Cause: in simulated bursts, idle fast upstreams stayed unused because they were full of last copies, and loads came late because only half of a burst counted. Change: the planner moves a little used last copy away where the gain pays for all three or four moves; the gain counts the relief of all items on an overloaded upstream; a burst counts with nine tenths.

--- a/eelgrassferry/placement/demand.py
+++ b/eelgrassferry/placement/demand.py
@@ -12,8 +12,9 @@
 FORGET_S = 20 * SLOW_S
 # Patient requests may wait until a burst is over, so a rate of theirs is worth less of a move.
 PATIENT_WEIGHT = 0.25
-# Share of a burst above the slow rate that is taken to last.
-BURST_WEIGHT = 0.5
+# Share of a burst above the slow rate that is taken to last. In simulated bursts of 45 s, 0.5
+# served five points less of the upper bound, because loads came late.
+BURST_WEIGHT = 0.9
 
 
 @dataclass(frozen=True)
--- a/eelgrassferry/placement/served.py
+++ b/eelgrassferry/placement/served.py
@@ -13,18 +13,38 @@
 class Served:
     """How demand spreads over copies, in requests per second.
 
-    ``share`` is the rate of an item at an upstream, ``load`` the sum at an upstream and ``unmet``
-    the rate of an item beyond what its copies can serve.
+    ``share`` is the rate of an item at an upstream, ``load`` the sum at an upstream, and
+    ``overflow`` the part of the load that the upstream cannot serve.
     """
 
     share: dict[str, dict[str, float]] = field(default_factory=dict)
     load: dict[str, float] = field(default_factory=dict)
-    unmet: dict[str, float] = field(default_factory=dict)
+    overflow: dict[str, float] = field(default_factory=dict)
 
     def spare(self, upstream: str, rate: float) -> float:
         """Return the rate that an upstream could serve beyond its load."""
         return max(0.0, rate - self.load.get(upstream, 0.0))
 
+    def relief(self, name: str) -> float:
+        """Return the rate by which another copy of an item could relieve its holders."""
+        over = self.overflow
+        return sum(min(s, over[u]) for u, s in self.share.get(name, {}).items() if u in over)
+
+    def find_short(self) -> list[tuple[float, str]]:
+        """Return the items whose holders are overloaded, with the largest relief first."""
+        if not self.overflow:
+            return []
+        found = ((self.relief(name), name) for name in self.share)
+        return sorted(((r, n) for r, n in found if r > 0.0), key=lambda pair: (-pair[0], pair[1]))
+
+    def relieve(self, name: str, rate: float) -> None:
+        """Count ``rate`` of an item as moved away from its overloaded holders."""
+        for upstream, share in self.share.get(name, {}).items():
+            moved = min(share, self.overflow.get(upstream, 0.0), rate)
+            if moved > 0.0:
+                self.overflow[upstream] -= moved
+                rate -= moved
+
 
 def estimate_served(view: PlanView, holders: dict[str, list[str]]) -> Served:
     """Spread each item's expected demand over its holders.
@@ -40,7 +60,6 @@
         if demand <= 0.0 or name not in view.items:
             continue
         if not held:
-            served.unmet[name] = demand
             continue
         total = sum(rates[u] for u in held)
         served.share[name] = {u: demand * rates[u] / total for u in held}
@@ -55,11 +74,7 @@
             total = sum(weights.values())
             served.share[name] = {u: demand * w / total for u, w in weights.items()}
     served.load = sum_loads(served.share)
-    over = {u: 1.0 - rates[u] / load for u, load in served.load.items() if load > rates[u]}
-    for name, share in served.share.items():
-        missed = sum(s * over[u] for u, s in share.items() if u in over)
-        if missed > 0.0:
-            served.unmet[name] = missed
+    served.overflow = {u: load - rates[u] for u, load in served.load.items() if load > rates[u]}
     return served
 
 
--- a/eelgrassferry/placement/tests/test_planner.py
+++ b/eelgrassferry/placement/tests/test_planner.py
@@ -136,6 +136,15 @@
             ups.append(upstream("u3", [m2], **options))
             self.assertEqual(Planner().plan(view([m1, held], ups, {"m1": 30.0})), ())
 
+    def test_idle_upstream_full_of_last_copies_is_used(self):
+        """Guards against a burst that waits beside an idle upstream with no surplus copy."""
+        hot, cold = model("hot", 60), model("cold", 60)
+        ups = [upstream("u1", [hot]), upstream("u2", [cold], rate=50.0)]
+        ups.append(upstream("u3", [], rate=0.1))
+        for cost, expected in ((10.0, [("load", "u3", "cold")]), (1000.0, [])):
+            moves = Planner().plan(view([hot, cold], ups, {"hot": 40.0}, move_cost=cost))
+            self.assertEqual(brief(moves), expected)
+
     def test_last_copy_moves_where_that_makes_room(self):
         """Guards against a model without a copy beside memory that is free in two places."""
         m1, m2, m3 = model("m1", 30), model("m2", 60), model("m3", 80)
