Let a low in-flight limit recover with time

Cause: the limit applies to the requests of all nodes.

Change: a limit below the batch closes most of the gap in ten seconds without first tokens.

--- a/eelgrassferry/bench/mover.py
+++ b/eelgrassferry/bench/mover.py
@@ -65,9 +65,11 @@
             self._pending.clear()
             return
         self._continue()
-        if not self._pending:
+        # A copy that is drained takes seconds; other moves need not wait for it.
+        if len(self._pending) < self._fleet.deployment.store.slots:
             for move in self._planner.plan(self._view(), self._fleet.clock.now):
-                if self._fleet.engines[move.upstream].reachable:
+                busy = any(pending.upstream == move.upstream for pending in self._pending)
+                if self._fleet.engines[move.upstream].reachable and not busy:
                     self._pending.append(move)
                     self._spread(self._fleet.engines[move.upstream])
             self._continue()
@@ -89,10 +91,16 @@
 
     def _view(self) -> PlanView:
         engines = self._fleet.engines
+        coming: dict[str, set[str]] = {name: set() for name in engines}
+        for move in self._pending:
+            coming[move.upstream].add(move.model)
         return PlanView(
             self._fleet.deployment,
-            {name: frozenset(engine.models) for name, engine in engines.items()},
-            {name: frozenset(engine.loading) for name, engine in engines.items()},
+            {
+                name: frozenset(engine.models) - self.draining(engine)
+                for name, engine in engines.items()
+            },
+            {name: frozenset(engine.loading) | coming[name] for name, engine in engines.items()},
             {model: max(rates) for model, rates in self._demand.items()},
             {name: self._speed(engine) for name, engine in engines.items()},
             self._fleet.store.waiting,
--- a/eelgrassferry/bench/routed.py
+++ b/eelgrassferry/bench/routed.py
@@ -29,6 +29,7 @@
 from .fleet import Fleet
 from .mover import Mover
 from .planning import Planner
+from .tally import MAX_GAP_S
 from .trace import Arrival
 
 __all__ = ["RoutedNodes"]
@@ -237,7 +238,9 @@
         now = self.fleet.clock.now
         name = engine.upstream.name
         slowness = median(router.slowness(name, now) for router in self.routers.values())
-        return engine.upstream.decode_tokens_per_s / max(1.0, slowness)
+        speed = engine.upstream.decode_tokens_per_s / max(1.0, slowness)
+        # Where tokens come too far apart, a copy serves hardly anything within target.
+        return speed if engine.upstream.max_batch / speed <= MAX_GAP_S else 0.05 * speed
 
     def _residency(self, engine: Engine) -> tuple[tuple[ResidentCopy, ...], UpstreamState]:
         if not engine.reachable:
--- a/eelgrassferry/routing/scheduler.py
+++ b/eelgrassferry/routing/scheduler.py
@@ -117,7 +117,7 @@
             in_flight = self.load.in_flight(place.upstream, now)
             slowness = self.speed.factor(place.upstream, now)
             conditions = self._conditions(job, place, upstream, in_flight, slowness, output)
-            room = self._room(job, upstream, in_flight)
+            room = self._room(job, upstream, in_flight, now)
             found.append(
                 Candidate(
                     place.upstream,
@@ -193,7 +193,7 @@
             if patient:
                 job = min(patient, key=lambda job: job.deadline_at)
                 limit = self._limit(self.deployment.upstreams[upstream])
-                has_room = limit.room(True, self.load.in_flight(upstream, now)) >= 1
+                has_room = limit.room(True, self.load.in_flight(upstream, now), now) >= 1
                 dispatch = self.place(job, now, granted=upstream if has_room else None)
                 if dispatch is not None:
                     self.take_out(job)
@@ -243,7 +243,7 @@
         lone_s = flight.prefill_tokens / upstream.prefill_tokens_per_s
         target_s = max(model.first_token_s, 2 * lone_s)
         in_flight = self.load.in_flight(flight.upstream, now)
-        self._limit(upstream).note(took_s, target_s, in_flight)
+        self._limit(upstream).note(took_s, target_s, in_flight, now)
         self.speed.note(flight.upstream, flight.expected_s, took_s, now)
 
     def note_tokens(self, flight: Flight, count: int, now: float) -> None:
@@ -328,8 +328,8 @@
             self.limits[upstream.name] = InflightLimit(upstream.max_batch)
         return self.limits[upstream.name]
 
-    def _room(self, job: Job, upstream: Upstream, in_flight: float) -> float:
-        return self._limit(upstream).room(job.request.urgent, in_flight)
+    def _room(self, job: Job, upstream: Upstream, in_flight: float, now: float) -> float:
+        return self._limit(upstream).room(job.request.urgent, in_flight, now)
 
     def _conditions(
         self,
--- a/eelgrassferry/routing/tests/test_parts.py
+++ b/eelgrassferry/routing/tests/test_parts.py
@@ -70,33 +70,47 @@
         """Guards against a limit that an idle night opens."""
         value = InflightLimit(8)
         for _ in range(100):
-            value.note(0.1, 0.35, in_flight=1)
+            value.note(0.1, 0.35, in_flight=1, now=0.0)
         self.assertEqual(value.value, 8)
         for _ in range(10):
-            value.note(0.1, 0.35, in_flight=8)
+            value.note(0.1, 0.35, in_flight=8, now=0.0)
         self.assertGreater(value.value, 8)
 
     def test_few_late_first_tokens_do_not_close_it(self):
         """Guards against a limit held at a third of the batch by one late token in forty."""
         value = InflightLimit(16)
         for index in range(2000):
-            value.note(1.0 if index % 40 == 0 else 0.1, 0.35, in_flight=16)
+            value.note(1.0 if index % 40 == 0 else 0.1, 0.35, in_flight=16, now=0.0)
         self.assertGreaterEqual(value.value, 16)
 
     def test_lasting_lateness_closes_it(self):
         """Guards against a limit that does not protect an overloaded upstream."""
         value = InflightLimit(16)
         for _ in range(60):
-            value.note(1.0, 0.35, in_flight=16)
+            value.note(1.0, 0.35, in_flight=16, now=0.0)
         self.assertEqual(value.value, 1.0)
 
     def test_share_is_closed_to_patient_work_but_not_all(self):
         """Guards against I9 in both directions."""
         value = InflightLimit(10)
-        self.assertGreaterEqual(value.room(True, 9), 1)
-        self.assertLess(value.room(False, 9), 1)
+        self.assertGreaterEqual(value.room(True, 9, 0.0), 1)
+        self.assertLess(value.room(False, 9, 0.0), 1)
         value.value = 1.0
-        self.assertGreaterEqual(value.room(False, 0), 1)
+        self.assertGreaterEqual(value.room(False, 0, 0.0), 1)
+
+    def test_low_limit_recovers_without_first_tokens(self):
+        """Guards against a node that its peers' requests keep out of an upstream for good."""
+        value = InflightLimit(16)
+        for _ in range(20):
+            value.note(1.0, 0.35, in_flight=16, now=0.0)
+        self.assertLess(value.room(True, 8, 0.0), 1)
+        self.assertGreaterEqual(value.room(True, 14, 60.0), 1)
+
+    def test_patient_work_does_not_queue_at_the_engine(self):
+        """Guards against urgent requests behind patient ones in the engine's own queue (I9)."""
+        value = InflightLimit(16)
+        value.value = 24.0
+        self.assertLess(value.room(False, 13, 0.0), 1)
 
 
 class BudgetTest(unittest.TestCase):
@@ -176,6 +190,15 @@
         self.assertGreater(book.factor("u1", 5.0), 3.0)
         self.assertLess(book.factor("u1", 200.0), 1.1)
 
+    def test_time_between_tokens_does_not_fade(self):
+        """Guards against sending a full share to an upstream whose tokens come too slowly."""
+        book = SpeedBook()
+        for _ in range(10):
+            book.note_gap("u1", 0.01, 0.05)
+        self.assertGreater(book.gap_factor("u1"), 4.5)
+        book.forget("u1")
+        self.assertEqual(book.gap_factor("u1"), 1.0)
+
 
 class QueueTest(unittest.TestCase):
     """The queue of a model."""
--- a/eelgrassferry/routing/tests/test_router.py
+++ b/eelgrassferry/routing/tests/test_router.py
@@ -1,6 +1,7 @@
 """Tests of the router's facade."""
 
 import unittest
+from collections import Counter
 
 from .. import (
     Dispatch,
@@ -151,6 +152,30 @@
         self.assertEqual(refusal.reason, RefusalReason.DEADLINE_UNREACHABLE)
         self.assertIsNotNone(refusal.retry_after_s)
 
+    def test_slow_tokens_are_avoided_but_probed(self):
+        """Guards against requests that miss the time between tokens at a degraded upstream."""
+        router = build_router(upstreams=2, max_batch=16)
+        taken = Counter()
+        for index in range(400):
+            now = 0.1 * index
+            request_id = f"r{index}"
+            (dispatch,) = router.submit(build_request(request_id, deadline_at=now + 1), now)
+            taken[dispatch.upstream] += index >= 100
+            gap_s = 0.1 if dispatch.upstream == "u1" else 0.01
+            router.note_first_token(request_id, now)
+            router.note_tokens(request_id, 33, now + 32 * gap_s)
+            router.finish(request_id, now + 32 * gap_s)
+        self.assertLessEqual(taken["u1"], 3)
+        self.assertGreaterEqual(taken["u1"], 1)
+
+    def test_late_place_is_left_for_a_timely_one(self):
+        """Guards against a wait in a small engine's queue that costs more than the target."""
+        router = build_router(upstreams=2, max_batch=4)
+        router.update_load(LoadReport("u1", 4, 1, 0.0), 0.0)
+        for index in range(3):
+            (dispatch,) = router.submit(build_request(f"r{index}", deadline_at=0.15), 0.01)
+            self.assertEqual(dispatch.upstream, "u2")
+
     def test_cancel_frees_the_place(self):
         """Guards against places lost to callers that went away."""
         router = build_router(upstreams=1, max_batch=1)
