--- a/eelgrassferry/bench/routed.py
+++ b/eelgrassferry/bench/routed.py
@@ -27,8 +27,8 @@
 )
 from .engine import Engine, Run
 from .fleet import Fleet
-from .mover import Mover
-from .planning import Planner
+from .placed import PlacementMover
+from .tally import MAX_GAP_S
 from .trace import Arrival
 
 __all__ = ["RoutedNodes"]
@@ -47,10 +47,10 @@
 class RoutedNodes:
     """Nodes with routers in front of the fake engines."""
 
-    def __init__(self, fleet: Fleet, nodes: int, planner: Planner, rng: Random) -> None:
+    def __init__(self, fleet: Fleet, nodes: int, rng: Random) -> None:
         self.fleet = fleet
         self._rng = rng
-        self._mover = Mover(fleet, planner, self._spread, self._speed)
+        self._mover = PlacementMover(fleet, self._spread, self._speed)
         domains = fleet.deployment.site.domains
         self._names = [f"node-{index}" for index in range(nodes)]
         self.routers = {
@@ -151,6 +151,7 @@
         if kind is None:
             engine.submit(run)
         else:
+            run.ended = True
             self.fleet.clock.after(0.0, lambda: self._report_failure(run, engine, kind))
 
     def _preempt(self, run: Run, engine: Engine) -> None:
@@ -237,7 +238,9 @@
         now = self.fleet.clock.now
         name = engine.upstream.name
         slowness = median(router.slowness(name, now) for router in self.routers.values())
-        return engine.upstream.decode_tokens_per_s / max(1.0, slowness)
+        speed = engine.upstream.decode_tokens_per_s / max(1.0, slowness)
+        # Where tokens come too far apart, a copy serves hardly anything within target.
+        return speed if engine.upstream.max_batch / speed <= MAX_GAP_S else 0.05 * speed
 
     def _residency(self, engine: Engine) -> tuple[tuple[ResidentCopy, ...], UpstreamState]:
         if not engine.reachable:
