Stop the echo of leaving notices and route around stalled engines

An engine that accepted requests and made no progress was tried again at once, until the attempts were used up. The planner knew an engine's leaving only from the host list. Change: only what a node has seen itself is told. A timeout pauses the upstream in every router, longer with each further stall, and its copies do not count for the planner. The planner reads leaving from the engine's status as well.

--- a/eelgrassferry/node/control.py
+++ b/eelgrassferry/node/control.py
@@ -80,6 +80,11 @@
             if patient:
                 self._controller.note_demand(name, False, now, patient)
 
+    def note_stall(self, upstream: str) -> None:
+        """Note an upstream at which a node saw no progress."""
+        self._controller.note_stall(upstream, time.monotonic())
+        self._shell.wake()
+
     def explain(self, name: str) -> Explanation:
         """Return why a model or adapter is loaded where it is."""
         return self._controller.explain(name, time.monotonic())
--- a/eelgrassferry/node/messages.py
+++ b/eelgrassferry/node/messages.py
@@ -14,6 +14,7 @@
     "HolderNotice",
     "LeavingNotice",
     "ResidencyNotice",
+    "StallNotice",
     "SuspectNotice",
     "WantCopy",
 ]
@@ -70,6 +71,14 @@
     demand: dict[str, tuple[int, int]]
 
 
+@message("node.stall")
+@dataclass(frozen=True)
+class StallNotice:
+    """The sender saw a request make no progress at an upstream."""
+
+    upstream: str
+
+
 @message("node.claim")
 @dataclass(frozen=True)
 class ClaimRequest:
--- a/eelgrassferry/node/model_proxy.py
+++ b/eelgrassferry/node/model_proxy.py
@@ -26,7 +26,7 @@
 # An adapter is loaded in about 20 ms; a store or object API that is slow may take longer.
 ADAPTER_WAIT_S = 2.0
 # The engine sends the head with the first token. Patient requests may wait in its queue.
-URGENT_HEAD_TIMEOUT_S = 5.0
+URGENT_HEAD_TIMEOUT_S = 3.0
 PATIENT_HEAD_TIMEOUT_S = 60.0
 
 FAILURE_KINDS = {
@@ -171,8 +171,7 @@
         The holder may choose another upstream; the router then places the request anew.
         """
         self._want(call.name, call.urgent)
-        holders = await self._watch.wait_resident(call.name, ADAPTER_WAIT_S)
-        return dispatch.upstream in holders
+        return await self._watch.wait_resident(call.name, dispatch.upstream, ADAPTER_WAIT_S)
 
     async def _pass_on(
         self, call: ModelCall, dispatch: Dispatch, stream: EngineStream, answer: Answer
--- a/eelgrassferry/node/node.py
+++ b/eelgrassferry/node/node.py
@@ -175,7 +175,15 @@
         self.driver = RouterDriver(
             router, metrics, time.monotonic, lambda action: self.bridge.perform(action)
         )
-        self.watch = UpstreamWatch(self.driver, self._hosts, client, metrics, self._take_leaving)
+        self.gate = ServiceGate(settings.domain)
+        self.watch = UpstreamWatch(
+            self.driver,
+            self._hosts,
+            client,
+            metrics,
+            self.gate.set_leaving,
+            lambda upstreams: self.bridge.tell_leaving(upstreams),
+        )
         self.suspects = SuspectLog(self.store, metrics)
         self.control = Control(
             settings.site,
@@ -198,8 +206,8 @@
             metrics,
             self.control.want,
             self.control.note_demand,
+            self.control.note_stall,
         )
-        self.gate = ServiceGate(settings.domain)
         self.journal = self._make_journal(deployment)
         models = ModelProxy(self.driver, self.watch, client, metrics, self.demand, self.bridge.want)
         self.services = ServiceProxy(self.gate, self.journal, self.watch, client, metrics)
@@ -258,10 +266,6 @@
         self.gate.update_deployment(deployment)
         self.control.update_deployment(deployment)
 
-    def _take_leaving(self, leaving: frozenset[str]) -> None:
-        self.gate.set_leaving(leaving)
-        self.bridge.tell_leaving(leaving)
-
     async def _tell_demand(self) -> None:
         while True:
             await asyncio.sleep(DEMAND_PERIOD_S)
--- a/eelgrassferry/node/peer_bridge.py
+++ b/eelgrassferry/node/peer_bridge.py
@@ -17,6 +17,7 @@
     ReleaseClaim,
     ResidentCopy,
     ShareSuspect,
+    StallSeen,
     WantModel,
 )
 from .messages import (
@@ -28,6 +29,7 @@
     HolderNotice,
     LeavingNotice,
     ResidencyNotice,
+    StallNotice,
     SuspectNotice,
     WantCopy,
 )
@@ -67,6 +69,7 @@
         metrics: Metrics,
         on_want: Callable[[str, bool], bool],
         on_demand: Callable[[Demand], None],
+        on_stall: Callable[[str], None],
     ) -> None:
         self._name = name
         self._mesh = mesh
@@ -77,6 +80,7 @@
         self._metrics = metrics
         self._on_want = on_want
         self._on_demand = on_demand
+        self._on_stall = on_stall
         self._holder: tuple[int, str] = (0, "")
         self._wanted_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -86,6 +90,7 @@
         mesh.handle(LeavingNotice, self._take_leaving)
         mesh.handle(DemandNotice, self._take_demand)
         gossiper.on_change(Dispatches, self._take_dispatches)
+        mesh.handle(StallNotice, self._take_stall)
         mesh.handle(ClaimRequest, self._take_claim)
         mesh.handle(ClaimAnswer, self._take_claim_answer)
         mesh.handle(ClaimRelease, self._take_claim_release)
@@ -112,6 +117,9 @@
             case ShareSuspect(digest, incidents, cleared):
                 self._mesh.broadcast(SuspectNotice(digest, incidents, cleared))
                 self._spawn(self._suspects.write(digest, incidents, cleared))
+            case StallSeen(upstream):
+                self._on_stall(upstream)
+                self._mesh.broadcast(StallNotice(upstream))
             case _:
                 log.error("unknown action", step="perform", action=repr(action))
 
@@ -121,9 +129,8 @@
         self._mesh.broadcast(ResidencyNotice(upstream, copies))
 
     def tell_leaving(self, upstreams: frozenset[str]) -> None:
-        """Tell all peers which upstreams are leaving."""
-        if upstreams:
-            self._mesh.broadcast(LeavingNotice(tuple(sorted(upstreams))))
+        """Tell all peers which upstreams this node has seen leaving."""
+        self._mesh.broadcast(LeavingNotice(tuple(sorted(upstreams))))
 
     def tell_demand(self, demand: Demand) -> None:
         """Hand the requests counted since the last call to the lease holder."""
@@ -201,6 +208,10 @@
         now = time.monotonic()
         self._driver.apply(self._driver.router.update_peer_dispatches(node, work, now))
 
+    def _take_stall(self, peer: Identity, notice: StallNotice) -> None:
+        self._on_stall(notice.upstream)
+        self._driver.apply(self._driver.router.note_stall(notice.upstream, time.monotonic()))
+
     def _take_claim(self, peer: Identity, request: ClaimRequest) -> Ack:
         actions = self._driver.router.on_claim_asked(
             peer.name, request.request_id, request.digest, request.lane, time.monotonic()
--- a/eelgrassferry/node/upstream_watch.py
+++ b/eelgrassferry/node/upstream_watch.py
@@ -35,7 +35,9 @@
     """Keeps the router's view of the upstreams up to date.
 
     ``on_leaving`` is called when the set of leaving upstreams changes. Leaving is learned from
-    the host list, from an engine's own status and from peers, whichever comes first.
+    the host list, from an engine's own status and from peers, whichever comes first. ``on_seen``
+    is called with those that this node saw leaving itself; what peers told is not passed on, or
+    nodes would repeat it to each other without end.
     """
 
     def __init__(
@@ -45,12 +47,15 @@
         client: HttpClient,
         metrics: Metrics,
         on_leaving: Callable[[frozenset[str]], None],
+        on_seen: Callable[[frozenset[str]], None],
     ) -> None:
         self._driver = driver
         self._hosts = hosts
         self._client = client
         self._metrics = metrics
         self._on_leaving = on_leaving
+        self._on_seen = on_seen
+        self._applied_leaving: frozenset[str] = frozenset()
         self._upstreams: dict[str, Upstream] = {}
         self._moved: dict[str, str] = {}
         self._listed_leaving: frozenset[str] = frozenset()
@@ -92,14 +97,18 @@
         for name in sorted(engines - set(self._pollers)):
             self._pollers[name] = asyncio.ensure_future(self._poll_engine(name))
 
-    async def wait_resident(self, name: str, timeout_s: float) -> frozenset[str]:
-        """Wait for a copy of ``name`` anywhere; return the upstreams that hold one."""
+    async def wait_resident(self, name: str, upstream: str, timeout_s: float) -> bool:
+        """Wait for a copy of ``name`` to appear anywhere; return whether ``upstream`` holds one.
+
+        Copies held elsewhere from the start do not end the wait, since the router may have had
+        a reason not to use them.
+        """
         fut = asyncio.get_running_loop().create_future()
         waiting = self._waiting.setdefault(name, [])
         waiting.append(fut)
         try:
             async with asyncio.timeout(timeout_s):
-                if not self.holders_of(name):
+                if upstream not in self.holders_of(name):
                     await fut
         except TimeoutError:
             pass
@@ -107,7 +116,7 @@
             waiting.remove(fut)
             if not waiting:
                 self._waiting.pop(name, None)
-        return self.holders_of(name)
+        return upstream in self.holders_of(name)
 
     def holders_of(self, name: str) -> frozenset[str]:
         """Return the upstreams that hold a model or adapter."""
@@ -158,7 +167,10 @@
             case Ok(hosts):
                 self._moved = {h.id: h.address for h in hosts if h.address}
                 leaving = {h.id for h in hosts if h.state is HostState.LEAVING}
-                self._listed_leaving = frozenset(leaving & set(self._upstreams))
+                listed = frozenset(leaving & set(self._upstreams))
+                if listed - self._listed_leaving:
+                    self._on_seen(listed - self._listed_leaving)
+                self._listed_leaving = listed
                 self._apply_leaving()
 
     async def _poll_engine(self, upstream: str) -> None:
@@ -194,7 +206,11 @@
         self.views[view.upstream] = view
         known = view.upstream in self._own_leaving
         if view.leaving != known:
-            (self._own_leaving.add if view.leaving else self._own_leaving.discard)(view.upstream)
+            if view.leaving:
+                self._own_leaving.add(view.upstream)
+                self._on_seen(frozenset({view.upstream}))
+            else:
+                self._own_leaving.discard(view.upstream)
             self._apply_leaving()
         copies = tuple(self._mark_serving(view.upstream, copy) for copy in view.copies)
         self._set_residency(view.upstream, copies, self.state_of(view.upstream))
@@ -223,6 +239,9 @@
             self._set_residency(upstream, (), UpstreamState.GONE)
 
     def _apply_leaving(self) -> None:
+        if self.leaving == self._applied_leaving:
+            return
+        self._applied_leaving = self.leaving
         for upstream in self.leaving & set(self._pollers):
             view = self.views.get(upstream)
             self._set_residency(upstream, view.copies if view else (), UpstreamState.LEAVING)
--- a/eelgrassferry/placement/area_state.py
+++ b/eelgrassferry/placement/area_state.py
@@ -13,6 +13,8 @@
 # An upstream whose status could not be read for this long gets no moves, and its copies no longer
 # count. A restart of a process takes less.
 UNREACHABLE_S = 6.0
+# A node has seen a request make no progress there; its copies do not count for this long.
+STALLED_S = 15.0
 
 
 @dataclass(frozen=True)
@@ -59,6 +61,8 @@
     ledger: MemoryLedger
     address: str
     leaving: bool = False
+    engine_leaving: bool = False
+    stalled_until_s: float = float("-inf")
     record_busy: bool = False
     record_due_s: float = 0.0
     status_busy: bool = False
@@ -70,7 +74,9 @@
 
     def is_available(self, now: float) -> bool:
         """Whether copies here count and moves may go here."""
-        if self.leaving or not self.ledger.is_ready:
+        if self.leaving or self.engine_leaving or not self.ledger.is_ready:
+            return False
+        if now < self.stalled_until_s:
             return False
         return self.failing_since_s is None or now < self.failing_since_s + UNREACHABLE_S
 
--- a/eelgrassferry/placement/controller.py
+++ b/eelgrassferry/placement/controller.py
@@ -8,7 +8,7 @@
 from ..objects import Host, HostState, ObjectError
 from ..settings import Deployment
 from .actions import ControlAction, ProbeVersion, SendOrder, WriteRecord
-from .area_state import AreaState, Copy, UpstreamState, Want
+from .area_state import STALLED_S, AreaState, Copy, UpstreamState, Want
 from .engine import EngineOrder, EngineStatus, ItemKind, OrderKind
 from .explain import Explanation, Progress, explain_name, report_progress
 from .ledger import MemoryLedger
@@ -179,6 +179,9 @@
         before = state.residents()
         state.ledger.on_status(status, read_at, now)
         self.area.reindex(state, before)
+        if state.engine_leaving != status.leaving:
+            state.engine_leaving = status.leaving
+            self._replan(now)
         if state.ledger.has_open or any(c.upstream == upstream for c in self.area.unloads):
             state.status_pause_s = min(OPEN_STATUS_S, 2 * state.status_pause_s + FIRST_STATUS_S)
             self._reads.status_at(state, now + state.status_pause_s)
@@ -187,6 +190,12 @@
             self._reads.status_at(state, now + idle_s)
         self._settled(state, now)
 
+    def note_stall(self, upstream: str, now: float) -> None:
+        """Note that a node saw a request make no progress, though the status is answered."""
+        if state := self.area.upstreams.get(upstream):
+            state.stalled_until_s = now + STALLED_S
+            self._replan(now)
+
     def on_status_failed(self, upstream: str, now: float) -> None:
         """Note that an engine's status could not be read."""
         if state := self.area.upstreams.get(upstream):
--- a/eelgrassferry/routing/__init__.py
+++ b/eelgrassferry/routing/__init__.py
@@ -11,6 +11,7 @@
     Refuse,
     ReleaseClaim,
     ShareSuspect,
+    StallSeen,
     WantModel,
 )
 from .budget import RetryBudget
@@ -66,6 +67,7 @@
     "Router",
     "RouterSnapshot",
     "ShareSuspect",
+    "StallSeen",
     "SuspectRegistry",
     "UpstreamFailure",
     "UpstreamSnapshot",
--- a/eelgrassferry/routing/actions.py
+++ b/eelgrassferry/routing/actions.py
@@ -16,6 +16,7 @@
     "Refuse",
     "ReleaseClaim",
     "ShareSuspect",
+    "StallSeen",
     "WantModel",
 ]
 
@@ -141,6 +142,13 @@
     cleared: bool = False
 
 
+@dataclass(frozen=True)
+class StallSeen:
+    """Tell every node and the planner that an upstream accepted a request and made no progress."""
+
+    upstream: str
+
+
 Action = (
     Dispatch
     | Refuse
@@ -151,4 +159,5 @@
     | GrantClaim
     | DenyClaim
     | ShareSuspect
+    | StallSeen
 )
--- a/eelgrassferry/routing/router.py
+++ b/eelgrassferry/routing/router.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from ..settings import Deployment
-from .actions import Action, ClaimOutcome
+from .actions import Action, ClaimOutcome, StallSeen
 from .desk import Desk
 from .job import Job
 from .messages import (
@@ -100,6 +100,8 @@
                 self._scheduler.forget(failure.upstream)
                 self._scheduler.pause(failure.upstream, now)
                 job.deadline_at = max(job.deadline_at, now + SUSPECT_WITHIN_S)
+            case FailureKind.TIMEOUT:
+                self._scheduler.stall(failure.upstream, now)
             case FailureKind.NOT_RESIDENT:
                 self._scheduler.residency.forget_copy(failure.upstream, job.request.name)
             case _:
@@ -111,6 +113,8 @@
             # The place was freed for an urgent request, so the patient one is queued after.
             freed = self._desk.pump_upstream(failure.upstream, now)
             return (*settled, *freed, *self._desk.retry(job, failure, now))
+        if failure.kind is FailureKind.TIMEOUT:
+            settled = (*settled, StallSeen(failure.upstream))
         retried = self._desk.retry(job, failure, now)
         return (*settled, *retried, *self._desk.pump_upstream(failure.upstream, now))
 
@@ -142,6 +146,11 @@
                 self._scheduler.forget(upstream)
         return ()
 
+    def note_stall(self, upstream: str, now: float) -> tuple[Action, ...]:
+        """Take a peer's ``StallSeen``."""
+        self._scheduler.stall(upstream, now)
+        return ()
+
     def update_load(self, report: LoadReport, now: float) -> tuple[Action, ...]:
         """Take an engine's report of its load."""
         self._scheduler.load.report(report)
--- a/eelgrassferry/routing/scheduler.py
+++ b/eelgrassferry/routing/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from random import Random
 
 from ..settings import Deployment, Model, Upstream
@@ -27,6 +28,10 @@
 ADAPTER_PENALTY_S = 0.05
 # A crashed upstream gets nothing for this long, unless it is reported live before.
 CRASH_PAUSE_S = 2.0
+# An upstream that made no progress gets nothing for this long, doubled with each further stall up
+# to the limit. Its status may still be answered, so a report that it is live proves nothing.
+STALL_PAUSE_S = 5.0
+MAX_STALL_PAUSE_S = 40.0
 # After this many urgent requests in a row, an upstream's next place goes to patient work if any
 # waits, so that it keeps a sixteenth of the capacity however long the urgent demand lasts.
 URGENT_RUN = 15
@@ -42,6 +47,14 @@
 OUTPUT_WEIGHT = 0.02
 
 
+@dataclass(frozen=True)
+class Stall:
+    """An upstream gets no new work before ``until``, after a pause of ``pause_s`` seconds."""
+
+    until: float
+    pause_s: float
+
+
 class Scheduler:
     """Places jobs on upstreams. Times are in seconds."""
 
@@ -58,6 +71,7 @@
         self._rng = rng
         self._prefill: dict[str, float] = {}
         self._paused: dict[str, float] = {}
+        self._stalls: dict[str, Stall] = {}
         self._reserved: dict[str, Job] = {}
         self._urgent_run: dict[str, int] = {}
         self._output_tokens: dict[str, float] = {}
@@ -94,6 +108,14 @@
         """Send nothing to an upstream that crashed until it is reported live again."""
         self._paused[upstream] = now + CRASH_PAUSE_S
 
+    def stall(self, upstream: str, now: float) -> None:
+        """Send nothing to an upstream that made no progress, longer with each further stall."""
+        last = self._stalls.get(upstream)
+        if last is not None and now < last.until:
+            return
+        pause_s = min(MAX_STALL_PAUSE_S, 2 * last.pause_s) if last else STALL_PAUSE_S
+        self._stalls[upstream] = Stall(now + pause_s, pause_s)
+
     def resume(self, upstream: str) -> None:
         """Lift the pause of an upstream that is reported live."""
         self._paused.pop(upstream, None)
@@ -234,6 +256,9 @@
     def note_first_token(self, job: Job, flight: Flight, now: float) -> None:
         """Learn from one time to first token."""
         flight.first_token_at = now
+        stall = self._stalls.get(flight.upstream)
+        if stall is not None and flight.sent_at >= stall.until:
+            del self._stalls[flight.upstream]
         self._add_prefill(flight, -1)
         upstream = self.deployment.upstreams.get(flight.upstream)
         model = self.model(job.request.name)
@@ -287,6 +312,9 @@
     def _may_use(self, job: Job, upstream: str, now: float) -> bool:
         if upstream in job.avoid or self._reserved.get(upstream, job) is not job:
             return False
+        stall = self._stalls.get(upstream)
+        if stall is not None and now < stall.until:
+            return False
         return now >= self._paused.get(upstream, now)
 
     def _is_slow(self, upstream: Upstream, target_gap_s: float) -> bool:
