Fence an engine before it loads, and count only live loads against the store

Cause: a restarted engine has forgotten its fence and would obey an earlier holder whose reservation was settled because of that fence; loads on a crashed upstream kept the weight store's slots; an order on an idle connection that the engine had closed was lost for the whole transit time. Change: a load is reserved only after a status that shows this term's fence, where the engine checks it; slots count loads on reachable upstreams; orders use a fresh connection. Conclusion: one fence order more for each upstream, term and restart.

--- a/eelgrassferry/placement/area_state.py
+++ b/eelgrassferry/placement/area_state.py
@@ -147,18 +147,20 @@
         _, until_s = self.failures.get(copy, (0, 0.0))
         return now < until_s
 
-    def in_transit(self, kind: ItemKind) -> int:
-        """Return the number of loads of this kind that may be using the weight store."""
-        order = OrderKind.load(kind)
-        mine = sum(load.item.kind is kind for load in self.loads)
-        foreign = sum(
-            r.kind is order and r.writer != self.instance
-            for state in self.upstreams.values()
-            for r in state.ledger.reservations
-            if state.ledger.status is not None
-            and any(r.item == loading.item for loading in state.ledger.status.loading)
-        )
-        return mine + foreign
+    def in_transit(self, kind: ItemKind, now: float) -> int:
+        """Return the number of loads of this kind that may be using the weight store.
+
+        Loads on upstreams that cannot be reached do not count, or a crash during a load would
+        hold up all others.
+        """
+        order, count = OrderKind.load(kind), 0
+        for state in self.available(now):
+            status = state.ledger.status
+            loading = {r.item for r in status.loading} if status else set()
+            for r in state.ledger.reservations:
+                if r.kind is order and (r.writer == self.instance or r.item in loading):
+                    count += 1
+        return count
 
     def item_of(self, name: str) -> tuple[Item, int] | None:
         """Return the version of a model or adapter to load, and its memory."""
--- a/eelgrassferry/placement/ledger.py
+++ b/eelgrassferry/placement/ledger.py
@@ -80,6 +80,7 @@
         self._writing: UpstreamRecord | None = None
         self._recorded: frozenset[str] = frozenset()
         self._dirty = False
+        self._load_asked = False
         self._used_mib: int | None = None
         self._count = 0
         self._waiting: set[str] = set()
@@ -153,13 +154,17 @@
 
     @property
     def needs_fence(self) -> bool:
-        """Whether the engine has to be fenced before foreign reservations can be settled."""
+        """Whether the engine has to be fenced to settle foreign reservations or to take loads."""
+        foreign = any(r.writer != self.instance for r in self.reservations)
+        return (foreign or self._load_asked) and self._is_unfenced
+
+    @property
+    def _is_unfenced(self) -> bool:
         if not self.is_ready or not self.checks_fence:
             return False
         assert self.status is not None
         assert self._term is not None
-        foreign = any(r.writer != self.instance for r in self.reservations)
-        return foreign and self.status.fence < self._term.epoch
+        return self.status.fence < self._term.epoch
 
     @property
     def reservations(self) -> tuple[Reservation, ...]:
@@ -193,6 +198,11 @@
         if not self.is_ready:
             return Err(NotReady("reserve", self.upstream, "record or status not known"))
         needed_mib = memory_mib if kind.is_load else 0
+        self._load_asked = kind.is_load
+        if kind.is_load and self._is_unfenced:
+            # A restarted engine has lost its fence. An order of an earlier holder, whose
+            # reservation was settled because of the fence, would be obeyed again.
+            return Err(NotReady("reserve", self.upstream, "the engine is not fenced"))
         if needed_mib and needed_mib > self.free_mib:
             return Err(NoRoom("reserve", self.upstream, needed_mib, self.free_mib))
         assert self.draft is not None
--- a/eelgrassferry/placement/measure.py
+++ b/eelgrassferry/placement/measure.py
@@ -118,7 +118,7 @@
     held = tuple(Resident(item, 1) for item in items)
     gc.collect()
     tracemalloc.start()
-    ledger = MemoryLedger("u1", "n1:a", residents + 100, True, 5.0)
+    ledger = MemoryLedger("u1", "n1:a", residents + 100, False, 5.0)
     ledger.begin_term(1, 0.0)
     ledger.on_record(0, UpstreamRecord(residents=held), 0.0)
     ledger.on_status(EngineStatus(residents + 100, residents=held), 1.0, 1.0)
--- a/eelgrassferry/placement/move_runner.py
+++ b/eelgrassferry/placement/move_runner.py
@@ -56,17 +56,18 @@
         kind = copy.item.kind
         if state is None or copy in self._area.loads or self._area.is_barred(copy, now):
             return False
-        if not pacer.may_start(kind, self._area.in_transit(kind), now):
+        if not pacer.may_start(kind, self._area.in_transit(kind, now), now):
             return False
         order_id = self.next_order_id()
         item = copy.item
+        # Touched also where the reservation fails, because the engine may have to be fenced first.
+        self._area.touched.add(copy.upstream)
         made = state.ledger.reserve(
             OrderKind.load(kind), item.name, item.version, memory_mib, order_id
         )
         if made.is_err():
             return False
         pacer.start(kind, now)
-        self._area.touched.add(copy.upstream)
         self._area.loads[copy] = Load(order_id, now)
         return True
 
@@ -93,8 +94,6 @@
         """Load an adapter that a request waits for, or make room for it."""
         deployment = self._area.deployment
         assert deployment is not None
-        if any(load.item.name == item.name for load in self._area.loads):
-            return
         if any(i.name == item.name for s in self._area.available(now) for i in s.loading()):
             return
         base = deployment.adapters[item.name].base
--- a/eelgrassferry/placement/shell.py
+++ b/eelgrassferry/placement/shell.py
@@ -158,6 +158,8 @@
             headers=(("content-type", "application/json"),),
             body=json.dumps(order.to_json()).encode(),
             timeout_s=ORDER_TIMEOUT_S,
+            # An idle connection that the engine has just closed would lose the order.
+            fresh=True,
             guard=lambda: controller.may_send(action, self._clock()),
         )
         now = self._clock()
--- a/eelgrassferry/placement/tests/test_controller.py
+++ b/eelgrassferry/placement/tests/test_controller.py
@@ -83,6 +83,32 @@
         area.run(20.0)
         self.assertEqual(len(area.residents("m1")), 2)
 
+    def test_loads_on_a_dead_upstream_do_not_hold_up_others(self):
+        """Guards against slots of the weight store that stay taken after a crash."""
+        area = self.start(models=("m1", "m2", "m3", "m4"), upstreams=2, memory_mib=200)
+        while sum(len(engine.loading) for engine in area.engines.values()) < 2:
+            area.step()
+            area.now += 0.01
+        for name, engine in area.engines.items():
+            if engine.loading:
+                area.down.add(name)
+                break
+        area.run(40.0)
+        (live,) = set(area.engines) - area.down
+        self.assertEqual(len(area.engines[live].residents), 4)
+
+    def test_restarted_engine_is_fenced_before_it_loads(self):
+        """Guards against an engine that obeys an old holder again after a restart."""
+        area = self.start(models=("m1",), upstreams=1)
+        area.run(10.0)
+        area.engines["u0"].restart()
+        while not area.engines["u0"].loading:
+            area.step()
+            area.now += 0.01
+        # The fence and the load.
+        self.assertEqual(len(area.engines["u0"].orders), 2)
+        self.assertEqual(area.engines["u0"].fence, 1)
+
     def test_successor_takes_up_half_done_loads(self):
         """Guards against a takeover that loads twice or overcommits."""
         area = self.start(models=("m1", "m2"), upstreams=1, memory_mib=85)
