Replace copies of leaving engines, and start left-over loads sooner

Cause: an engine that says in its own status that it leaves kept counting as a place for copies; a load that the weight store's pace had held back waited for the next plan, up to a second. Change: a status with state leaving takes the upstream out of placement; a plan whose moves could not all be started is followed by another after 0.25 s.

--- a/eelgrassferry/placement/area_state.py
+++ b/eelgrassferry/placement/area_state.py
@@ -70,7 +70,8 @@
 
     def is_available(self, now: float) -> bool:
         """Whether copies here count and moves may go here."""
-        if self.leaving or not self.ledger.is_ready:
+        status = self.ledger.status
+        if self.leaving or not self.ledger.is_ready or (status is not None and status.leaving):
             return False
         return self.failing_since_s is None or now < self.failing_since_s + UNREACHABLE_S
 
--- a/eelgrassferry/placement/controller.py
+++ b/eelgrassferry/placement/controller.py
@@ -27,6 +27,8 @@
 PLANNED_UPSTREAMS_PER_S = 100.0
 # Shortest time between plans when something has changed.
 REPLAN_S = 0.1
+# Time until the next plan where the weight store's pace or a missing fence left a load over.
+LEFT_OVER_S = 0.25
 RETRY_S = 0.5
 FIRST_STATUS_S = 0.02
 OPEN_STATUS_S = 0.5
@@ -342,7 +344,8 @@
             item = copy.item
             actions.append(ProbeVersion(copy.upstream, item.name, item.version))
         view = self._versions.plan_view(now)
-        self._moves.start_all(self._planner.plan(view), self._pacer, now)
+        if not self._moves.start_all(self._planner.plan(view), self._pacer, now):
+            self._plan_due_s = min(self._plan_due_s, now + LEFT_OVER_S)
 
     def _write_due(self, state: UpstreamState, actions: list[ControlAction], now: float) -> None:
         ledger = state.ledger
--- a/eelgrassferry/placement/engine.py
+++ b/eelgrassferry/placement/engine.py
@@ -156,6 +156,7 @@
     orders: Mapping[str, OrderState] = field(default_factory=dict)
     running: int = 0
     queued: int = 0
+    leaving: bool = False
 
     @classmethod
     def parse(cls, body: Any, peer: str) -> Result["EngineStatus", StatusFormatError]:
@@ -172,6 +173,7 @@
                     orders={str(k): STATES.get(v, OrderState.RUNNING) for k, v in orders.items()},
                     running=int(body.get("running", 0)),
                     queued=int(body.get("queued", 0)),
+                    leaving=body.get("state") == "leaving",
                 )
             )
         except (ValueError, KeyError, TypeError, AttributeError) as exc:
--- a/eelgrassferry/placement/move_runner.py
+++ b/eelgrassferry/placement/move_runner.py
@@ -41,14 +41,19 @@
         self._count += 1
         return f"{self._area.instance}-{self._count}"
 
-    def start_all(self, moves: Iterable[Move], pacer: LoadPacer, now: float) -> None:
-        """Start the planner's moves; a load beyond the store's pace is left to a later plan."""
+    def start_all(self, moves: Iterable[Move], pacer: LoadPacer, now: float) -> bool:
+        """Start the planner's moves; return whether all could be started.
+
+        A load beyond the store's pace, or on an engine that is not fenced, is left to a later plan.
+        """
+        complete = True
         for move in moves:
             copy = Copy(move.upstream, move.item)
             if move.kind is MoveKind.UNLOAD:
                 self.start_unload(copy, move.reason, now)
-            else:
-                self.start_load(copy, move.memory_mib, pacer, now)
+            elif not self.start_load(copy, move.memory_mib, pacer, now):
+                complete = False
+        return complete
 
     def start_load(self, copy: Copy, memory_mib: int, pacer: LoadPacer, now: float) -> bool:
         """Reserve memory for a load; return whether it was started."""
--- a/eelgrassferry/placement/tests/test_controller.py
+++ b/eelgrassferry/placement/tests/test_controller.py
@@ -83,6 +83,16 @@
         area.run(20.0)
         self.assertEqual(len(area.residents("m1")), 2)
 
+    def test_engine_that_leaves_is_replaced_before_it_has_gone(self):
+        """Guards against a planned stop that takes the only copy of a model away."""
+        area = self.start(models=("m1",), upstreams=2)
+        area.run(10.0)
+        ((upstream, _),) = area.residents("m1")
+        status = area.engines[upstream].status
+        area.engines[upstream].status = lambda now: replace(status(now), leaving=True)
+        area.run(10.0)
+        self.assertEqual(len(area.residents("m1")), 2)
+
     def test_loads_on_a_dead_upstream_do_not_hold_up_others(self):
         """Guards against slots of the weight store that stay taken after a crash."""
         area = self.start(models=("m1", "m2", "m3", "m4"), upstreams=2, memory_mib=200)
