Judge writers as gone only by a host list that shows this host

Cause: a host list without nodes, or one that lags behind this node's own start, would have counted every other writer as gone, and its unsettled reservations as free on engines that ignore fencing numbers. Change: such a list says nothing about writers. Conclusion: memory stays counted until a list that names nodes no longer names the writer.

--- a/eelgrassferry/placement/writers.py
+++ b/eelgrassferry/placement/writers.py
@@ -12,7 +12,8 @@
 
     A writer is gone once its host has left the host list, once it has acknowledged that it sends
     nothing more (a released lease does), or where it is an earlier process of this very host,
-    whose listening addresses this process holds now.
+    whose listening addresses this process holds now. A host list without this process's own host
+    says nothing about writers, because it does not list nodes or lags too far behind.
 
     >>> writers = Writers("n1:b")
     >>> writers.gone_since("n1:a")
@@ -22,7 +23,7 @@
     def __init__(self, instance: str) -> None:
         self._instance = instance
         self._host = host_of(instance)
-        self._listed: frozenset[str] | None = None
+        self._listed: frozenset[str] = frozenset()
         self._listed_s = 0.0
         self._gone_s: dict[str, float] = {}
 
@@ -42,7 +43,8 @@
             return None
         if host_of(writer) == self._host:
             return float("-inf")
-        if writer not in self._gone_s and self._listed and host_of(writer) not in self._listed:
+        listed = self._listed
+        if writer not in self._gone_s and self._host in listed and host_of(writer) not in listed:
             self._gone_s[writer] = self._listed_s
         return self._gone_s.get(writer)
 
