--- a/eelgrassferry/node/control.py
+++ b/eelgrassferry/node/control.py
@@ -80,9 +80,9 @@
             if patient:
                 self._controller.note_demand(name, False, now, patient)
 
-    def note_stall(self, upstream: str) -> None:
+    def note_stall(self, upstream: str, pause_s: float) -> None:
         """Note an upstream at which a node saw no progress."""
-        self._controller.note_stall(upstream, time.monotonic())
+        self._controller.note_stall(upstream, pause_s, time.monotonic())
         self._shell.wake()
 
     def explain(self, name: str) -> Explanation:
--- a/eelgrassferry/node/messages.py
+++ b/eelgrassferry/node/messages.py
@@ -74,9 +74,10 @@
 @message("node.stall")
 @dataclass(frozen=True)
 class StallNotice:
-    """The sender saw a request make no progress at an upstream."""
+    """The sender saw a request make no progress at an upstream and pauses it."""
 
     upstream: str
+    pause_s: float
 
 
 @message("node.claim")
--- a/eelgrassferry/node/peer_bridge.py
+++ b/eelgrassferry/node/peer_bridge.py
@@ -69,7 +69,7 @@
         metrics: Metrics,
         on_want: Callable[[str, bool], bool],
         on_demand: Callable[[Demand], None],
-        on_stall: Callable[[str], None],
+        on_stall: Callable[[str, float], None],
     ) -> None:
         self._name = name
         self._mesh = mesh
@@ -117,9 +117,9 @@
             case ShareSuspect(digest, incidents, cleared):
                 self._mesh.broadcast(SuspectNotice(digest, incidents, cleared))
                 self._spawn(self._suspects.write(digest, incidents, cleared))
-            case StallSeen(upstream):
-                self._on_stall(upstream)
-                self._mesh.broadcast(StallNotice(upstream))
+            case StallSeen(upstream, pause_s):
+                self._on_stall(upstream, pause_s)
+                self._mesh.broadcast(StallNotice(upstream, pause_s))
             case _:
                 log.error("unknown action", step="perform", action=repr(action))
 
@@ -209,7 +209,7 @@
         self._driver.apply(self._driver.router.update_peer_dispatches(node, work, now))
 
     def _take_stall(self, peer: Identity, notice: StallNotice) -> None:
-        self._on_stall(notice.upstream)
+        self._on_stall(notice.upstream, notice.pause_s)
         self._driver.apply(self._driver.router.note_stall(notice.upstream, time.monotonic()))
 
     def _take_claim(self, peer: Identity, request: ClaimRequest) -> Ack:
--- a/eelgrassferry/placement/area_state.py
+++ b/eelgrassferry/placement/area_state.py
@@ -13,8 +13,9 @@
 # An upstream whose status could not be read for this long gets no moves, and its copies no longer
 # count. A restart of a process takes less.
 UNREACHABLE_S = 6.0
-# A node has seen a request make no progress there; its copies do not count for this long.
-STALLED_S = 15.0
+# Routers pause a stalled upstream; its copies do not count for this much longer, so that the next
+# trial request can show whether it is still stalled.
+STALL_MARGIN_S = 10.0
 
 
 @dataclass(frozen=True)
@@ -61,7 +62,6 @@
     ledger: MemoryLedger
     address: str
     leaving: bool = False
-    engine_leaving: bool = False
     stalled_until_s: float = float("-inf")
     record_busy: bool = False
     record_due_s: float = 0.0
@@ -74,7 +74,8 @@
 
     def is_available(self, now: float) -> bool:
         """Whether copies here count and moves may go here."""
-        if self.leaving or self.engine_leaving or not self.ledger.is_ready:
+        status = self.ledger.status
+        if self.leaving or not self.ledger.is_ready or (status is not None and status.leaving):
             return False
         if now < self.stalled_until_s:
             return False
@@ -153,18 +154,20 @@
         _, until_s = self.failures.get(copy, (0, 0.0))
         return now < until_s
 
-    def in_transit(self, kind: ItemKind) -> int:
-        """Return the number of loads of this kind that may be using the weight store."""
-        order = OrderKind.load(kind)
-        mine = sum(load.item.kind is kind for load in self.loads)
-        foreign = sum(
-            r.kind is order and r.writer != self.instance
-            for state in self.upstreams.values()
-            for r in state.ledger.reservations
-            if state.ledger.status is not None
-            and any(r.item == loading.item for loading in state.ledger.status.loading)
-        )
-        return mine + foreign
+    def in_transit(self, kind: ItemKind, now: float) -> int:
+        """Return the number of loads of this kind that may be using the weight store.
+
+        Loads on upstreams that cannot be reached do not count, or a crash during a load would
+        hold up all others.
+        """
+        order, count = OrderKind.load(kind), 0
+        for state in self.available(now):
+            status = state.ledger.status
+            loading = {r.item for r in status.loading} if status else set()
+            for r in state.ledger.reservations:
+                if r.kind is order and (r.writer == self.instance or r.item in loading):
+                    count += 1
+        return count
 
     def item_of(self, name: str) -> tuple[Item, int] | None:
         """Return the version of a model or adapter to load, and its memory."""
--- a/eelgrassferry/placement/controller.py
+++ b/eelgrassferry/placement/controller.py
@@ -8,7 +8,7 @@
 from ..objects import Host, HostState, ObjectError
 from ..settings import Deployment
 from .actions import ControlAction, ProbeVersion, SendOrder, WriteRecord
-from .area_state import STALLED_S, AreaState, Copy, UpstreamState, Want
+from .area_state import STALL_MARGIN_S, AreaState, Copy, UpstreamState, Want
 from .engine import EngineOrder, EngineStatus, ItemKind, OrderKind
 from .explain import Explanation, Progress, explain_name, report_progress
 from .ledger import MemoryLedger
@@ -27,6 +27,8 @@
 PLANNED_UPSTREAMS_PER_S = 100.0
 # Shortest time between plans when something has changed.
 REPLAN_S = 0.1
+# Time until the next plan where the weight store's pace or a missing fence left a load over.
+LEFT_OVER_S = 0.25
 RETRY_S = 0.5
 FIRST_STATUS_S = 0.02
 OPEN_STATUS_S = 0.5
@@ -176,11 +178,11 @@
             return
         state.status_busy = False
         state.failing_since_s = None
+        was_leaving = state.ledger.status is not None and state.ledger.status.leaving
         before = state.residents()
         state.ledger.on_status(status, read_at, now)
         self.area.reindex(state, before)
-        if state.engine_leaving != status.leaving:
-            state.engine_leaving = status.leaving
+        if was_leaving != status.leaving:
             self._replan(now)
         if state.ledger.has_open or any(c.upstream == upstream for c in self.area.unloads):
             state.status_pause_s = min(OPEN_STATUS_S, 2 * state.status_pause_s + FIRST_STATUS_S)
@@ -190,10 +192,11 @@
             self._reads.status_at(state, now + idle_s)
         self._settled(state, now)
 
-    def note_stall(self, upstream: str, now: float) -> None:
-        """Note that a node saw a request make no progress, though the status is answered."""
+    def note_stall(self, upstream: str, pause_s: float, now: float) -> None:
+        """Note that a node saw no progress, though the status is answered, and pauses."""
         if state := self.area.upstreams.get(upstream):
-            state.stalled_until_s = now + STALLED_S
+            until_s = now + pause_s + STALL_MARGIN_S
+            state.stalled_until_s = max(state.stalled_until_s, until_s)
             self._replan(now)
 
     def on_status_failed(self, upstream: str, now: float) -> None:
@@ -351,7 +354,8 @@
             item = copy.item
             actions.append(ProbeVersion(copy.upstream, item.name, item.version))
         view = self._versions.plan_view(now)
-        self._moves.start_all(self._planner.plan(view), self._pacer, now)
+        if not self._moves.start_all(self._planner.plan(view), self._pacer, now):
+            self._plan_due_s = min(self._plan_due_s, now + LEFT_OVER_S)
 
     def _write_due(self, state: UpstreamState, actions: list[ControlAction], now: float) -> None:
         ledger = state.ledger
--- a/eelgrassferry/placement/move_runner.py
+++ b/eelgrassferry/placement/move_runner.py
@@ -41,14 +41,19 @@
         self._count += 1
         return f"{self._area.instance}-{self._count}"
 
-    def start_all(self, moves: Iterable[Move], pacer: LoadPacer, now: float) -> None:
-        """Start the planner's moves; a load beyond the store's pace is left to a later plan."""
+    def start_all(self, moves: Iterable[Move], pacer: LoadPacer, now: float) -> bool:
+        """Start the planner's moves; return whether all could be started.
+
+        A load beyond the store's pace, or on an engine that is not fenced, is left to a later plan.
+        """
+        complete = True
         for move in moves:
             copy = Copy(move.upstream, move.item)
             if move.kind is MoveKind.UNLOAD:
                 self.start_unload(copy, move.reason, now)
-            else:
-                self.start_load(copy, move.memory_mib, pacer, now)
+            elif not self.start_load(copy, move.memory_mib, pacer, now):
+                complete = False
+        return complete
 
     def start_load(self, copy: Copy, memory_mib: int, pacer: LoadPacer, now: float) -> bool:
         """Reserve memory for a load; return whether it was started."""
@@ -56,17 +61,18 @@
         kind = copy.item.kind
         if state is None or copy in self._area.loads or self._area.is_barred(copy, now):
             return False
-        if not pacer.may_start(kind, self._area.in_transit(kind), now):
+        if not pacer.may_start(kind, self._area.in_transit(kind, now), now):
             return False
         order_id = self.next_order_id()
         item = copy.item
+        # Touched also where the reservation fails, because the engine may have to be fenced first.
+        self._area.touched.add(copy.upstream)
         made = state.ledger.reserve(
             OrderKind.load(kind), item.name, item.version, memory_mib, order_id
         )
         if made.is_err():
             return False
         pacer.start(kind, now)
-        self._area.touched.add(copy.upstream)
         self._area.loads[copy] = Load(order_id, now)
         return True
 
@@ -93,8 +99,6 @@
         """Load an adapter that a request waits for, or make room for it."""
         deployment = self._area.deployment
         assert deployment is not None
-        if any(load.item.name == item.name for load in self._area.loads):
-            return
         if any(i.name == item.name for s in self._area.available(now) for i in s.loading()):
             return
         base = deployment.adapters[item.name].base
--- a/eelgrassferry/routing/actions.py
+++ b/eelgrassferry/routing/actions.py
@@ -144,9 +144,13 @@
 
 @dataclass(frozen=True)
 class StallSeen:
-    """Tell every node and the planner that an upstream accepted a request and made no progress."""
+    """Tell every node and the planner that an upstream accepted a request and made no progress.
+
+    This node sends nothing there for ``pause_s`` seconds.
+    """
 
     upstream: str
+    pause_s: float
 
 
 Action = (
--- a/eelgrassferry/routing/router.py
+++ b/eelgrassferry/routing/router.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from ..settings import Deployment
-from .actions import Action, ClaimOutcome, StallSeen
+from .actions import Action, ClaimOutcome, Preempt, StallSeen
 from .desk import Desk
 from .job import Job
 from .messages import (
@@ -100,8 +100,6 @@
                 self._scheduler.forget(failure.upstream)
                 self._scheduler.pause(failure.upstream, now)
                 job.deadline_at = max(job.deadline_at, now + SUSPECT_WITHIN_S)
-            case FailureKind.TIMEOUT:
-                self._scheduler.stall(failure.upstream, now)
             case FailureKind.NOT_RESIDENT:
                 self._scheduler.residency.forget_copy(failure.upstream, job.request.name)
             case _:
@@ -114,7 +112,7 @@
             freed = self._desk.pump_upstream(failure.upstream, now)
             return (*settled, *freed, *self._desk.retry(job, failure, now))
         if failure.kind is FailureKind.TIMEOUT:
-            settled = (*settled, StallSeen(failure.upstream))
+            settled = (*settled, *self._take_stall(failure.upstream, now))
         retried = self._desk.retry(job, failure, now)
         return (*settled, *retried, *self._desk.pump_upstream(failure.upstream, now))
 
@@ -148,8 +146,27 @@
 
     def note_stall(self, upstream: str, now: float) -> tuple[Action, ...]:
         """Take a peer's ``StallSeen``."""
-        self._scheduler.stall(upstream, now)
-        return ()
+        return tuple(a for a in self._take_stall(upstream, now) if not isinstance(a, StallSeen))
+
+    def _take_stall(self, upstream: str, now: float) -> tuple[Action, ...]:
+        """Pause an upstream, and take back what has not got its first token there."""
+        stall = self._scheduler.stall(upstream, now)
+        if stall is None:
+            return ()
+        waiting = [
+            job
+            for job in self._desk.jobs.values()
+            if job.flight is not None
+            and job.flight.upstream == upstream
+            and job.flight.first_token_at is None
+            and not job.flight.preempting
+            and job.request.repeatable
+            and not job.alone
+        ]
+        for job in waiting:
+            job.flight.preempting = True
+        taken_back = (Preempt(job.request.request_id, upstream) for job in waiting)
+        return (StallSeen(upstream, stall.pause_s), *taken_back)
 
     def update_load(self, report: LoadReport, now: float) -> tuple[Action, ...]:
         """Take an engine's report of its load."""
--- a/eelgrassferry/routing/scheduler.py
+++ b/eelgrassferry/routing/scheduler.py
@@ -108,13 +108,17 @@
         """Send nothing to an upstream that crashed until it is reported live again."""
         self._paused[upstream] = now + CRASH_PAUSE_S
 
-    def stall(self, upstream: str, now: float) -> None:
-        """Send nothing to an upstream that made no progress, longer with each further stall."""
+    def stall(self, upstream: str, now: float) -> Stall | None:
+        """Send nothing to an upstream that made no progress, longer with each further stall.
+
+        Returns None where the upstream is paused already.
+        """
         last = self._stalls.get(upstream)
         if last is not None and now < last.until:
-            return
+            return None
         pause_s = min(MAX_STALL_PAUSE_S, 2 * last.pause_s) if last else STALL_PAUSE_S
         self._stalls[upstream] = Stall(now + pause_s, pause_s)
+        return self._stalls[upstream]
 
     def resume(self, upstream: str) -> None:
         """Lift the pause of an upstream that is reported live."""
