--- a/eelgrassferry/orders/journal_limits.py
+++ b/eelgrassferry/orders/journal_limits.py
@@ -11,6 +11,8 @@
 
     ``owner_timeout_s`` is how long the shard's owner may take before a node writes itself;
     ``linger_s`` is how long the end of an order waits for a begin to share a write with.
+    ``shards`` trades size for shared writes: at 500 orders/s, 16 shards took 1.06 writes per order
+    and 1 shard 0.30, but one shard holds only some thousands of orders.
     """
 
     shards: int = 16
