Ask for the candidates of a request once per input

Cause: early refusal, placing and making room each worked out the candidates, and the residency view built its answer anew each time.

Change: both answers are kept until something they depend on changes. The check for timely upstreams moves to choice.py.

--- a/eelgrassferry/routing/choice.py
+++ b/eelgrassferry/routing/choice.py
@@ -12,7 +12,7 @@
 
 from ..settings import Upstream
 
-__all__ = ["Candidate", "Conditions", "choose", "estimate_first_token_s"]
+__all__ = ["Candidate", "Conditions", "choose", "estimate_first_token_s", "keep_timely"]
 
 SAME_DOMAIN_S = 0.0002
 OTHER_DOMAIN_S = 0.001
@@ -73,3 +73,16 @@
     weights = [1.0 / max(MIN_ESTIMATE_S, c.estimate_s) ** 2 for c in candidates]
     first, second = rng.choices(candidates, weights, k=2)
     return first if first.estimate_s <= second.estimate_s else second
+
+
+def keep_timely(
+    known: Sequence[Candidate], open_now: Sequence[Candidate], left_s: float
+) -> list[Candidate]:
+    """Leave out upstreams where the first token would be late, as far as there are others.
+
+    One place in the queue of a small engine costs more than the whole target, while the same
+    place at a large one costs little.
+    """
+    if not any(candidate.estimate_s <= left_s for candidate in known):
+        return list(open_now)
+    return [candidate for candidate in open_now if candidate.estimate_s <= left_s]
--- a/eelgrassferry/routing/load.py
+++ b/eelgrassferry/routing/load.py
@@ -64,6 +64,7 @@
 
     def __init__(self) -> None:
         self.peers = 0
+        self.changes = 0
         self._own: dict[str, _Level] = {}
         self._peers: dict[str, dict[str, _Level]] = {}
         self._heard: dict[str, float] = {}
@@ -76,19 +77,19 @@
         """Count a request that this node sent (+1) or that ended (-1)."""
         level = self._own.setdefault(upstream, _Level())
         level.set(max(0.0, level.value + change), now)
-        self._known.pop(upstream, None)
+        self._note_change(upstream)
 
     def report(self, report: LoadReport) -> None:
         """Take an engine's report; one that is older than the last is ignored."""
         last = self._reports.get(report.upstream)
         if last is None or report.measured_at >= last.measured_at:
             self._reports[report.upstream] = report
-            self._known.pop(report.upstream, None)
+            self._note_change(report.upstream)
 
     def set_peer(self, node: str, work: Mapping[str, float], now: float) -> None:
         """Replace what a peer has in flight at each upstream; a missing upstream means none."""
         self._heard[node] = now
-        self._known.clear()
+        self._note_change(None)
         for upstream in {*work, *(u for u, peers in self._peers.items() if node in peers)}:
             level = self._peers.setdefault(upstream, {}).setdefault(node, _Level())
             level.set(work.get(upstream, 0.0), now)
@@ -96,13 +97,13 @@
     def forget_peer(self, node: str) -> None:
         """Drop what a peer that is gone had in flight."""
         self._heard.pop(node, None)
-        self._known.clear()
+        self._note_change(None)
         for peers in self._peers.values():
             peers.pop(node, None)
 
     def forget_upstream(self, upstream: str) -> None:
         """Drop reports about an upstream that is gone or restarted."""
-        self._known.pop(upstream, None)
+        self._note_change(upstream)
         self._reports.pop(upstream, None)
         self._peers.pop(upstream, None)
 
@@ -125,6 +126,13 @@
             known = self._known[upstream] = self._estimate(upstream, now)
         return known
 
+    def _note_change(self, upstream: str | None) -> None:
+        self.changes += 1
+        if upstream is None:
+            self._known.clear()
+        else:
+            self._known.pop(upstream, None)
+
     def _estimate(self, upstream: str, now: float) -> float:
         own = self._own.get(upstream)
         own_now = own.value if own else 0.0
--- a/eelgrassferry/routing/residency.py
+++ b/eelgrassferry/routing/residency.py
@@ -29,18 +29,25 @@
         self._copies: dict[str, tuple[ResidentCopy, ...]] = {}
         self._states: dict[str, UpstreamState] = {}
         self._holders: dict[str, dict[str, tuple[ResidentCopy, ...]]] = {}
+        # Answers since the last change; a decision at 200 upstreams spent most of its time here.
+        self._known: dict[tuple[str, str | None], tuple[Placement, ...]] = {}
+        self.changes = 0
 
     def update(
         self, upstream: str, residents: Iterable[ResidentCopy], state: UpstreamState
     ) -> None:
         """Replace what is known about an upstream."""
+        residents = tuple(residents)
+        if self._states.get(upstream) is state and self._copies.get(upstream) == residents:
+            return
+        self._note_change()
         for copy in self._copies.pop(upstream, ()):
             self._holders.get(copy.name, {}).pop(upstream, None)
         self._states[upstream] = state
         if state is UpstreamState.GONE:
             del self._states[upstream]
             return
-        self._copies[upstream] = tuple(residents)
+        self._copies[upstream] = residents
         for copy in self._copies[upstream]:
             held = self._holders.setdefault(copy.name, {})
             held[upstream] = (*held.get(upstream, ()), copy)
@@ -48,6 +55,7 @@
     def set_deployment(self, deployment: Deployment) -> None:
         """Use another revision of the deployment."""
         self._deployment = deployment
+        self._note_change()
 
     def forget_copy(self, upstream: str, name: str) -> None:
         """Drop one resident that the upstream has said it does not hold."""
@@ -67,13 +75,19 @@
         """Return the state of every reported upstream."""
         return dict(self._states)
 
-    def placements(self, name: str, version: str | None = None) -> list[Placement]:
+    def placements(self, name: str, version: str | None = None) -> tuple[Placement, ...]:
         """Return the live upstreams that can serve ``name``.
 
         With ``version``, only copies of that version count, whether or not they take new
         requests. Without, the version wanted by the deployment is preferred, and another serving
         version stands in while the wanted one is not resident anywhere.
         """
+        known = self._known.get((name, version))
+        if known is None:
+            known = self._known[(name, version)] = tuple(self._find(name, version))
+        return known
+
+    def _find(self, name: str, version: str | None) -> list[Placement]:
         adapter = self._deployment.adapters.get(name)
         found = self._held(name, version)
         if adapter is None:
@@ -106,6 +120,10 @@
                 found = [placement for placement in found if placement.version == newest]
         return found
 
+    def _note_change(self) -> None:
+        self._known.clear()
+        self.changes += 1
+
     def _wanted(self, name: str) -> str:
         settings = self._deployment.models.get(name) or self._deployment.adapters.get(name)
         return settings.version if settings else ""
--- a/eelgrassferry/routing/scheduler.py
+++ b/eelgrassferry/routing/scheduler.py
@@ -9,7 +9,7 @@
 
 from ..settings import Deployment, Model, Upstream
 from .actions import Dispatch
-from .choice import Candidate, Conditions, choose, estimate_first_token_s
+from .choice import Candidate, Conditions, choose, estimate_first_token_s, keep_timely
 from .job import Flight, Job
 from .limit import InflightLimit
 from .load import LoadBook
@@ -62,6 +62,9 @@
         self._urgent_run: dict[str, int] = {}
         self._output_tokens: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
+        # Early refusal, placing and making room ask for the same candidates within one input.
+        self._last: tuple[Job, tuple[float, ...], list[Candidate]] | None = None
+        self._holds = 0
 
     def set_deployment(self, deployment: Deployment) -> None:
         """Use another revision of the deployment."""
@@ -93,14 +96,22 @@
     def pause(self, upstream: str, now: float) -> None:
         """Send nothing to an upstream that crashed until it is reported live again."""
         self._paused[upstream] = now + CRASH_PAUSE_S
+        self._holds += 1
 
     def resume(self, upstream: str) -> None:
         """Lift the pause of an upstream that is reported live."""
-        self._paused.pop(upstream, None)
+        if self._paused.pop(upstream, None) is not None:
+            self._holds += 1
 
     def candidates(self, job: Job, now: float) -> list[Candidate]:
         """Return the upstreams that can serve a job, with estimates, whether or not they have
         room."""
+        stamp = (now, self.load.changes, self.residency.changes, self._holds, len(job.avoid))
+        if self._last is None or self._last[0] is not job or self._last[1] != stamp:
+            self._last = job, stamp, self._find_candidates(job, now)
+        return self._last[2]
+
+    def _find_candidates(self, job: Job, now: float) -> list[Candidate]:
         request = job.request
         pinned = job.version if job.tokens_done else None
         places = self.residency.placements(request.name, pinned)
@@ -145,9 +156,9 @@
             if not open_now:
                 self._reserve(job, known)
                 return None
-        open_now = self._prefer_fast(
-            job, known, self._prefer_timely(job, known, open_now, now), now
-        )
+        if not job.tokens_done:
+            open_now = keep_timely(known, open_now, job.deadline_at - now)
+        open_now = self._prefer_fast(job, known, open_now, now)
         if not open_now:
             return None
         chosen = choose(open_now, self._rng)
@@ -279,6 +290,7 @@
         """Give up an upstream that was kept free for a suspect that no longer needs it."""
         for upstream in [name for name, held in self._reserved.items() if held is job]:
             del self._reserved[upstream]
+            self._holds += 1
 
     def _turn(self, name: str) -> tuple[bool, float]:
         job = self.queues[name].next()
@@ -293,19 +305,6 @@
         gap_s = upstream.max_batch / upstream.decode_tokens_per_s
         return gap_s * self.speed.gap_factor(upstream.name) > target_gap_s
 
-    def _prefer_timely(
-        self, job: Job, known: list[Candidate], open_now: list[Candidate], now: float
-    ) -> list[Candidate]:
-        """Leave out upstreams where the first token would be late, as far as there are others.
-
-        One place in the queue of a small engine costs more than the whole target, while the same
-        place at a large one costs little.
-        """
-        left_s = job.deadline_at - now
-        if job.tokens_done or not any(c.estimate_s <= left_s for c in known):
-            return open_now
-        return [c for c in open_now if c.estimate_s <= left_s]
-
     def _prefer_fast(
         self, job: Job, known: list[Candidate], open_now: list[Candidate], now: float
     ) -> list[Candidate]:
@@ -383,6 +382,7 @@
         if known and not any(held is job for held in self._reserved.values()):
             emptiest = min(known, key=lambda c: (self.load.own(c.upstream), c.estimate_s))
             self._reserved[emptiest.upstream] = job
+            self._holds += 1
 
     def _add_prefill(self, flight: Flight, sign: int) -> None:
         backlog = self._prefill.get(flight.upstream, 0.0) + sign * flight.prefill_tokens
--- a/eelgrassferry/routing/tests/test_parts.py
+++ b/eelgrassferry/routing/tests/test_parts.py
@@ -232,13 +232,25 @@
         self.assertEqual([p.upstream for p in view.placements("m1")], ["u2"])
         self.assertEqual([p.upstream for p in view.placements("m1", "0")], ["u1"])
 
+    def test_answer_follows_each_change(self):
+        """Guards against an answer kept from before a copy came or stopped serving."""
+        view = ResidencyView(build_deployment())
+        view.update("u1", (ResidentCopy("m1", "1"),), UpstreamState.LIVE)
+        self.assertEqual(len(view.placements("m1")), 1)
+        view.update("u2", (ResidentCopy("m1", "1"),), UpstreamState.LIVE)
+        self.assertEqual(len(view.placements("m1")), 2)
+        view.update("u1", (ResidentCopy("m1", "1", serving=False),), UpstreamState.LIVE)
+        self.assertEqual([p.upstream for p in view.placements("m1")], ["u2"])
+        view.update("u2", (ResidentCopy("m1", "1"),), UpstreamState.LEAVING)
+        self.assertEqual(view.placements("m1"), ())
+
     def test_gone_upstream_is_dropped(self):
         """Guards against work for an upstream that no longer exists."""
         view = ResidencyView(build_deployment())
         view.update("u1", (ResidentCopy("m1", "1"),), UpstreamState.LIVE)
         view.update("u1", (), UpstreamState.GONE)
-        self.assertEqual(view.placements("m1"), [])
-        self.assertEqual(view.placements("a1"), [])
+        self.assertEqual(view.placements("m1"), ())
+        self.assertEqual(view.placements("a1"), ())
 
 
 if __name__ == "__main__":
