Drop a claim whose owner did not answer

Cause: a node that decided a claim in place of an unreachable owner left the owner's grant, if there was one, held for good. Digests with crashes stayed in the owner's table without bound.

Change: the owner is told to drop the claim before the node decides itself; the table is bounded.

Conclusion: a lost answer costs the owner no claim.

--- a/eelgrassferry/routing/claims.py
+++ b/eelgrassferry/routing/claims.py
@@ -19,6 +19,8 @@
 # Rendezvous key of the turn for suspects.
 LANE_KEY = "suspects"
 MAX_COMPLETED = 20_000
+# Digests with crashes and no copy in flight that are kept; the suspect registry knows them too.
+MAX_CRASHED = 20_000
 
 
 def owner_of(digest: str, nodes: Iterable[str]) -> str:
@@ -146,8 +148,16 @@
             claims.waiting.popleft()
         if not claims.holders and not claims.waiting and not claims.incidents:
             del self._claims[digest]
+        elif len(self._claims) > MAX_CRASHED:
+            self._forget_oldest()
         return tuple(answers)
 
+    def _forget_oldest(self) -> None:
+        for digest, claims in self._claims.items():
+            if not claims.holders and not claims.waiting:
+                del self._claims[digest]
+                return
+
     def _serve_lane(self) -> tuple[Answer, ...]:
         if self._lane is not None or not self._lane_waiting:
             return ()
--- a/eelgrassferry/routing/isolation.py
+++ b/eelgrassferry/routing/isolation.py
@@ -68,8 +68,17 @@
         return Admission.READY, ()
 
     def ask_locally(self, job: Job, lane: bool) -> tuple[Action, ...]:
-        """Decide a claim in place of an owner that does not answer."""
-        return self._ask(job, self._node, lane)
+        """Decide a claim in place of an owner that does not answer.
+
+        The owner may have granted it all the same, so it is told to drop it.
+        """
+        request_id, digest = job.request.request_id, job.request.digest
+        asked = job.lane_owner if lane else job.claim_owner
+        drop: tuple[Action, ...] = ()
+        if asked and asked != self._node:
+            dropped = ClaimOutcome.DROPPED
+            drop = (ReleaseClaim(request_id, digest, asked, dropped, lane=lane),)
+        return (*drop, *self._ask(job, self._node, lane))
 
     def end(self, job: Job, flight: Flight | None, outcome: ClaimOutcome) -> tuple[Action, ...]:
         """Take the end of a run or of a wait: release the claims and settle suspicion."""
--- a/eelgrassferry/routing/tests/test_isolation.py
+++ b/eelgrassferry/routing/tests/test_isolation.py
@@ -2,8 +2,18 @@
 
 import unittest
 
-from .. import ClaimOutcome, ClaimRegistry, Ran, RefusalReason, SuspectRegistry, Verdict
-from .fixtures import build_request
+from .. import (
+    ClaimOutcome,
+    ClaimRegistry,
+    Dispatch,
+    Ran,
+    RefusalReason,
+    ReleaseClaim,
+    SuspectRegistry,
+    Verdict,
+)
+from ..claims import owner_of
+from .fixtures import build_request, build_router
 from .network import Network
 
 
@@ -72,6 +82,18 @@
         registry.learn("d", ("u1",), cleared=False)
         self.assertIs(registry.verdict("d"), Verdict.GOOD)
 
+    def test_unreachable_owner_does_not_block_a_request(self):
+        """Guards against requests that wait for a lost claim, and against claims held for good."""
+        router = build_router()
+        router.update_nodes(["n1", "n2"], 0.0)
+        digest = next(f"d{i}" for i in range(99) if owner_of(f"d{i}", ["n1", "n2"]) == "n2")
+        (claim,) = router.submit(build_request("r1", digest=digest), 0.0)
+        self.assertEqual((claim.owner, claim.lane), ("n2", False))
+        drop, dispatch = router.on_claim_unavailable("r1", False, 0.1)
+        self.assertIsInstance(drop, ReleaseClaim)
+        self.assertEqual((drop.owner, drop.outcome), ("n2", ClaimOutcome.DROPPED))
+        self.assertIsInstance(dispatch, Dispatch)
+
 
 class ClaimRegistryTest(unittest.TestCase):
     """The owner's side of claims."""
