Pause before a request returns to the only upstream left

Cause: a request whose only copy had become unreachable used up its four attempts at one instant, before the residency view was told.

Change: an upstream that failed a request is not tried again for 0.1 s times the attempts, even when nothing else is left.

--- a/eelgrassferry/routing/job.py
+++ b/eelgrassferry/routing/job.py
@@ -7,6 +7,10 @@
 
 __all__ = ["Flight", "Job"]
 
+# Multiplied by the number of attempts. Without it, a request whose only copy had become
+# unreachable used up its attempts before the residency view was told.
+RETRY_PAUSE_S = 0.1
+
 
 @dataclass
 class Flight:
@@ -34,7 +38,8 @@
 
     ``version`` is set once a token was received: the rest must come from the same version.
     ``alone`` marks a suspect. ``claimed`` and ``in_lane`` say which claims it holds;
-    ``claim_owner`` and ``lane_owner`` name the nodes that were asked.
+    ``claim_owner`` and ``lane_owner`` name the nodes that were asked. Upstreams in ``avoid`` failed
+    this job; until ``avoid_until`` they are not tried again even when nothing else is left.
     """
 
     request: RouteRequest
@@ -45,6 +50,7 @@
     attempts: int = 0
     preemptions: int = 0
     avoid: set[str] = field(default_factory=set)
+    avoid_until: float = 0.0
     retry: RetryReason | None = None
     may_have_run: bool = False
     alone: bool = False
@@ -69,7 +75,7 @@
             return Ran.YES
         return Ran.UNKNOWN if self.may_have_run else Ran.NO
 
-    def note_failure(self, kind: FailureKind, upstream: str, tokens: int) -> None:
+    def note_failure(self, kind: FailureKind, upstream: str, tokens: int, now: float) -> None:
         """Take the end of a flight that did not complete."""
         self.tokens_done = max(self.tokens_done, tokens)
         if self.flight and self.tokens_done:
@@ -86,4 +92,5 @@
                 self.may_have_run = True
         if kind is not FailureKind.PREEMPTED:
             self.attempts += 1
+            self.avoid_until = now + RETRY_PAUSE_S * self.attempts
         self.retry = RetryReason(kind.value)
--- a/eelgrassferry/routing/router.py
+++ b/eelgrassferry/routing/router.py
@@ -90,7 +90,7 @@
             return ()
         flight = job.flight
         self._scheduler.land(job, now)
-        job.note_failure(failure.kind, failure.upstream, tokens_received)
+        job.note_failure(failure.kind, failure.upstream, tokens_received, now)
         if job.tokens_done:
             job.deadline_at = max(job.deadline_at, now + RESUME_WITHIN_S)
         outcome = ClaimOutcome.DROPPED
--- a/eelgrassferry/routing/scheduler.py
+++ b/eelgrassferry/routing/scheduler.py
@@ -139,7 +139,7 @@
                     self._is_slow(upstream, target_gap_s),
                 )
             )
-        if not found and job.avoid:
+        if not found and job.avoid and now >= job.avoid_until:
             # Nothing else is left, so upstreams that failed this job may be tried again.
             job.avoid.clear()
         return found
--- a/eelgrassferry/routing/tests/test_router.py
+++ b/eelgrassferry/routing/tests/test_router.py
@@ -99,6 +99,17 @@
         (again,) = find(actions, Dispatch)
         self.assertNotEqual(again.upstream, first.upstream)
 
+    def test_only_copy_is_tried_again_after_a_pause(self):
+        """Guards against attempts used up at once on an upstream that just became unreachable."""
+        router = build_router(upstreams=1)
+        router.submit(build_request("r1"), 0.0)
+        actions = router.fail("r1", UpstreamFailure(FailureKind.NOT_RUN, "u1"), 0, 0.01)
+        self.assertEqual(find(actions, Dispatch) + find(actions, Refuse), [])
+        self.assertEqual(find(router.tick(0.05), Dispatch), [])
+        # The first tick after the pause lifts the ban, the next one sends.
+        again = find((*router.tick(0.2), *router.tick(0.22)), Dispatch)
+        self.assertEqual([dispatch.request_id for dispatch in again], ["r1"])
+
     def test_urgent_request_preempts_a_patient_stream(self):
         """Guards against I9 and against a preempted stream that is lost."""
         router = build_router(upstreams=1, max_batch=1)
