Load every adapter into free memory before it is wanted

Cause: an adapter that was not resident could not be loaded while the object API was down, because its memory could not be reserved; its requests ended as too_many_attempts. Change: the planner loads adapters without a copy into free memory, eight for each plan, after all model loads, and never while memory is being freed for a wanted copy.

--- a/eelgrassferry/placement/controller.py
+++ b/eelgrassferry/placement/controller.py
@@ -356,6 +356,8 @@
         view = self._versions.plan_view(now)
         if not self._moves.start_all(self._planner.plan(view), self._pacer, now):
             self._plan_due_s = min(self._plan_due_s, now + LEFT_OVER_S)
+        else:
+            self._moves.preload_adapters(self._pacer, now)
 
     def _write_due(self, state: UpstreamState, actions: list[ControlAction], now: float) -> None:
         ledger = state.ledger
--- a/eelgrassferry/placement/move_runner.py
+++ b/eelgrassferry/placement/move_runner.py
@@ -17,6 +17,8 @@
 ADAPTER_RETIRE_S = 0.25
 FIRST_BACKOFF_S = 2.0
 MAX_BACKOFF_S = 60.0
+# Bounds the record writes and the processor time of one plan.
+PRELOADS_PER_PLAN = 8
 # A want is dropped when no request has asked for it for this long.
 WANT_S = 30.0
 
@@ -95,6 +97,30 @@
             elif known[0].kind is ItemKind.ADAPTER:
                 self.want_adapter(*known, pacer, now)
 
+    def preload_adapters(self, pacer: LoadPacer, now: float) -> None:
+        """Load adapters that have no copy into free memory, a few for each plan.
+
+        While the object API is down no load can be reserved, so what is resident by then is what
+        stays reachable. Nothing is evicted for a preload, and model loads go first. Memory that is
+        being freed is meant for a wanted copy, so nothing is preloaded meanwhile.
+        """
+        area, deployment = self._area, self._area.deployment
+        if deployment is None or area.wants or area.unloads:
+            return
+        if area.in_transit(ItemKind.MODEL, now):
+            return
+        left = PRELOADS_PER_PLAN
+        loading = {i.name for s in self._area.available(now) for i in s.loading()}
+        for adapter in deployment.adapters.values():
+            known = self._area.item_of(adapter.name)
+            if known is None or adapter.name in loading or self._area.copies_of(adapter.name, now):
+                continue
+            place = place_adapter(self._area, *known, adapter.base, now)
+            if place is not None and place.fits:
+                left -= self.start_load(Copy(place.upstream, known[0]), known[1], pacer, now)
+            if left == 0:
+                return
+
     def want_adapter(self, item: Item, memory_mib: int, pacer: LoadPacer, now: float) -> None:
         """Load an adapter that a request waits for, or make room for it."""
         deployment = self._area.deployment
--- a/eelgrassferry/placement/tests/test_controller.py
+++ b/eelgrassferry/placement/tests/test_controller.py
@@ -43,6 +43,14 @@
         self.assertEqual(held, {"a4", "a5"})
         self.assertEqual(area.engines["u0"].overcommits, 0)
 
+    def test_adapters_are_loaded_before_they_are_wanted(self):
+        """Guards against adapters that cannot be reached once the object API is down."""
+        adapters = [(f"a{n}", "m1") for n in range(3)]
+        area = self.start(models=("m1",), upstreams=1, memory_mib=200, adapters=adapters)
+        area.run(20.0)
+        held = {name for name, _ in adapters if area.residents(name)}
+        self.assertEqual(held, {"a0", "a1", "a2"})
+
     def test_without_a_term_nothing_is_done(self):
         """Guards against orders from a process that does not hold the lease."""
         area = self.start()
