--- a/eelgrassferry/routing/desk.py
+++ b/eelgrassferry/routing/desk.py
@@ -8,7 +8,16 @@
 from random import Random
 
 from ..settings import Deployment
-from .actions import Action, ClaimOutcome, DenyClaim, GrantClaim, Preempt, Refuse, WantModel
+from .actions import (
+    Action,
+    ClaimOutcome,
+    DenyClaim,
+    Dispatch,
+    GrantClaim,
+    Preempt,
+    Refuse,
+    WantModel,
+)
 from .budget import RetryBudget
 from .explain import Explanations
 from .isolation import Admission, Isolation
@@ -284,7 +293,7 @@
     def _pump(self, keys: Iterable[str], now: float) -> Iterator[Action]:
         yield from self._noted(self.scheduler.pump(keys, now), now)
 
-    def _noted(self, dispatches: Iterable, now: float) -> Iterator[Action]:
+    def _noted(self, dispatches: Iterable[Dispatch], now: float) -> Iterator[Action]:
         for dispatch in dispatches:
             job = self.jobs[dispatch.request_id]
             self.note(job, now, dispatch.explanation)
--- a/eelgrassferry/routing/router.py
+++ b/eelgrassferry/routing/router.py
@@ -100,6 +100,8 @@
                 self._scheduler.forget(failure.upstream)
                 self._scheduler.pause(failure.upstream, now)
                 job.deadline_at = max(job.deadline_at, now + SUSPECT_WITHIN_S)
+            case FailureKind.NOT_RUN:
+                self._scheduler.note_refused(failure.upstream, now)
             case FailureKind.NOT_RESIDENT:
                 self._scheduler.residency.forget_copy(failure.upstream, job.request.name)
             case _:
@@ -253,7 +255,7 @@
 
     def slowness(self, upstream: str, now: float) -> float:
         """Return how many times slower than its settings an upstream is, for the planner."""
-        return self._scheduler.slowness(upstream, now)
+        return self._scheduler.speed.slowness(upstream, now)
 
     def snapshot(self, now: float) -> RouterSnapshot:
         """Return the figures of the status page."""
@@ -266,7 +268,7 @@
                 scheduler.load.own(name),
                 scheduler.load.in_flight(name, now),
                 limit.value if limit else 0.0,
-                scheduler.slowness(name, now),
+                scheduler.speed.slowness(name, now),
                 tuple(copy.name for copy in scheduler.residency.residents(name)),
             )
         suspects, confirmed = self._desk.isolation.suspects.counts()
--- a/eelgrassferry/routing/scheduler.py
+++ b/eelgrassferry/routing/scheduler.py
@@ -27,6 +27,10 @@
 ADAPTER_PENALTY_S = 0.05
 # A crashed upstream gets nothing for this long, unless it is reported live before.
 CRASH_PAUSE_S = 2.0
+# An upstream that refused this many requests in a row without running them gets nothing for a
+# moment; new requests would only draw on the retry budget.
+REFUSALS_IN_A_ROW = 2
+REFUSAL_PAUSE_S = 0.25
 # After this many urgent requests in a row, an upstream's next place goes to patient work if any
 # waits, so that it keeps a sixteenth of the capacity however long the urgent demand lasts.
 URGENT_RUN = 15
@@ -65,6 +69,7 @@
         # Early refusal, placing and making room ask for the same candidates within one input.
         self._last: tuple[Job, tuple[float, ...], list[Candidate]] | None = None
         self._holds = 0
+        self._refusals: dict[str, int] = {}
 
     def set_deployment(self, deployment: Deployment) -> None:
         """Use another revision of the deployment."""
@@ -93,9 +98,15 @@
         self.speed.forget(upstream)
         self.limits.pop(upstream, None)
 
-    def pause(self, upstream: str, now: float) -> None:
-        """Send nothing to an upstream that crashed until it is reported live again."""
-        self._paused[upstream] = now + CRASH_PAUSE_S
+    def note_refused(self, upstream: str, now: float) -> None:
+        """Count a request that the upstream did not run."""
+        self._refusals[upstream] = self._refusals.get(upstream, 0) + 1
+        if self._refusals[upstream] >= REFUSALS_IN_A_ROW:
+            self.pause(upstream, now, REFUSAL_PAUSE_S)
+
+    def pause(self, upstream: str, now: float, for_s: float = CRASH_PAUSE_S) -> None:
+        """Send nothing to an upstream for a time, or until it is reported live again."""
+        self._paused[upstream] = max(self._paused.get(upstream, 0.0), now + for_s)
         self._holds += 1
 
     def resume(self, upstream: str) -> None:
@@ -245,6 +256,7 @@
     def note_first_token(self, job: Job, flight: Flight, now: float) -> None:
         """Learn from one time to first token."""
         flight.first_token_at = now
+        self._refusals.pop(flight.upstream, None)
         self._add_prefill(flight, -1)
         upstream = self.deployment.upstreams.get(flight.upstream)
         model = self.model(job.request.name)
@@ -269,10 +281,6 @@
         expected_s = upstream.max_batch / upstream.decode_tokens_per_s
         self.speed.note_gap(flight.upstream, expected_s, observed_s)
 
-    def slowness(self, upstream: str, now: float) -> float:
-        """Return how many times slower than its settings an upstream is."""
-        return max(self.speed.factor(upstream, now), self.speed.gap_factor(upstream))
-
     def note_output(self, name: str, tokens: int) -> None:
         """Learn the length of a complete answer."""
         mean = self._output_tokens.get(name, DEFAULT_OUTPUT_TOKENS)
--- a/eelgrassferry/routing/speed.py
+++ b/eelgrassferry/routing/speed.py
@@ -49,6 +49,10 @@
         """Return observed over expected time between tokens."""
         return self._gaps.get(upstream, 1.0)
 
+    def slowness(self, upstream: str, now: float) -> float:
+        """Return how many times slower than its settings an upstream is."""
+        return max(self.factor(upstream, now), self.gap_factor(upstream))
+
     def forget(self, upstream: str) -> None:
         """Drop what was observed of an upstream that is gone."""
         self._gaps.pop(upstream, None)
--- a/eelgrassferry/routing/tests/test_router.py
+++ b/eelgrassferry/routing/tests/test_router.py
@@ -110,6 +110,23 @@
         again = find((*router.tick(0.2), *router.tick(0.22)), Dispatch)
         self.assertEqual([dispatch.request_id for dispatch in again], ["r1"])
 
+    def test_refusing_upstream_is_left_alone_for_a_moment(self):
+        """Guards against a retry budget spent on an upstream that has become unreachable."""
+        router = build_router(upstreams=2)
+        sent = Counter()
+        for index in range(20):
+            request_id = f"r{index}"
+            actions = router.submit(build_request(request_id, deadline_at=9.0), 0.001 * index)
+            while found := find(actions, Dispatch):
+                sent[found[0].upstream] += 1
+                if found[0].upstream == "u2":
+                    router.note_first_token(request_id, 0.001 * index)
+                    router.finish(request_id, 0.001 * index)
+                    break
+                failure = UpstreamFailure(FailureKind.NOT_RUN, "u1")
+                actions = router.fail(request_id, failure, 0, 0.001 * index)
+        self.assertEqual(sent, {"u1": 2, "u2": 20})
+
     def test_urgent_request_preempts_a_patient_stream(self):
         """Guards against I9 and against a preempted stream that is lost."""
         router = build_router(upstreams=1, max_batch=1)
