--- a/eelgrassferry/routing/scheduler.py
+++ b/eelgrassferry/routing/scheduler.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from random import Random
 
 from ..settings import Deployment, Model, Upstream
@@ -18,6 +17,7 @@
 from .prefix import PrefixView
 from .residency import Placement, ResidencyView
 from .speed import SpeedBook
+from .stalls import Stall, StallBook
 from .waiting import ModelQueue
 
 __all__ = ["Scheduler"]
@@ -28,10 +28,10 @@
 ADAPTER_PENALTY_S = 0.05
 # A crashed upstream gets nothing for this long, unless it is reported live before.
 CRASH_PAUSE_S = 2.0
-# An upstream that made no progress gets nothing for this long, doubled with each further stall up
-# to the limit. Its status may still be answered, so a report that it is live proves nothing.
-STALL_PAUSE_S = 5.0
-MAX_STALL_PAUSE_S = 40.0
+# An upstream that refused this many requests in a row without running them gets nothing for a
+# moment; new requests would only draw on the retry budget.
+REFUSALS_IN_A_ROW = 2
+REFUSAL_PAUSE_S = 0.25
 # After this many urgent requests in a row, an upstream's next place goes to patient work if any
 # waits, so that it keeps a sixteenth of the capacity however long the urgent demand lasts.
 URGENT_RUN = 15
@@ -47,14 +47,6 @@
 OUTPUT_WEIGHT = 0.02
 
 
-@dataclass(frozen=True)
-class Stall:
-    """An upstream gets no new work before ``until``, after a pause of ``pause_s`` seconds."""
-
-    until: float
-    pause_s: float
-
-
 class Scheduler:
     """Places jobs on upstreams. Times are in seconds."""
 
@@ -71,7 +63,7 @@
         self._rng = rng
         self._prefill: dict[str, float] = {}
         self._paused: dict[str, float] = {}
-        self._stalls: dict[str, Stall] = {}
+        self._stalls = StallBook()
         self._reserved: dict[str, Job] = {}
         self._urgent_run: dict[str, int] = {}
         self._output_tokens: dict[str, float] = {}
@@ -79,6 +71,7 @@
         # Early refusal, placing and making room ask for the same candidates within one input.
         self._last: tuple[Job, tuple[float, ...], list[Candidate]] | None = None
         self._holds = 0
+        self._refusals: dict[str, int] = {}
 
     def set_deployment(self, deployment: Deployment) -> None:
         """Use another revision of the deployment."""
@@ -107,22 +100,21 @@
         self.speed.forget(upstream)
         self.limits.pop(upstream, None)
 
-    def pause(self, upstream: str, now: float) -> None:
-        """Send nothing to an upstream that crashed until it is reported live again."""
-        self._paused[upstream] = now + CRASH_PAUSE_S
+    def note_refused(self, upstream: str, now: float) -> None:
+        """Count a request that the upstream did not run."""
+        self._refusals[upstream] = self._refusals.get(upstream, 0) + 1
+        if self._refusals[upstream] >= REFUSALS_IN_A_ROW:
+            self.pause(upstream, now, REFUSAL_PAUSE_S)
+
+    def pause(self, upstream: str, now: float, for_s: float = CRASH_PAUSE_S) -> None:
+        """Send nothing to an upstream for a time, or until it is reported live again."""
+        self._paused[upstream] = max(self._paused.get(upstream, 0.0), now + for_s)
         self._holds += 1
 
     def stall(self, upstream: str, now: float) -> Stall | None:
-        """Send nothing to an upstream that made no progress, longer with each further stall.
-
-        Returns None where the upstream is paused already.
-        """
-        last = self._stalls.get(upstream)
-        if last is not None and now < last.until:
-            return None
-        pause_s = min(MAX_STALL_PAUSE_S, 2 * last.pause_s) if last else STALL_PAUSE_S
-        self._stalls[upstream] = Stall(now + pause_s, pause_s)
-        return self._stalls[upstream]
+        """Send nothing to an upstream that made no progress; None where it is paused already."""
+        self._holds += 1
+        return self._stalls.note(upstream, now)
 
     def resume(self, upstream: str) -> None:
         """Lift the pause of an upstream that is reported live."""
@@ -271,9 +263,8 @@
     def note_first_token(self, job: Job, flight: Flight, now: float) -> None:
         """Learn from one time to first token."""
         flight.first_token_at = now
-        stall = self._stalls.get(flight.upstream)
-        if stall is not None and flight.sent_at >= stall.until:
-            del self._stalls[flight.upstream]
+        self._stalls.note_progress(flight.upstream, flight.sent_at)
+        self._refusals.pop(flight.upstream, None)
         self._add_prefill(flight, -1)
         upstream = self.deployment.upstreams.get(flight.upstream)
         model = self.model(job.request.name)
@@ -298,10 +289,6 @@
         expected_s = upstream.max_batch / upstream.decode_tokens_per_s
         self.speed.note_gap(flight.upstream, expected_s, observed_s)
 
-    def slowness(self, upstream: str, now: float) -> float:
-        """Return how many times slower than its settings an upstream is."""
-        return max(self.speed.factor(upstream, now), self.speed.gap_factor(upstream))
-
     def note_output(self, name: str, tokens: int) -> None:
         """Learn the length of a complete answer."""
         mean = self._output_tokens.get(name, DEFAULT_OUTPUT_TOKENS)
@@ -328,8 +315,7 @@
     def _may_use(self, job: Job, upstream: str, now: float) -> bool:
         if upstream in job.avoid or self._reserved.get(upstream, job) is not job:
             return False
-        stall = self._stalls.get(upstream)
-        if stall is not None and now < stall.until:
+        if self._stalls.is_paused(upstream, now):
             return False
         return now >= self._paused.get(upstream, now)
 
