Measure what the node costs beside a bare relay

Cause: the node's processor time for requests, tokens and polling was not measured, so the size at which it fails was not known. Change: python -m eelgrassferry.bench.overhead starts the platform, engine stand-ins, a relay and two nodes as processes and compares node and relay in turns within one run; processor time is that of the measured node alone, less its time at rest.

--- /dev/null
+++ b/eelgrassferry/bench/overhead.py
@@ -0,0 +1,66 @@
+"""``python -m eelgrassferry.bench.overhead``: what the node adds to requests, tokens and a host.
+
+The node is compared with a bare relay of the same requests and tokens within one run, and is read
+at rest at several sizes. Each part runs in a process of its own on loopback. Other work on the
+machine changes the times; the ratios of one run hold better.
+"""
+
+import asyncio
+import sys
+from collections.abc import Sequence
+from dataclasses import replace
+
+from cyclopts import App
+
+from .overhead_report import OverheadReport, format_json, format_report, make_report
+from .overhead_run import Form, run_path, run_size
+from .overhead_site import SiteSize
+
+__all__ = ["LONG", "SHORT", "main", "measure"]
+
+# The short form ends within 60 s, the long one within 4 minutes.
+SHORT = Form(3, 1.2, 2.0, 1.0, 12, 64, SiteSize(10, 1), (SiteSize(10, 100), SiteSize(100, 100)))
+LONG = Form(
+    5,
+    2.5,
+    8.0,
+    4.0,
+    12,
+    128,
+    SiteSize(10, 1),
+    (SiteSize(10, 100), SiteSize(100, 100), SiteSize(200, 100), SiteSize(100, 1700)),
+)
+
+app = App(name="eelgrassferry-overhead", help="Measure what the node costs beside a bare relay.")
+
+
+async def measure(form: Form) -> OverheadReport:
+    """Run one form and return its figures."""
+    rounds = await run_path(form)
+    return make_report(rounds, [await run_size(size, form) for size in form.sizes])
+
+
+@app.default
+def overhead(*, short: bool = False, path_only: bool = False, json: bool = False) -> int:
+    """Measure and print; return 1 when a request failed.
+
+    Parameters
+    ----------
+    short: run the short form.
+    path_only: leave out the sizes.
+    json: print one JSON object instead of text.
+    """
+    base = SHORT if short else LONG
+    form = replace(base, sizes=()) if path_only else base
+    report = asyncio.run(measure(form))
+    print(format_json(report) if json else format_report(report))
+    return 1 if report.failed else 0
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run the command and return its exit code."""
+    return app(list(arguments))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/eelgrassferry/bench/overhead_caller.py
@@ -0,0 +1,103 @@
+"""Sends streamed completions over plain connections and notes when their tokens arrive."""
+
+import asyncio
+import itertools
+import json
+import time
+from dataclasses import dataclass, field
+
+__all__ = ["Caller", "Tally"]
+
+READ_BYTES = 64 * 1024
+REQUEST_TIMEOUT_S = 20.0
+PROMPT_WORDS = 40
+# Time between a worker's requests, so that the node is not saturated: a node without time to spare
+# polls less, and its time at rest could not be subtracted.
+PAUSE_S = 0.04
+END_OF_BODY = b"0\r\n\r\n"
+
+
+@dataclass
+class Tally:
+    """What callers saw in one phase. ``failed`` counts answers that were not whole."""
+
+    requests: int = 0
+    tokens: int = 0
+    reads: int = 0
+    failed: int = 0
+    first_token_s: list[float] = field(default_factory=list)
+    gaps_s: list[float] = field(default_factory=list)
+
+
+class Caller:
+    """Sends requests from several workers, each over a connection of its own.
+
+    Every prompt is different, because a node runs equal requests at most twice at a time. The
+    parsing is as small as it can be, so that the caller is not the bottleneck.
+    """
+
+    def __init__(self, models: tuple[str, ...]) -> None:
+        self._models = itertools.cycle(models)
+        self._number = itertools.count()
+
+    async def run(self, address: str, workers: int, tokens: int, seconds: float) -> Tally:
+        """Keep ``workers`` requests of ``tokens`` tokens in flight for ``seconds``."""
+        tally = Tally()
+        until = time.perf_counter() + seconds
+        await asyncio.gather(*(self._work(address, tokens, until, tally) for _ in range(workers)))
+        return tally
+
+    async def _work(self, address: str, tokens: int, until: float, tally: Tally) -> None:
+        host, _, port = address.rpartition(":")
+        while time.perf_counter() < until:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                while time.perf_counter() < until:
+                    async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                        whole = await self._call(reader, writer, tokens, tally)
+                    if not whole:
+                        tally.failed += 1
+                        break
+                    await asyncio.sleep(PAUSE_S)
+            except (OSError, TimeoutError):
+                tally.failed += 1
+            finally:
+                writer.close()
+
+    async def _call(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        tokens: int,
+        tally: Tally,
+    ) -> bool:
+        """Send one request and read its answer; return whether it was whole."""
+        number = next(self._number)
+        prompt = f"request {number} " + "word " * PROMPT_WORDS
+        model = next(self._models)
+        request = {"model": model, "prompt": prompt, "max_tokens": tokens, "stream": True}
+        body = json.dumps(request).encode()
+        head = f"POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n\r\n"
+        sent_at = last_at = time.perf_counter()
+        writer.write(head.encode() + body)
+        tail, events, started = b"", 0, False
+        while not tail.endswith(END_OF_BODY):
+            data = await reader.read(READ_BYTES)
+            if not data:
+                return False
+            now = time.perf_counter()
+            if not started and not data.startswith(b"HTTP/1.1 200"):
+                return False
+            started = True
+            found = data.count(b"data: {")
+            if found:
+                (tally.gaps_s if events else tally.first_token_s).append(
+                    now - (last_at if events else sent_at)
+                )
+                last_at = now
+                events += found
+                tally.reads += 1
+            tail = (tail + data)[-len(END_OF_BODY) :]
+        tally.requests += 1
+        tally.tokens += tokens
+        return events >= tokens
--- /dev/null
+++ b/eelgrassferry/bench/overhead_run.py
@@ -0,0 +1,141 @@
+"""The phases of the overhead benchmark, run over real processes."""
+
+import asyncio
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from .overhead_caller import Caller
+from .overhead_cost import Phase
+from .overhead_site import OverheadSite, SiteSize, read_processor_s, read_rss_mib
+
+__all__ = ["Form", "PathRound", "SizeReading", "run_path", "run_size"]
+
+
+@dataclass(frozen=True)
+class Form:
+    """How much is measured. Times are in seconds and hold for each phase."""
+
+    rounds: int
+    phase_s: float
+    idle_s: float
+    settle_s: float
+    workers: int
+    long_tokens: int
+    path_size: SiteSize
+    sizes: tuple[SiteSize, ...]
+
+
+@dataclass(frozen=True)
+class PathRound:
+    """One round of the relay and the node in turn, with one request at a time and with several."""
+
+    relay_alone: Phase
+    node_alone: Phase
+    relay_short: Phase
+    node_short: Phase
+    relay_long: Phase
+    node_long: Phase
+
+
+@dataclass(frozen=True)
+class SizeReading:
+    """The node at one size: at rest, and with requests of one token.
+
+    ``holder_idle_share`` and ``holder_rss_mib`` are those of the other node, which also holds the
+    lease of the planning area.
+    """
+
+    size: SiteSize
+    idle_share: float
+    rss_mib: float
+    holder_idle_share: float
+    holder_rss_mib: float
+    short: Phase
+
+
+async def run_path(form: Form) -> tuple[PathRound, ...]:
+    """Compare the node with the relay in several rounds."""
+    with tempfile.TemporaryDirectory() as directory:
+        site = OverheadSite(form.path_size, Path(directory))
+        try:
+            await site.start()
+            await asyncio.sleep(form.settle_s)
+            idle_share, _ = await read_idle(site, form.idle_s)
+            caller = Caller(form.path_size.model_names)
+            return tuple(
+                [await run_round(site, caller, form, idle_share) for _ in range(form.rounds)]
+            )
+        finally:
+            await site.close()
+
+
+async def run_size(size: SiteSize, form: Form) -> SizeReading:
+    """Measure the node at one size."""
+    with tempfile.TemporaryDirectory() as directory:
+        site = OverheadSite(size, Path(directory))
+        try:
+            await site.start()
+            await asyncio.sleep(form.settle_s)
+            idle, holder_idle = await read_idle(site, form.idle_s)
+            rss, holder_rss = read_rss_mib(site.node.pid), read_rss_mib(site.holder.pid)
+            caller = Caller(size.model_names)
+            short = await run_phase(
+                caller, site.node_address, site.node.pid, form.workers, 1, form.phase_s, idle
+            )
+            return SizeReading(size, idle, rss, holder_idle, holder_rss, short)
+        finally:
+            await site.close()
+
+
+async def read_idle(site: OverheadSite, seconds: float) -> tuple[float, float]:
+    """Return the share of a core that the node and the lease holder use without requests."""
+    pids = (site.node.pid, site.holder.pid)
+    before = [read_processor_s(pid) for pid in pids]
+    began = time.perf_counter()
+    await asyncio.sleep(seconds)
+    lasted = time.perf_counter() - began
+    node, holder = (
+        (read_processor_s(pid) - b) / lasted for pid, b in zip(pids, before, strict=True)
+    )
+    return node, holder
+
+
+async def run_round(site: OverheadSite, caller: Caller, form: Form, idle_share: float) -> PathRound:
+    """Run the relay and the node in turn, so that both see the same load of the machine."""
+    phases = []
+    for workers, tokens in ((1, 1), (form.workers, 1), (form.workers, form.long_tokens)):
+        for address, pid, idle in (
+            (site.relay_address, site.relay.pid, 0.0),
+            (site.node_address, site.node.pid, idle_share),
+        ):
+            seconds = form.phase_s
+            phases.append(await run_phase(caller, address, pid, workers, tokens, seconds, idle))
+    return PathRound(*phases)
+
+
+async def run_phase(
+    caller: Caller,
+    address: str,
+    pid: int,
+    workers: int,
+    tokens: int,
+    seconds: float,
+    idle_share: float,
+) -> Phase:
+    """Send requests through one process and return what it did."""
+    before, began = read_processor_s(pid), time.perf_counter()
+    tally = await caller.run(address, workers, tokens, seconds)
+    wall_s, processor_s = time.perf_counter() - began, read_processor_s(pid) - before
+    return Phase(
+        tally.requests,
+        tally.tokens,
+        tally.reads,
+        tally.failed,
+        wall_s,
+        processor_s,
+        idle_share,
+        tuple(tally.first_token_s),
+        tuple(tally.gaps_s),
+    )
