Take an engine's load from its status

Cause: each poll read /admin/status and then /admin/load, which shows the same running and queued requests with a lag: two calls for each engine every 0.5 s, the second with older figures than the first. Change: the load report is made from the status and dated with the time at which the status was asked for.

--- a/eelgrassferry/node/engine_poll.py
+++ b/eelgrassferry/node/engine_poll.py
@@ -10,17 +10,14 @@
 from ..http import HttpClient, HttpError, HttpResponse
 from ..routing import CacheEvent, CacheEventKind, LoadReport, ResidentCopy
 
-__all__ = ["EngineView", "read_engine_events", "read_engine_load", "read_engine_status"]
+__all__ = ["EngineView", "read_engine_events", "read_engine_status"]
 
 POLL_TIMEOUT_S = 1.0
-# Engines do not tell how far their load reports lag. Dispatches since the assumed time are added
-# to the report, so too small a figure would hide a node's own latest requests from it.
-LOAD_LAG_S = 0.25
 
 
 @dataclass(frozen=True)
 class EngineView:
-    """What one status of an engine showed."""
+    """What one status of an engine showed. ``load`` holds the exact figures of that status."""
 
     upstream: str
     instance: str
@@ -28,24 +25,22 @@
     leaving: bool
     memory_mib: int
     used_mib: int
+    load: LoadReport
 
 
 async def read_engine_status(
     client: HttpClient, upstream: str, address: str
 ) -> Result[EngineView, HttpError]:
-    """Read ``/admin/status``: residents, memory and whether the engine is leaving."""
-    document = await _get_json(client, address, "/admin/status")
-    return document.and_then(lambda value: _decode(address, lambda: _to_view(upstream, value)))
-
+    """Read ``/admin/status``: residents, memory, load and whether the engine is leaving.
 
-async def read_engine_load(
-    client: HttpClient, upstream: str, address: str
-) -> Result[LoadReport, HttpError]:
-    """Read ``/admin/load``, which lags behind the engine by a time it does not tell."""
-    document = await _get_json(client, address, "/admin/load")
-    measured_at = time.monotonic() - LOAD_LAG_S
+    ``/admin/load`` shows the same load with a lag, so reading it as well would cost a call and
+    replace the exact figures by older ones. The load is dated with the time of sending, because a
+    request that is dispatched later may or may not be among those that the engine counted.
+    """
+    asked_at = time.monotonic()
+    document = await _get_json(client, address, "/admin/status")
     return document.and_then(
-        lambda value: _decode(address, lambda: _to_report(upstream, value, measured_at))
+        lambda value: _decode(address, lambda: _to_view(upstream, value, asked_at))
     )
 
 
@@ -75,7 +70,7 @@
         return Err(HttpError("decode", address, True, f"malformed answer: {exc!r}"))
 
 
-def _to_view(upstream: str, value: Any) -> EngineView:
+def _to_view(upstream: str, value: Any, asked_at: float) -> EngineView:
     copies = tuple(
         ResidentCopy(str(r["name"]), str(r["version"]))
         for r in value["residents"]
@@ -88,13 +83,10 @@
         value.get("state") == "leaving",
         int(value["memory_mib"]),
         int(value["used_mib"]),
+        LoadReport(upstream, int(value["running"]), int(value["queued"]), asked_at),
     )
 
 
-def _to_report(upstream: str, value: Any, measured_at: float) -> LoadReport:
-    return LoadReport(upstream, int(value["running"]), int(value["queued"]), measured_at)
-
-
 def _to_events(value: Any) -> tuple[CacheEvent, ...]:
     return tuple(
         CacheEvent(int(e["seq"]), CacheEventKind(e["kind"]), tuple(e["blocks"]))
--- a/eelgrassferry/node/upstream_watch.py
+++ b/eelgrassferry/node/upstream_watch.py
@@ -14,7 +14,7 @@
 from ..objects import HostList, HostState
 from ..routing import ResidentCopy, Router, UpstreamState
 from ..settings import Deployment, Upstream
-from .engine_poll import EngineView, read_engine_events, read_engine_load, read_engine_status
+from .engine_poll import EngineView, read_engine_events, read_engine_status
 from .router_driver import RouterDriver
 
 __all__ = ["UpstreamWatch"]
@@ -173,9 +173,8 @@
                 case Ok(view):
                     self._note_view(view)
             if isinstance(status, Ok):
-                load = await read_engine_load(self._client, upstream, address)
-                if isinstance(load, Ok):
-                    self._driver.apply(self._router.update_load(load.ok_value, time.monotonic()))
+                load = status.ok_value.load
+                self._driver.apply(self._router.update_load(load, time.monotonic()))
                 if time.monotonic() - events_at > EVENTS_PERIOD_S:
                     after = await self._poll_events(upstream, address, after)
                     events_at = time.monotonic()
--- a/eelgrassferry/routing/messages.py
+++ b/eelgrassferry/routing/messages.py
@@ -89,8 +89,8 @@
 class LoadReport:
     """An engine's own count of its requests, which describes the time ``measured_at``.
 
-    The reader of ``/admin/load`` sets ``measured_at`` on its own clock: the time of reading less
-    the lag, when the lag is known.
+    The reader sets ``measured_at`` on its own clock: for ``/admin/status`` the time of sending,
+    for ``/admin/load`` the time of reading less the lag, when the lag is known.
     """
 
     upstream: str
