Write each part of an answer once, and build token events from a frame

Cause: a whole response took three writes to the socket (head, body, end), a stream's head and end one each of their own; each token event was encoded as a whole JSON document although only its text changes; the client asked h11 for an event once more than it could have one for each arrival. Change: the responder joins head and first part, and last part and end, into one write; an answer keeps the text around its tokens; a client that h11 has told to wait for data reads from the connection at once.

--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -46,6 +46,7 @@
         self._conn = conn
         self._done = False
         self._complete = False
+        self._needs_data = False
         self.peer = peer
         self.status = status
         self.headers = headers
@@ -62,11 +63,15 @@
         parts: list[bytes] = []
         try:
             while True:
-                event = self._conn.h11.next_event()
+                # After NEED_DATA, h11 has nothing new until it has received more.
+                event = h11.NEED_DATA if self._needs_data else self._conn.h11.next_event()
                 if event is h11.NEED_DATA:
+                    self._needs_data = True
                     if parts:
                         return Ok(b"".join(parts))
-                    self._conn.h11.receive_data(await self._conn.reader.read(READ_BYTES))
+                    data = await self._conn.reader.read(READ_BYTES)
+                    self._needs_data = False
+                    self._conn.h11.receive_data(data)
                 elif isinstance(event, h11.Data):
                     parts.append(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
--- a/eelgrassferry/http/sse.py
+++ b/eelgrassferry/http/sse.py
@@ -9,7 +9,7 @@
     >>> format_event("[DONE]")
     b'data: [DONE]\n\n'
     """
-    return b"".join(b"data: " + line.encode() + b"\n" for line in data.split("\n")) + b"\n"
+    return f"data: {data}\n\n".replace("\n", "\ndata: ", data.count("\n")).encode()
 
 
 class SseParser:
--- a/eelgrassferry/http/tests/test_exchange.py
+++ b/eelgrassferry/http/tests/test_exchange.py
@@ -55,6 +55,37 @@
             closed.close()
             self.assertTrue((await closed.read()).is_err())
 
+    async def test_parts_of_a_stream_arrive_as_they_are_written(self):
+        """Guards against a reader that waits for more, or passes over a part it already has."""
+        release = asyncio.Event()
+
+        async def stream_parts(req, out):
+            await out.start(200, (), b"first")
+            await release.wait()
+            await out.write(b"second\ndata")
+            await asyncio.sleep(0.02)
+            await out.finish(b"last")
+
+        server = await self.start(stream_parts)
+        client = HttpClient()
+        self.addCleanup(client.close)
+        for _ in range(2):
+            release.clear()
+            stream = (await client.open(server.address, "GET", "/")).unwrap()
+            async with asyncio.timeout(5):
+                self.assertEqual(await stream.read(), Ok(b"first"))
+                release.set()
+                self.assertEqual((await stream.read_all()).unwrap(), b"second\ndatalast")
+
+    async def test_whole_response_arrives_in_one_segment(self):
+        """Guards against a system call each for the head, the body and the end."""
+        server = await self.start(echo)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        self.addCleanup(writer.close)
+        for _ in range(3):
+            writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody")
+            self.assertTrue((await reader.read(65536)).endswith(b"\r\n\r\nbody"))
+
     async def test_refused_connection_counts_as_not_sent(self):
         """Guards against calling a request possibly sent that never left the node."""
         server = await self.start(echo)
--- a/eelgrassferry/node/answer.py
+++ b/eelgrassferry/node/answer.py
@@ -23,6 +23,7 @@
         self._out = out
         self._texts: list[str] = []
         self._created = int(time.time())
+        self._around_text: tuple[str, str] | None = None
         self.version = ""
 
     @property
@@ -37,21 +38,17 @@
             self.version = tokens[-1].version
         if not self._call.stream or not tokens:
             return
-        if not self._out.started:
-            await self._start()
-        events = [format_event(json.dumps(self._chunk(token.text))) for token in tokens]
-        await self._out.write(b"".join(events))
+        await self._write(b"".join([self._format_token(token.text) for token in tokens]))
 
     async def finish(self) -> None:
         """End the answer."""
         if not self._call.stream:
             await self._out.send(HttpResponse.of_json(self._whole(), headers=self._headers()))
             return
+        last = format_event(json.dumps(self._chunk("", "stop"))) + format_event("[DONE]")
         if not self._out.started:
-            await self._start()
-        last = format_event(json.dumps(self._chunk("", "stop")))
-        await self._out.write(last + format_event("[DONE]"))
-        await self._out.finish()
+            await self._write(b"")
+        await self._out.finish(last)
 
     async def fail(self, problem: Problem) -> None:
         """Report a failure, in the form that is still possible."""
@@ -59,15 +56,28 @@
         if not self._out.started:
             await self._out.send(response)
             return
-        await self._out.write(format_event(json.dumps({"error": response.json()})))
-        await self._out.finish()
+        await self._out.finish(format_event(json.dumps({"error": response.json()})))
 
     def _headers(self) -> tuple[tuple[str, str], ...]:
         return (("x-request-id", self._call.request_id),)
 
-    async def _start(self) -> None:
+    async def _write(self, data: bytes) -> None:
+        """Write a part of the stream; the first one goes out with the head."""
+        if self._out.started:
+            await self._out.write(data)
+            return
         stream = (("content-type", "text/event-stream"), ("cache-control", "no-store"))
-        await self._out.start(200, (*stream, *self._headers()))
+        await self._out.start(200, (*stream, *self._headers()), data)
+
+    def _format_token(self, text: str) -> bytes:
+        """Return the event of one token. Only the text differs between the events of an answer."""
+        if self._around_text is None:
+            field = "content" if self._call.kind is CallKind.CHAT else "text"
+            # Quotes within names are escaped, so this text occurs at the field only.
+            before, _, after = json.dumps(self._chunk("")).partition(f'"{field}": ""')
+            self._around_text = f'data: {before}"{field}": ', f"{after}\n\n"
+        before, after = self._around_text
+        return f"{before}{json.dumps(text)}{after}".encode()
 
     def _chunk(self, text: str, finish_reason: str | None = None) -> dict[str, Any]:
         if self._call.kind is CallKind.CHAT:
