Read the host list once for all parts of a node

Cause: membership read the whole host list every 2 s beside the upstream watch, which reads it every 0.7 s. Change: the parts of a node share one reader; membership takes the list that the watch has read at most 1.5 s ago. The watch and the lease holder read as before.

--- a/eelgrassferry/node/control.py
+++ b/eelgrassferry/node/control.py
@@ -9,10 +9,11 @@
 
 from ..http import HttpClient
 from ..leases import LeaseKeeper, LeaseMachine, LeaseTerm
-from ..objects import HostList, ObjectStore
+from ..objects import ObjectStore
 from ..placement import AreaController, AreaShell, Copy, Explanation, Progress
 from ..routing import ResidentCopy
 from ..settings import Deployment
+from .shared_hosts import SharedHosts
 
 __all__ = ["Control"]
 
@@ -36,7 +37,7 @@
         instance: str,
         lease_s: float,
         store: ObjectStore,
-        hosts: HostList,
+        hosts: SharedHosts,
         client: HttpClient,
         engine_token: str,
         on_residency: Callable[[str, tuple[ResidentCopy, ...]], None],
--- a/eelgrassferry/node/node.py
+++ b/eelgrassferry/node/node.py
@@ -36,6 +36,7 @@
 from .router_driver import RouterDriver
 from .service_gate import ServiceGate
 from .service_proxy import ServiceProxy
+from .shared_hosts import SharedHosts
 from .suspect_log import SuspectLog
 from .upstream_watch import UpstreamWatch
 
@@ -66,7 +67,7 @@
         self.stop_requested = asyncio.Event()
         self.demand = DemandCounter()
         self._client = HttpClient()
-        self._hosts = HostList(self._client, settings.platform, settings.domain)
+        self._hosts = SharedHosts(HostList(self._client, settings.platform, settings.domain))
         self._tasks: list[asyncio.Task[Any]] = []
         self._in_force = asyncio.Event()
         self.store = HttpObjectStore(self._client, settings.platform, settings.domain)
--- a/eelgrassferry/node/node_members.py
+++ b/eelgrassferry/node/node_members.py
@@ -6,13 +6,16 @@
 from result import Err, Ok
 
 from ..metrics import Metrics
-from ..objects import HostList, HostState
+from ..objects import HostState
 from ..peers import Gossiper, HostEntry, Membership
+from .shared_hosts import SharedHosts
 from .upstream_watch import jitter
 
 __all__ = ["NodeMembers"]
 
 HOSTS_PERIOD_S = 2.0
+# The upstream watch reads the list more often, so that this part never reads it besides.
+HOSTS_MAX_AGE_S = 1.5
 NODE_KIND = "node"
 
 log = structlog.get_logger()
@@ -25,7 +28,7 @@
     """
 
     def __init__(
-        self, name: str, domain: str, gossiper: Gossiper, hosts: HostList, metrics: Metrics
+        self, name: str, domain: str, gossiper: Gossiper, hosts: SharedHosts, metrics: Metrics
     ) -> None:
         self._name = name
         self._domain = domain
@@ -53,7 +56,7 @@
     async def run(self) -> None:
         """Read the host list until cancelled."""
         while True:
-            match await self._hosts.read():
+            match await self._hosts.read(HOSTS_MAX_AGE_S):
                 case Err(error):
                     self._metrics.count("hosts.read_failed")
                     log.debug("host list not read", step="hosts", peer=error.peer)
--- a/eelgrassferry/node/upstream_watch.py
+++ b/eelgrassferry/node/upstream_watch.py
@@ -11,11 +11,12 @@
 
 from ..http import HttpClient
 from ..metrics import Metrics
-from ..objects import HostList, HostState
+from ..objects import HostState
 from ..routing import ResidentCopy, Router, UpstreamState
 from ..settings import Deployment, Upstream
 from .engine_poll import EngineView, read_engine_events, read_engine_status
 from .router_driver import RouterDriver
+from .shared_hosts import SharedHosts
 
 __all__ = ["UpstreamWatch"]
 
@@ -41,7 +42,7 @@
     def __init__(
         self,
         driver: RouterDriver,
-        hosts: HostList,
+        hosts: SharedHosts,
         client: HttpClient,
         metrics: Metrics,
         on_leaving: Callable[[frozenset[str]], None],
