--- a/eelgrassferry/node/upstream_watch.py
+++ b/eelgrassferry/node/upstream_watch.py
@@ -11,11 +11,12 @@
 
 from ..http import HttpClient
 from ..metrics import Metrics
-from ..objects import HostList, HostState
+from ..objects import HostState
 from ..routing import ResidentCopy, Router, UpstreamState
 from ..settings import Deployment, Upstream
-from .engine_poll import EngineView, read_engine_events, read_engine_load, read_engine_status
+from .engine_poll import EngineView, read_engine_events, read_engine_status
 from .router_driver import RouterDriver
+from .shared_hosts import SharedHosts
 
 __all__ = ["UpstreamWatch"]
 
@@ -43,7 +44,7 @@
     def __init__(
         self,
         driver: RouterDriver,
-        hosts: HostList,
+        hosts: SharedHosts,
         client: HttpClient,
         metrics: Metrics,
         on_leaving: Callable[[frozenset[str]], None],
@@ -185,9 +186,8 @@
                 case Ok(view):
                     self._note_view(view)
             if isinstance(status, Ok):
-                load = await read_engine_load(self._client, upstream, address)
-                if isinstance(load, Ok):
-                    self._driver.apply(self._router.update_load(load.ok_value, time.monotonic()))
+                load = status.ok_value.load
+                self._driver.apply(self._router.update_load(load, time.monotonic()))
                 if time.monotonic() - events_at > EVENTS_PERIOD_S:
                     after = await self._poll_events(upstream, address, after)
                     events_at = time.monotonic()
