Read a peer's address and domain from the right fields of the host list

Cause: NodeMembers passed the domain as HostEntry's address and the address as its domain, so nodes dialled 'd1' and two nodes with only the host list in common never linked. The embedded deployment gives its nodes seeds, which hid it.

--- a/eelgrassferry/node/node_members.py
+++ b/eelgrassferry/node/node_members.py
@@ -59,7 +59,12 @@
                     log.debug("host list not read", step="hosts", peer=error.peer)
                 case Ok(hosts):
                     self._gossiper.set_hosts(
-                        HostEntry(h.id, h.domain, h.address, h.state is HostState.LEAVING)
+                        HostEntry(
+                            name=h.id,
+                            address=h.address,
+                            domain=h.domain,
+                            leaving=h.state is HostState.LEAVING,
+                        )
                         for h in hosts
                         if h.kind == NODE_KIND
                     )
