Run real nodes in the scenarios: serving and orders

Cause: the scenarios drove the stand-ins alone, so nothing showed that nodes keep the invariants.

Change: the harness starts nodes, registers them and the upstreams in the host list, reads the operators' status, and samples the revisions in force. Requests through nodes are judged by their text. Stand-ins start at the same time.

--- a/features/environment.py
+++ b/features/environment.py
@@ -8,7 +8,7 @@
 
 import parse  # noqa: E402
 from behave import register_type  # noqa: E402
-from harness import Deployment, System, check_invariants  # noqa: E402
+from harness import Deployment, NodeGroup, System, check_invariants  # noqa: E402
 
 
 @parse.with_pattern(r'[^"]*')
@@ -25,6 +25,7 @@
     context.system = System()
     context.directory = tempfile.TemporaryDirectory()
     context.deployment = Deployment(context.system, Path(context.directory.name))
+    context.nodes = NodeGroup(context.system, context.deployment)
 
 
 def after_scenario(context, scenario):
@@ -33,7 +34,7 @@
     system = context.system
     try:
         system.settle()
-        broken = check_invariants(system)
+        broken = [*check_invariants(system), *context.nodes.check()]
     finally:
         system.end()
         context.directory.cleanup()
--- a/features/harness/deployment.py
+++ b/features/harness/deployment.py
@@ -1,5 +1,6 @@
 """The settings files of a scenario's deployment, written from its processes."""
 
+from collections.abc import Sequence
 from pathlib import Path
 
 from .process import Process
@@ -24,6 +25,7 @@
         self.adapters: dict[str, tuple[str, int]] = {}
         self.versions: dict[str, str] = {}
         self.site_keys: dict[str, str] = {}
+        self.replicas: dict[str, int] = {}
         self._system = system
         self._directory = directory
 
@@ -31,7 +33,14 @@
     def base_file(self) -> Path:
         """The base file: models and adapters."""
         sections = [
-            (f"model {name}", {"memory": f"{size} MiB", "version": self.versions.get(name, "1")})
+            (
+                f"model {name}",
+                {
+                    "memory": f"{size} MiB",
+                    "version": self.versions.get(name, "1"),
+                    "min_replicas": str(self.replicas.get(name, 1)),
+                },
+            )
             for name, size in self.models.items()
         ]
         sections += [
@@ -51,7 +60,10 @@
         site = {"name": SITE, "domains": ", ".join(domains), **self.site_keys}
         sections = [("site", site)]
         for store in self._system.of_kind("store"):
-            sections.append(("store", {"address": store.address}))
+            keys = {"address": store.address}
+            if "loads_per_s" in store.options:
+                keys["load_rate"] = f"{store.options['loads_per_s']} /s"
+            sections.append(("store", keys))
         sections += [(f"upstream {p.name}", self._upstream_keys(p)) for p in upstreams]
         services: dict[str, list[str]] = {}
         for process in self._system.of_kind("service"):
@@ -63,8 +75,11 @@
             sections.append((f"service {name}", keys))
         return self._write("overlay.ini", sections)
 
-    def write_node(self, name: str, domain: str) -> Path:
-        """Write the settings file of a node that listens on ports chosen by the kernel."""
+    def write_node(self, name: str, domain: str, seeds: Sequence[str] = ()) -> Path:
+        """Write the settings file of a node that listens on ports chosen by the kernel.
+
+        ``seeds`` are the peer addresses of nodes that run already.
+        """
         keys = {
             "name": name,
             "site": SITE,
@@ -78,6 +93,8 @@
             "base_file": str(self.base_file),
             "overlay_file": str(self.overlay_file),
         }
+        if seeds:
+            keys["seeds"] = ", ".join(seeds)
         return self._write(f"{name}.ini", [("node", keys)])
 
     @staticmethod
--- a/features/harness/process.py
+++ b/features/harness/process.py
@@ -37,6 +37,8 @@
         self.last_counts: dict[str, Any] = {}
         self.command = tuple(command)
         self._frozen = False
+        # Requests run in another thread than the steps, and both may be first to need the address.
+        self._lock = threading.Lock()
         # Closed in ``end``; a file cannot fill up as a pipe does.
         self._stderr = tempfile.TemporaryFile(mode="w+")  # noqa: SIM115
         self._process = subprocess.Popen(
@@ -54,7 +56,8 @@
 
     @property
     def address(self) -> str:
-        """The address of the ready line as ``ip:port``."""
+        """The address of the ready line as ``ip:port``; waits for it the first time."""
+        self.wait_ready()
         return self.ready["address"]
 
     @property
@@ -62,8 +65,18 @@
         """Whether the process has not ended."""
         return self._process.poll() is None
 
+    @property
+    def is_frozen(self) -> bool:
+        """Whether the process was stopped by ``freeze`` and not resumed."""
+        return self._frozen
+
     def wait_ready(self) -> None:
-        """Read the ready line; a process that ends or stays silent is an error."""
+        """Read the ready line once; a process that ends or stays silent is an error."""
+        with self._lock:
+            if not self.ready:
+                self._read_ready()
+
+    def _read_ready(self) -> None:
         lines: list[str] = []
         reader = threading.Thread(target=lambda: lines.append(self._process.stdout.readline()))
         reader.daemon = True
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -8,8 +8,11 @@
 
 @given("the models")
 def set_models(context):
-    """A table with the columns model and MiB."""
-    context.deployment.models.update((row["model"], int(row["MiB"])) for row in context.table)
+    """A table with the columns model and MiB, and copies where a model needs more than one."""
+    for row in context.table:
+        context.deployment.models[row["model"]] = int(row["MiB"])
+        if "copies" in context.table.headings:
+            context.deployment.replicas[row["model"]] = int(row["copies"])
 
 
 @given("the adapters")
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -43,6 +43,17 @@
     system.calls.wait_until(has_started, f"{count} requests started on {name}")
 
 
+@when("the engines have started {count:d} requests")
+def wait_all_started(context, count):
+    """Wait until all engines together have started this many requests."""
+    system = context.system
+
+    def has_started() -> bool:
+        return sum(system.count_starts().values()) >= count
+
+    system.calls.wait_until(has_started, f"{count} requests started")
+
+
 @when('the broken streams are resumed at "{target:Word}"')
 def resume_broken(context, target):
     """Ask for the rest of each broken stream, in the same version of its model."""
