Add scenarios of upstreams that die, crash, break streams and leave

Cause: nothing showed with real nodes that answers stay whole when upstreams fail.

Change: four scenarios with node and engine processes: an engine killed amid streams, broken streams, a crashing request sent again and again through three nodes, an engine that leaves.

--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -1,5 +1,6 @@
 """Steps that send completions and check their answers."""
 
+import time
 from dataclasses import replace
 
 from behave import then, when
@@ -74,6 +75,44 @@
     context.system.send_request(replace(last, target=context.system.find(target)))
 
 
+@when('the last request is sent {count:d} times at once to "{targets:Word}"')
+def send_again_at_once(context, count, targets):
+    """So often to each of several nodes, and wait for all answers."""
+    system = context.system
+    last = system.requests[-1]
+    _ = last.outcome
+    names = [name.strip() for name in targets.split(",")]
+    sent = [system.send_request(replace(last, target=system.find(n))) for n in names * count]
+    for call in sent:
+        _ = call.outcome
+
+
+@when('requests for model "{model:Word}" are sent to "{targets:Word}" for {seconds:g} s')
+def send_for(context, model, targets, seconds):
+    """A steady load of single requests; each node gets about 10 a second."""
+    until_s = time.monotonic() + seconds
+    while time.monotonic() < until_s:
+        for name in targets.split(","):
+            context.system.send_requests(1, name.strip(), model)
+        time.sleep(0.1)
+
+
+@then("every request without a crash marker is answered in full")
+def check_others_answered(context):
+    """Those that ran beside a crashing request too."""
+    calls = [call for call in context.system.requests if not call.crashes]
+    faults = [f"{call.prompt}: {wrong}" for call in calls if (wrong := call.judge())]
+    assert calls and not faults, faults
+
+
+@then("at most {count:d} engines have crashed")
+def check_crashed_at_most(context, count):
+    """By the engines' own counts, each crash counted."""
+    system = context.system
+    crashes = {e.name: system.read_counts(e)["crashes"] for e in system.all_of_kind("engine")}
+    assert 1 <= sum(crashes.values()) <= count, crashes
+
+
 @then("every request is answered in full")
 def check_all_answered(context):
     """All tokens, each once and in order, of the request's own prompt."""
