--- a/eelgrassferry/node/tests/test_node_members.py
+++ b/eelgrassferry/node/tests/test_node_members.py
@@ -5,10 +5,11 @@
 
 from result import Ok
 
-from eelgrassferry.metrics import Metrics
-from eelgrassferry.node.node_members import NodeMembers
-from eelgrassferry.objects import Host, HostState
-from eelgrassferry.peers import HostEntry
+from ...metrics import Metrics
+from ...objects import Host, HostState
+from ...peers import HostEntry
+from ..node_members import NodeMembers
+from ..shared_hosts import SharedHosts
 
 
 class OneHost:
@@ -43,7 +44,7 @@
     async def test_host_list_entries_keep_address_and_domain_apart(self):
         """Guards against nodes that dial a peer's domain and so never find each other."""
         gossiper = RecordingGossiper()
-        members = NodeMembers("n1", "d1", gossiper, OneHost(), Metrics())
+        members = NodeMembers("n1", "d1", gossiper, SharedHosts(OneHost()), Metrics())
         running = asyncio.ensure_future(members.run())
         async with asyncio.timeout(5):
             await gossiper.told.wait()
--- a/eelgrassferry/node/tests/test_upstream_watch.py
+++ b/eelgrassferry/node/tests/test_upstream_watch.py
@@ -4,7 +4,7 @@
 
 from ...http import HttpClient
 from ...metrics import Metrics
-from ...routing import UpstreamState
+from ...routing import LoadReport, UpstreamState
 from ..engine_poll import EngineView
 from ..upstream_watch import UpstreamWatch
 
@@ -43,7 +43,8 @@
 
     def note_status(self, *, leaving: bool) -> None:
         """Hand the watch one status of engine u1."""
-        self.watch._note_view(EngineView("u1", "i", (), leaving, 100, 0))
+        load = LoadReport("u1", 0, 0, 0.0)
+        self.watch._note_view(EngineView("u1", "i", (), leaving, 100, 0, load))
 
     def test_what_peers_told_is_not_passed_on(self):
         """Guards against nodes that repeat a leaving upstream to each other without end."""
