Look only at the upstreams whose residents may have changed

Cause: the lease holder built the copies of every upstream 20 times a second in order to find those that had changed. Change: residents are compared by identity, because each status brings a tuple of its own, and copies are built only for the upstreams that differ.

--- a/eelgrassferry/node/control.py
+++ b/eelgrassferry/node/control.py
@@ -13,6 +13,7 @@
 from ..placement import AreaController, AreaShell, Copy, Explanation, Progress
 from ..routing import ResidentCopy
 from ..settings import Deployment
+from .residency_changes import ResidencyChanges
 from .shared_hosts import SharedHosts
 
 __all__ = ["Control"]
@@ -52,6 +53,7 @@
         machine = LeaseMachine(area, instance, lease_s)
         self._keeper = LeaseKeeper(store, machine, on_change=self._take_term)
         self._published: dict[str, tuple[ResidentCopy, ...]] = {}
+        self._changes = ResidencyChanges()
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -104,19 +106,22 @@
     def _take_term(self, term: LeaseTerm | None) -> None:
         self._controller.update_term(term, time.monotonic())
         self._published.clear()
+        self._changes.clear()
         self._shell.wake()
         if term is not None:
             self._on_holder(self._area, term.epoch)
 
     def _residency(self) -> dict[str, tuple[ResidentCopy, ...]]:
+        """Return the copies of the upstreams that may have changed since the last call."""
         held_back = self._controller.held_back()
+        held = {name: state.residents() for name, state in self._controller.area.upstreams.items()}
         return {
             name: tuple(
                 ResidentCopy(r.item.name, r.item.version, Copy(name, r.item) not in held_back)
-                for r in state.residents()
+                for r in held[name]
                 if not r.leaving
             )
-            for name, state in self._controller.area.upstreams.items()
+            for name in self._changes.take(held, held_back)
         }
 
     async def _watch_hosts(self) -> None:
