Announce residency again in turn, not at each renewal of the lease

Cause: a renewal of the lease, every 3 s, made the holder announce the copies of every upstream to every peer again, which grows with upstreams times peers. Change: only a new term announces everything. Unchanged upstreams are repeated one every 0.5 s in turn, for nodes that started later. A node that joins hears of all unchanged upstreams within 3 s at 6 upstreams, as before, and within 93 s at 186; until then it serves those names that it sees in one version.

--- a/eelgrassferry/node/control.py
+++ b/eelgrassferry/node/control.py
@@ -21,6 +21,9 @@
 PUBLISH_PERIOD_S = 0.05
 HOSTS_PERIOD_S = 1.0
 HOLDER_PERIOD_S = 1.0
+# A node that has just started hears of an unchanged upstream when its turn comes. Each turn is a
+# message to every peer, so the rate does not grow with the number of upstreams.
+REPEAT_PERIOD_S = 0.5
 
 log = structlog.get_logger()
 
@@ -54,6 +57,8 @@
         self._keeper = LeaseKeeper(store, machine, on_change=self._take_term)
         self._published: dict[str, tuple[ResidentCopy, ...]] = {}
         self._changes = ResidencyChanges()
+        self._epoch = 0
+        self._repeated_at = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -105,8 +110,12 @@
 
     def _take_term(self, term: LeaseTerm | None) -> None:
         self._controller.update_term(term, time.monotonic())
-        self._published.clear()
-        self._changes.clear()
+        epoch = term.epoch if term is not None else 0
+        # A renewal, every 3 s, keeps the epoch. It is no reason to announce every upstream again.
+        if epoch != self._epoch:
+            self._epoch = epoch
+            self._published.clear()
+            self._changes.clear()
         self._shell.wake()
         if term is not None:
             self._on_holder(self._area, term.epoch)
@@ -132,16 +141,23 @@
                     self._controller.on_hosts(read.ok_value, time.monotonic())
             await asyncio.sleep(HOSTS_PERIOD_S)
 
+    def _announce(self, now: float) -> None:
+        """Tell what has changed, and one unchanged upstream every ``REPEAT_PERIOD_S`` in turn."""
+        if now - self._repeated_at >= REPEAT_PERIOD_S:
+            self._repeated_at = now
+            self._published.pop(self._changes.repeat_next(), None)
+        for upstream, copies in self._residency().items():
+            if self._published.get(upstream) != copies:
+                self._published[upstream] = copies
+                self._on_residency(upstream, copies)
+
     async def _publish(self) -> None:
         """Tell changes of residency soon, and the holder's name every second."""
         told_at = 0.0
         while True:
             term = self._keeper.term()
             if term is not None:
-                for upstream, copies in self._residency().items():
-                    if self._published.get(upstream) != copies:
-                        self._published[upstream] = copies
-                        self._on_residency(upstream, copies)
+                self._announce(time.monotonic())
                 if time.monotonic() - told_at > HOLDER_PERIOD_S:
                     told_at = time.monotonic()
                     self._on_holder(self._area, term.epoch)
--- a/eelgrassferry/node/residency_changes.py
+++ b/eelgrassferry/node/residency_changes.py
@@ -21,11 +21,20 @@
     def __init__(self) -> None:
         self._seen: dict[str, tuple[Resident, ...]] = {}
         self._held_back: frozenset[Copy] = frozenset()
+        self._turns: list[str] = []
 
     def clear(self) -> None:
         """Let every upstream count as changed."""
         self._seen.clear()
 
+    def repeat_next(self) -> str:
+        """Let the next upstream in turn count as changed, and return it; empty before any."""
+        if not self._turns:
+            self._turns = sorted(self._seen, reverse=True)
+        name = self._turns.pop() if self._turns else ""
+        self._seen.pop(name, None)
+        return name
+
     def take(
         self, residents: Mapping[str, tuple[Resident, ...]], held_back: frozenset[Copy]
     ) -> list[str]:
--- /dev/null
+++ b/eelgrassferry/node/tests/test_control.py
@@ -0,0 +1,69 @@
+"""Tests of what the lease holder announces."""
+
+import unittest
+
+from ...http import HttpClient
+from ...leases import LeaseTerm
+from ...objects import HostList, MemoryObjectStore
+from ...placement.measure import make_deployment, place_all
+from ..control import REPEAT_PERIOD_S, Control
+from ..shared_hosts import SharedHosts
+
+UPSTREAMS = 6
+
+
+class AnnounceTest(unittest.TestCase):
+    """A holder of six upstreams on a clock of its own."""
+
+    def setUp(self) -> None:
+        client = HttpClient()
+        self.told: list[str] = []
+        self.control = Control(
+            "s1",
+            "n1:a",
+            9.0,
+            MemoryObjectStore(),
+            SharedHosts(HostList(client, "127.0.0.1:1", "d1")),
+            client,
+            "",
+            lambda upstream, copies: self.told.append(upstream),
+            lambda area, epoch: None,
+        )
+        self.deployment = make_deployment(UPSTREAMS, UPSTREAMS)
+        self.control.update_deployment(self.deployment)
+        self.now = 1000.0
+        self.take_over(1)
+
+    def take_over(self, epoch: int) -> None:
+        self.control._take_term(LeaseTerm(epoch, float("inf")))
+        place_all(self.control._controller, self.deployment, self.now)
+        self.control._announce(self.now)
+
+    def test_a_renewal_announces_nothing(self):
+        """Guards against messages about every upstream to every peer each 3 s."""
+        self.assertEqual(sorted(self.told), sorted(self.deployment.upstreams))
+        self.told.clear()
+        for renewal in range(5):
+            self.control._take_term(LeaseTerm(1, 1e9 + renewal))
+            self.control._announce(self.now)
+        self.assertEqual(self.told, [])
+
+    def test_each_upstream_is_repeated_once_in_a_round(self):
+        """Guards against a peer that starts later and never hears of an unchanged upstream."""
+        self.told.clear()
+        for _ in range(UPSTREAMS):
+            self.now += REPEAT_PERIOD_S
+            for _ in range(3):
+                self.control._announce(self.now)
+        self.assertEqual(sorted(self.told), sorted(self.deployment.upstreams))
+
+    def test_a_new_term_announces_everything(self):
+        """Guards against peers that hold on to what an earlier holder said."""
+        self.told.clear()
+        self.control._take_term(None)
+        self.take_over(2)
+        self.assertEqual(sorted(self.told), sorted(self.deployment.upstreams))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/eelgrassferry/node/tests/test_residency_changes.py
+++ b/eelgrassferry/node/tests/test_residency_changes.py
@@ -44,6 +44,14 @@
         self.held["u4"] = read()
         self.assertEqual(self.changes.take(self.held, frozenset()), ["u4"])
 
+    def test_unchanged_upstreams_are_repeated_in_turn(self):
+        """Guards against a node that starts later and never hears of some upstream."""
+        self.assertEqual(ResidencyChanges().repeat_next(), "")
+        self.changes.take(self.held, frozenset())
+        for name in ("u1", "u2", "u3", "u1"):
+            self.assertEqual(self.changes.repeat_next(), name)
+            self.assertEqual(self.changes.take(self.held, frozenset()), [name])
+
 
 if __name__ == "__main__":
     unittest.main()
