--- a/eelgrassferry/node/control.py
+++ b/eelgrassferry/node/control.py
@@ -13,6 +13,7 @@
 from ..placement import AreaController, AreaShell, Copy, Explanation, Progress
 from ..routing import ResidentCopy
 from ..settings import Deployment
+from .residency_changes import ResidencyChanges
 from .shared_hosts import SharedHosts
 
 __all__ = ["Control"]
@@ -20,6 +21,9 @@
 PUBLISH_PERIOD_S = 0.05
 HOSTS_PERIOD_S = 1.0
 HOLDER_PERIOD_S = 1.0
+# A node that has just started hears of an unchanged upstream when its turn comes. Each turn is a
+# message to every peer, so the rate does not grow with the number of upstreams.
+REPEAT_PERIOD_S = 0.5
 
 log = structlog.get_logger()
 
@@ -52,6 +56,9 @@
         machine = LeaseMachine(area, instance, lease_s)
         self._keeper = LeaseKeeper(store, machine, on_change=self._take_term)
         self._published: dict[str, tuple[ResidentCopy, ...]] = {}
+        self._changes = ResidencyChanges()
+        self._epoch = 0
+        self._repeated_at = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -108,20 +115,27 @@
 
     def _take_term(self, term: LeaseTerm | None) -> None:
         self._controller.update_term(term, time.monotonic())
-        self._published.clear()
+        epoch = term.epoch if term is not None else 0
+        # A renewal, every 3 s, keeps the epoch. It is no reason to announce every upstream again.
+        if epoch != self._epoch:
+            self._epoch = epoch
+            self._published.clear()
+            self._changes.clear()
         self._shell.wake()
         if term is not None:
             self._on_holder(self._area, term.epoch)
 
     def _residency(self) -> dict[str, tuple[ResidentCopy, ...]]:
+        """Return the copies of the upstreams that may have changed since the last call."""
         held_back = self._controller.held_back()
+        held = {name: state.residents() for name, state in self._controller.area.upstreams.items()}
         return {
             name: tuple(
                 ResidentCopy(r.item.name, r.item.version, Copy(name, r.item) not in held_back)
-                for r in state.residents()
+                for r in held[name]
                 if not r.leaving
             )
-            for name, state in self._controller.area.upstreams.items()
+            for name in self._changes.take(held, held_back)
         }
 
     async def _watch_hosts(self) -> None:
@@ -132,16 +146,23 @@
                     self._controller.on_hosts(read.ok_value, time.monotonic())
             await asyncio.sleep(HOSTS_PERIOD_S)
 
+    def _announce(self, now: float) -> None:
+        """Tell what has changed, and one unchanged upstream every ``REPEAT_PERIOD_S`` in turn."""
+        if now - self._repeated_at >= REPEAT_PERIOD_S:
+            self._repeated_at = now
+            self._published.pop(self._changes.repeat_next(), None)
+        for upstream, copies in self._residency().items():
+            if self._published.get(upstream) != copies:
+                self._published[upstream] = copies
+                self._on_residency(upstream, copies)
+
     async def _publish(self) -> None:
         """Tell changes of residency soon, and the holder's name every second."""
         told_at = 0.0
         while True:
             term = self._keeper.term()
             if term is not None:
-                for upstream, copies in self._residency().items():
-                    if self._published.get(upstream) != copies:
-                        self._published[upstream] = copies
-                        self._on_residency(upstream, copies)
+                self._announce(time.monotonic())
                 if time.monotonic() - told_at > HOLDER_PERIOD_S:
                     told_at = time.monotonic()
                     self._on_holder(self._area, term.epoch)
