Add scenarios of control and configuration with real nodes

Cause: nothing showed with real nodes that memory is not overcommitted and that accepted configurations stay, whatever fails.

After each scenario the revisions sampled from all nodes are checked: none goes back, none has two changes, and every node ends with the last accepted one.

--- a/features/harness/node_group.py
+++ b/features/harness/node_group.py
@@ -3,12 +3,13 @@
 import asyncio
 import json
 import time
-from concurrent.futures import Future
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
 from result import Err, Ok, Result
 
 from eelgrassferry.http import HttpError, HttpResponse
+from eelgrassferry.settings import ConfigChange, SettingsText, encode_change
 
 from .deployment import OPERATOR_TOKEN, SITE, Deployment
 from .process import Process
@@ -91,21 +92,33 @@
             return ""
         return answer["holder"].partition(":")[0]
 
-    def apply(self, name: str, based_on: int, change_id: str, marker: int) -> HttpResponse | None:
-        """Apply a change that sets ``queue_limit`` to ``marker``; None if there is no answer."""
+    def propose(self, name: str, based_on: int, marker: int) -> ConfigChange:
+        """Return a change of the deployment as it is now, with ``queue_limit`` = ``marker``."""
         self._deployment.site_keys["queue_limit"] = str(marker)
-        document = {
-            "base": self._deployment.base_file.read_text(),
-            "overlay": self._deployment.overlay_file.read_text(),
-            "based_on": based_on,
-            "change_id": change_id,
-            "author": name,
-        }
-        match self._call(name, "POST", "/config/apply", document):
+        base, overlay = self._deployment.base_file, self._deployment.overlay_file
+        return ConfigChange(
+            SettingsText("base.ini", base.read_text()),
+            SettingsText("overlay.ini", overlay.read_text()),
+            based_on,
+            f"change-{marker}",
+            name,
+        )
+
+    def apply(self, names: list[str], changes: list[ConfigChange]) -> list[HttpResponse | None]:
+        """Apply changes at nodes at the same time; None where there was no answer.
+
+        Confirmed changes must never be lost.
+        """
+        with ThreadPoolExecutor(len(names)) as pool:
+            answers = list(pool.map(self._apply, names, changes))
+        return answers
+
+    def _apply(self, name: str, change: ConfigChange) -> HttpResponse | None:
+        match self._call(name, "POST", "/config/apply", encode_change(change)):
             case Ok(res):
                 if res.status == 200:
                     revision = res.json()["revision"]
-                    self.revisions.accept(Accepted(revision, change_id, marker))
+                    self.revisions.accept(Accepted(revision, change.change_id))
                 return res
             case Err():
                 return None
@@ -114,10 +127,15 @@
         """Return the revision in force at a node."""
         return self.status(name)["revision"]
 
-    def stored_change(self) -> str:
-        """Return the id of the change that the object API holds."""
-        stored = self._read_object(f"config/{SITE}")
-        return stored["change_id"] if stored else ""
+    def has_open_order(self) -> bool:
+        """Return whether the record of an engine has a reservation that is not settled."""
+        engines = [engine.name for engine in self._system.of_kind("engine")]
+        records = [self._read_object(f"upstreams/{name}") for name in engines]
+        return any(record and record["reservations"] for record in records)
+
+    def explain(self, name: str, model: str) -> list[str]:
+        """Return a node's explanation of where a model is."""
+        return self._call(name, "GET", f"/explain?model={model}").unwrap().json().get("lines", [])
 
     def check(self) -> list[str]:
         """Return what is wrong with the revisions, once every node had 8 s to take the last one."""
--- a/features/harness/revision_log.py
+++ b/features/harness/revision_log.py
@@ -8,11 +8,10 @@
 
 @dataclass(frozen=True)
 class Accepted:
-    """A change that a node confirmed. ``marker`` is the value that the change sets."""
+    """A change that a node confirmed."""
 
     revision: int
     change_id: str
-    marker: int
 
 
 class RevisionLog:
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -147,4 +147,29 @@
         ]
         return bool(held) and set(held) == {version}
 
-    system.calls.wait_until(is_changed, f"only version {version} of {model}")
+    try:
+        system.calls.wait_until(is_changed, f"only version {version} of {model}")
+    except AssertionError:
+        for node in awake(context):
+            print(f"{node.name}: {context.nodes.explain(node.name, model)}")
+        raise
+
+
+@when('the node "{name:Word}" knows {count:d} copy of model "{model:Word}"')
+def wait_known(context, name, count, model):
+    """Wait for one node's own view."""
+    context.system.calls.wait_until(
+        lambda: context.nodes.knows_copies(name, model, count), f"{model} known to {name}"
+    )
+
+
+@when('{count:d} requests for model "{model:Word}" are sent to a node that runs')
+def send_to_live(context, count, model):
+    """To a node that was not killed."""
+    context.system.send_requests(count, awake(context)[0].name, model)
+
+
+@when("an engine order is under way")
+def wait_order(context):
+    """Wait until a reservation is recorded whose order has not settled."""
+    context.system.calls.wait_until(context.nodes.has_open_order, "an open engine order")
