Open a node's listeners before it has a configuration

Cause: docs/operators/deploy.md says that a new site's first revision is applied at any node, but the operators' listener opened only after a configuration was in force, so a site without base_file could never start. The node module also held the parts that serve and used hasattr to tell its states apart. Change: the listeners open first; callers get 503 no_configuration; the parts that serve requests are in serving.py. A process that another one with the same name has superseded stops, as the membership asks. Conclusion: a new site can be started as its page says.

--- a/eelgrassferry/node/callers.py
+++ b/eelgrassferry/node/callers.py
@@ -26,8 +26,7 @@
 class CallerApi:
     """Handles every request on the callers' listener.
 
-    ``deployment`` returns the configuration in force, or None before there is one; ``is_ready``
-    is False while the node drains.
+    ``deployment`` returns the configuration in force; ``is_ready`` is False while the node drains.
     """
 
     def __init__(
@@ -35,7 +34,7 @@
         models: ModelProxy,
         services: ServiceProxy,
         metrics: Metrics,
-        deployment: Callable[[], Deployment | None],
+        deployment: Callable[[], Deployment],
         is_ready: Callable[[], bool],
     ) -> None:
         self._models = models
@@ -51,11 +50,8 @@
             case ("GET", "/healthz"):
                 await out.send(HttpResponse(200, (), b"ok\n"))
             case ("GET", "/readyz"):
-                ready = deployment is not None and self._is_ready()
+                ready = self._is_ready()
                 await out.send(HttpResponse(200 if ready else 503, (), b"ok\n" if ready else b""))
-            case _ if deployment is None:
-                detail = "the node has no configuration yet"
-                await self._refuse(out, Problem(503, "no_configuration", Ran.NO, detail, "", 1))
             case ("GET", "/v1/models"):
                 await out.send(list_models(deployment))
             case ("POST", path) if path in MODEL_PATHS:
--- a/eelgrassferry/node/node.py
+++ b/eelgrassferry/node/node.py
@@ -1,21 +1,17 @@
 """The entry node: all parts of one process, connected."""
 
 import asyncio
-import random
-import time
 import uuid
 from collections.abc import Coroutine
 from typing import Any
 
 import structlog
-from result import Err
+from result import Err, Ok
 
-from ..http import HttpClient, HttpRequest, HttpServer, Responder
+from ..http import HttpClient, HttpRequest, HttpResponse, HttpServer, Problem, Ran, Responder
 from ..metrics import Metrics
 from ..objects import HostList, HttpObjectStore
-from ..orders import JournalLimits, OrderJournal
 from ..peers import Gossiper, PeerMesh
-from ..routing import NodeIdentity, Router
 from ..settings import (
     ConfigChange,
     ConfigHolder,
@@ -25,26 +21,16 @@
     SettingsText,
     apply_change,
 )
-from .callers import CallerApi
 from .config_sync import ConfigSync
-from .control import Control
-from .demand_counter import DemandCounter
-from .model_proxy import ModelProxy
 from .node_members import NodeMembers
 from .operator_view import OperatorView
-from .peer_bridge import PeerBridge
-from .router_driver import RouterDriver
-from .service_gate import ServiceGate
-from .service_proxy import ServiceProxy
+from .serving import NodeParts, Serving
 from .shared_hosts import SharedHosts
-from .suspect_log import SuspectLog
-from .upstream_watch import UpstreamWatch
 
 __all__ = ["Node"]
 
-DEMAND_PERIOD_S = 1.0
-FOLLOW_PERIOD_S = 0.1
 CONFIG_RETRY_S = 0.3
+RIVAL_PERIOD_S = 0.5
 # Time between the end of readiness and the end of accepting, so that the balancer has noticed.
 READINESS_LEAD_S = 0.5
 
@@ -52,7 +38,10 @@
 
 
 class Node:
-    """One entry node. ``start`` returns once it listens, ``close`` after a graceful stop.
+    """One entry node. ``start`` returns once it serves, ``close`` after a graceful stop.
+
+    Its listeners are open before it has a configuration, so that a new site's first revision can
+    be applied at any node; callers are refused until then. ``serving`` is None until then.
 
     >>> # node = Node(settings)
     >>> # await node.start()
@@ -63,14 +52,17 @@
         self.instance = f"{settings.name}:{uuid.uuid4().hex[:12]}"
         self.metrics = Metrics(settings.statsd)
         self.holder = ConfigHolder()
+        self.serving: Serving | None = None
         self.draining = False
         self.stop_requested = asyncio.Event()
-        self.demand = DemandCounter()
         self._client = HttpClient()
-        self._hosts = SharedHosts(HostList(self._client, settings.platform, settings.domain))
         self._tasks: list[asyncio.Task[Any]] = []
         self._in_force = asyncio.Event()
-        self.store = HttpObjectStore(self._client, settings.platform, settings.domain)
+        self._store = HttpObjectStore(self._client, settings.platform, settings.domain)
+        self.callers = HttpServer(self._handle_caller, **_split_address(settings.listen))
+        self.operators = HttpServer(
+            self._handle_operator, **_split_address(settings.operator_listen)
+        )
         self.mesh = PeerMesh(
             settings.name,
             settings.domain,
@@ -80,9 +72,6 @@
             settings.seeds,
             metrics=self.metrics,
         )
-        self.operators = HttpServer(
-            self._handle_operator, **_split_address(settings.operator_listen)
-        )
 
     def deployment(self) -> Deployment | None:
         """Return the deployment in force."""
@@ -93,27 +82,18 @@
         self.stop_requested.set()
 
     async def start(self) -> None:
-        """Join the peers, obtain a configuration, and listen to callers."""
+        """Join the peers, listen, obtain a configuration, and serve."""
         await self.mesh.start()
-        self._build_config()
+        self._build()
         await self.gossiper.start()
-        self._spawn(self.members.run())
-        self._spawn(self.config.run())
-        await self._wait_for_config()
         await self.operators.start()
-        for work in (
-            self.driver.run(),
-            self.watch.run(),
-            self.bridge.run(),
-            self.gate.run(),
-            self._tell_demand(),
-            self._read_suspects(),
-            self._follow_members(),
-        ):
-            self._spawn(work)
-        self.control.start()
-        self.callers = HttpServer(self._callers.handle, **_split_address(self.settings.listen))
         await self.callers.start()
+        for work in (self.members.run(), self.config.run(), self._watch_rival()):
+            self._spawn(work)
+        await self._wait_for_config()
+        assert self.serving is not None
+        for work in self.serving.start():
+            self._spawn(work)
         log.info("listening", step="start", peer=self.callers.address, instance=self.instance)
 
     async def close(self, grace_s: float | None = None) -> None:
@@ -122,16 +102,15 @@
         self.draining = True
         if hasattr(self, "gossiper"):
             self.gossiper.set_draining(True)
-        if hasattr(self, "callers"):
+        if self.serving is not None:
             await asyncio.sleep(min(READINESS_LEAD_S, grace_s))
             await self.callers.close(grace_s)
-            await self.services.finish_orders(grace_s)
-            await self.control.close()
-            await self.journal.close()
+            await self.serving.close(grace_s)
         for task in self._tasks:
             task.cancel()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=1.0)
+        await self.callers.close(0)
         await self.operators.close(1.0)
         if hasattr(self, "gossiper"):
             await self.config.close()
@@ -140,157 +119,89 @@
         self._client.close()
         log.info("stopped", step="close", instance=self.instance)
 
-    def _build_config(self) -> None:
-        """Make the parts that find peers and the configuration."""
-        settings = self.settings
+    def _build(self) -> None:
+        """Make the parts that find peers and the configuration. The mesh has its address."""
+        settings, metrics = self.settings, self.metrics
+        hosts = SharedHosts(HostList(self._client, settings.platform, settings.domain))
         self.gossiper = Gossiper(self.mesh)
-        self.members = NodeMembers(
-            settings.name, settings.domain, self.gossiper, self._hosts, self.metrics
-        )
+        self.members = NodeMembers(settings.name, settings.domain, self.gossiper, hosts, metrics)
         self.config = ConfigSync(
             settings.site,
             self.holder,
-            self.store,
+            self._store,
             self.mesh,
             self.gossiper,
-            self.metrics,
+            metrics,
             self.members.is_watcher,
             self._apply_deployment,
         )
         self._operator_api = OperatorApi(
             settings.site,
             settings.operator_token,
-            self.store,
+            self._store,
             self.holder,
             OperatorView(self),
-            metrics=self.metrics,
-            on_accept=self._take_applied,
-        )
-
-    def _build_serving(self, deployment: Deployment) -> None:
-        """Make the parts that serve requests, once the first deployment is known."""
-        settings, metrics, client = self.settings, self.metrics, self._client
-        identity = NodeIdentity(settings.name, settings.domain)
-        router = Router(deployment, identity, random.Random())
-        # The parts refer to each other, so the calls go through this object.
-        self.driver = RouterDriver(
-            router, metrics, time.monotonic, lambda action: self.bridge.perform(action)
+            metrics=metrics,
+            on_accept=self.config.take,
         )
-        self.gate = ServiceGate(settings.domain)
-        self.watch = UpstreamWatch(
-            self.driver,
-            self._hosts,
-            client,
-            metrics,
-            self.gate.set_leaving,
-            lambda upstreams: self.bridge.tell_leaving(upstreams),
-        )
-        self.suspects = SuspectLog(self.store, metrics)
-        self.control = Control(
-            settings.site,
+        self._parts = NodeParts(
+            settings,
             self.instance,
-            deployment.site.lease_s,
-            self.store,
-            self._hosts,
-            client,
-            settings.engine_token,
-            lambda upstream, copies: self.bridge.tell_residency(upstream, copies),
-            lambda area, epoch: self.bridge.tell_holder(area, epoch),
-        )
-        self.bridge = PeerBridge(
-            settings.name,
-            self.mesh,
-            self.gossiper,
-            self.driver,
-            self.watch,
-            self.suspects,
             metrics,
-            self.control.want,
-            self.control.note_demand,
-            self.control.note_stall,
-        )
-        self.journal = self._make_journal(deployment)
-        models = ModelProxy(self.driver, self.watch, client, metrics, self.demand, self.bridge.want)
-        self.services = ServiceProxy(self.gate, self.journal, self.watch, client, metrics)
-        self._callers = CallerApi(
-            models, self.services, metrics, self.deployment, lambda: not self.draining
-        )
-
-    def _make_journal(self, deployment: Deployment) -> OrderJournal:
-        site = deployment.site
-        limits = JournalLimits(site.journal_shards, site.journal_retention_s)
-        members = self.members
-        return OrderJournal(
+            self._client,
+            self._store,
+            hosts,
             self.mesh,
-            self.store,
-            members.owner_of,
-            members.view.is_alive,
-            limits,
-            metrics=self.metrics,
+            self.gossiper,
+            self.members,
         )
 
     async def _wait_for_config(self) -> None:
-        """Take the configuration from the object API or peers, or found it from the own files."""
+        """Take the configuration from the object API or peers, or write the own files as first."""
         while not self._in_force.is_set():
             await self.config.pull()
             if not self._in_force.is_set() and self.settings.base_file:
-                await self._found_config()
+                await self._bootstrap_config()
             if not self._in_force.is_set():
                 await asyncio.sleep(CONFIG_RETRY_S)
 
-    async def _found_config(self) -> None:
+    async def _bootstrap_config(self) -> None:
         """Write the own files as the first revision, where the site has none yet."""
         settings = self.settings
         base, overlay = (_read_text(p) for p in (settings.base_file, settings.overlay_file))
-        change = ConfigChange(base, overlay, 0, f"found-{settings.site}", settings.name)
-        applied = await apply_change(self.store, settings.site, change)
-        match applied:
+        change = ConfigChange(base, overlay, 0, f"bootstrap-{settings.site}", settings.name)
+        match await apply_change(self._store, settings.site, change):
             case Err(error):
-                log.info("not founded", step="found_config", detail=str(error)[:500])
-            case _:
-                self.config.take(applied.ok_value)
-
-    def _take_applied(self, record: Any) -> None:
-        """Pass on what the own operators' listener has accepted."""
-        self.config.take(record)
+                log.info("bootstrap refused", step="bootstrap_config", detail=str(error)[:500])
+            case Ok(record):
+                self.config.take(record)
 
     def _apply_deployment(self) -> None:
         """Bring the deployment in force to every part."""
         deployment = self.deployment()
         assert deployment is not None
-        if not self._in_force.is_set():
-            self._build_serving(deployment)
-            self._in_force.set()
-        now = time.monotonic()
-        self.driver.apply(self.driver.router.update_deployment(deployment, now))
-        self.watch.update_deployment(deployment)
-        self.gate.update_deployment(deployment)
-        self.control.update_deployment(deployment)
-
-    async def _tell_demand(self) -> None:
-        while True:
-            await asyncio.sleep(DEMAND_PERIOD_S)
-            self.bridge.tell_demand(self.demand.take())
-
-    async def _read_suspects(self) -> None:
-        """Take the stored suspects at the start, however long the object API is down."""
-
-        def learn(digest: str, incidents: tuple[str, ...]) -> None:
-            now = time.monotonic()
-            actions = self.driver.router.on_suspect_learned(digest, incidents, False, now)
-            self.driver.apply(actions)
-
-        while not await self.suspects.read_all(learn):
-            await asyncio.sleep(CONFIG_RETRY_S)
-
-    async def _follow_members(self) -> None:
-        known: tuple[str, ...] = ()
-        while True:
-            live = self.members.live_names()
-            if live != known:
-                known = live
-                self.driver.apply(self.driver.router.update_nodes(live, time.monotonic()))
-            await asyncio.sleep(FOLLOW_PERIOD_S)
+        if self.serving is None:
+            self.serving = Serving(self._parts, deployment, lambda: self.draining)
+        self.serving.update(deployment)
+        self._in_force.set()
+
+    async def _watch_rival(self) -> None:
+        """Stop where a younger process has this node's name: two would share its duties."""
+        while not self.members.view.superseded:
+            await asyncio.sleep(RIVAL_PERIOD_S)
+        log.error("another process has this node's name", step="members", instance=self.instance)
+        self.request_stop()
+
+    async def _handle_caller(self, req: HttpRequest, out: Responder) -> None:
+        if self.serving is not None and self._in_force.is_set():
+            await self.serving.handle(req, out)
+        elif req.path == "/healthz":
+            await out.send(HttpResponse(200, (), b"ok\n"))
+        else:
+            self.metrics.count("refused.no_configuration")
+            detail = "the node has no configuration yet"
+            problem = Problem(503, "no_configuration", Ran.NO, detail, "", 1)
+            await out.send(problem.to_response())
 
     async def _handle_operator(self, req: HttpRequest, out: Responder) -> None:
         await out.send(await self._operator_api.handle(req))
--- a/eelgrassferry/node/operator_view.py
+++ b/eelgrassferry/node/operator_view.py
@@ -39,31 +39,32 @@
         if name == node.settings.name:
             node.request_stop()
             return Ok("draining")
-        if node.watch.set_drained(name):
+        if node.serving is not None and node.serving.watch.set_drained(name):
             return Ok("leaving")
         message = f"no upstream is named {name!r}, and this node is {node.settings.name!r}"
         return Err(DrainError("drain", name, message))
 
     def explain(self, request_id: str, model: str) -> Explanation | None:
         """Explain a request or a model."""
-        node = self._node
-        lines = node.driver.router.explain(request_id or model)
-        if model and node.control.is_holder:
-            lines = (*lines, *_describe(node.control.explain(model)))
+        serving = self._node.serving
+        if serving is None:
+            return None
+        lines = serving.driver.router.explain(request_id or model)
+        if model and serving.control.is_holder:
+            lines = (*lines, *_describe(serving.control.explain(model)))
         elif model:
-            lines = (*lines, f"placement is decided by {node.bridge.holder or 'no node yet'}")
+            lines = (*lines, f"placement is decided by {serving.bridge.holder or 'no node yet'}")
         return Explanation(request_id or model, lines) if lines else None
 
     def _upstreams(self) -> tuple[UpstreamState, ...]:
-        node = self._node
-        deployment = node.deployment()
-        if deployment is None:
+        serving, deployment = self._node.serving, self._node.deployment()
+        if serving is None or deployment is None:
             return ()
-        work = node.driver.router.own_dispatches()
+        work = serving.driver.router.own_dispatches()
         found = []
         for upstream in sorted(deployment.upstreams.values(), key=lambda u: u.name):
-            view = node.watch.views.get(upstream.name)
-            state = node.watch.state_of(upstream.name).value
+            view = serving.watch.views.get(upstream.name)
+            state = serving.watch.state_of(upstream.name).value
             if upstream.kind is UpstreamKind.SERVICE or view is None:
                 found.append(UpstreamState(upstream.name, upstream.domain, state))
                 continue
