Count versions of a name instead of searching all views for each copy

Cause: until the lease holder has announced an upstream, each poll compared each copy there with every copy of the site. The repeated announcements at each renewal hid this; since a node that starts later meets it for up to a round of announcements. Change: the watch keeps the number of copies of each version of each name.

--- a/eelgrassferry/node/upstream_watch.py
+++ b/eelgrassferry/node/upstream_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -62,6 +63,7 @@
         self._announced: dict[str, dict[tuple[str, str], bool]] = {}
         self._resident: dict[str, frozenset[str]] = {}
         self._waiting: dict[str, list[asyncio.Future[None]]] = {}
+        self._versions: dict[str, Counter[str]] = {}
         self.views: dict[str, EngineView] = {}
 
     @property
@@ -89,6 +91,7 @@
         engines = {upstream.name for upstream in deployment.engines}
         for name in set(self._pollers) - engines:
             self._pollers.pop(name).cancel()
+            self._set_view(name, None)
             self._set_residency(name, (), UpstreamState.GONE)
         for name in sorted(engines - set(self._pollers)):
             self._pollers[name] = asyncio.ensure_future(self._poll_engine(name))
@@ -191,7 +194,7 @@
 
     def _note_view(self, view: EngineView) -> None:
         self._misses[view.upstream] = 0
-        self.views[view.upstream] = view
+        self._set_view(view.upstream, view)
         known = view.upstream in self._own_leaving
         if view.leaving != known:
             (self._own_leaving.add if view.leaving else self._own_leaving.discard)(view.upstream)
@@ -199,6 +202,24 @@
         copies = tuple(self._mark_serving(view.upstream, copy) for copy in view.copies)
         self._set_residency(view.upstream, copies, self.state_of(view.upstream))
 
+    def _set_view(self, upstream: str, view: EngineView | None) -> None:
+        """Replace or drop a view, and keep count of the versions of each name in all views.
+
+        Without the count, each copy of each poll would be compared with every copy of the site.
+        """
+        before = self.views.pop(upstream, None)
+        for copy in before.copies if before else ():
+            versions = self._versions[copy.name]
+            versions[copy.version] -= 1
+            if not versions[copy.version]:
+                del versions[copy.version]
+            if not versions:
+                del self._versions[copy.name]
+        if view is not None:
+            self.views[upstream] = view
+            for copy in view.copies:
+                self._versions.setdefault(copy.name, Counter())[copy.version] += 1
+
     def _mark_serving(self, upstream: str, copy: ResidentCopy) -> ResidentCopy:
         """Decide whether a copy seen by the own poll takes new requests.
 
@@ -207,19 +228,13 @@
         """
         serving = self._announced.get(upstream, {}).get((copy.name, copy.version))
         if serving is None:
-            versions = {
-                other.version
-                for view in self.views.values()
-                for other in view.copies
-                if other.name == copy.name
-            }
-            serving = len(versions) == 1
+            serving = len(self._versions.get(copy.name, ())) == 1
         return replace(copy, serving=serving)
 
     def _note_miss(self, upstream: str, weight: int) -> None:
         self._misses[upstream] = self._misses.get(upstream, 0) + weight
         if self._misses[upstream] >= MISSES_BEFORE_GONE:
-            self.views.pop(upstream, None)
+            self._set_view(upstream, None)
             self._set_residency(upstream, (), UpstreamState.GONE)
 
     def _apply_leaving(self) -> None:
