--- a/eelgrassferry/node/tests/test_serving_copies.py
+++ b/eelgrassferry/node/tests/test_serving_copies.py
@@ -43,7 +43,7 @@
         self.router = Router(deployment, NodeIdentity("n1", "d1"), random.Random(1))
         driver = RouterDriver(self.router, Metrics(), time.monotonic, lambda action: None)
         hosts = SharedHosts(HostList(client, "127.0.0.1:1", "d1"))
-        self.watch = UpstreamWatch(driver, hosts, client, Metrics(), lambda leaving: None)
+        self.watch = UpstreamWatch(driver, hosts, client, Metrics(), lambda _: None, lambda _: None)
         self.watch.views = UnreadableViews()
 
     def serving(self, upstream: str) -> list[bool]:
