--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -2,6 +2,10 @@
 
 from behave import given, then, when
 
+# A version change takes a load, a probe and an unload, each after a transit time where an order
+# was lost; 10 s were measured on a busy machine.
+CHANGE_S = 30.0
+
 
 def split(names: str) -> list[str]:
     """Return the names of a list separated by commas."""
@@ -148,7 +152,7 @@
         return bool(held) and set(held) == {version}
 
     try:
-        system.calls.wait_until(is_changed, f"only version {version} of {model}")
+        system.calls.wait_until(is_changed, f"only version {version} of {model}", CHANGE_S)
     except AssertionError:
         for node in awake(context):
             print(f"{node.name}: {context.nodes.explain(node.name, model)}")
