Let a holder whose term has ended give up its instance id

Cause: on engines that ignore fencing numbers, a successor may settle a predecessor's reservation only once the predecessor is known to send nothing more. An acknowledgement of the same instance would be unsafe, since that instance may take the lease again. Change: when a term ends without a release, the process goes on under a new instance id and tells each holder it hears of that nothing more is sent under the old ones; the old controller refuses to send without a term. The lease of a former id of the own process is taken at once. A controller without a term no longer wakes for what was due before, and an unchanged host list is not decoded again. The stand-in test of a delayed order waited 50 ms, less than a busy machine needs for the fence that has to come first; it now delays 1 s and asserts the same.

--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -92,18 +92,26 @@
     ``instance`` is ``<host id>:<nonce>`` and unique for each start of a process. At most one
     action is outstanding; its result goes to ``on_read`` or ``on_write``. A term counts from the
     moment its write was sent. A holder whose term has run out takes a new epoch, even where no
-    other candidate came between, so that orders from before the gap are fenced.
+    other candidate came between, so that orders from before the gap are fenced. ``former`` are
+    instances that this process has given up; their lease is taken without waiting for its end.
 
     >>> machine = LeaseMachine("uy-sur", "n1:a")
     >>> machine.tick(0.0)
     (ReadLease(),)
     """
 
-    def __init__(self, area: str, instance: str, duration_s: float = 9.0) -> None:
+    def __init__(
+        self,
+        area: str,
+        instance: str,
+        duration_s: float = 9.0,
+        former: frozenset[str] = frozenset(),
+    ) -> None:
         self.key = f"leases/{area}"
         self.instance = instance
         self._duration_s = duration_s
         self._renew_s = duration_s / 3
+        self._former = former
         self._acknowledged: frozenset[str] = frozenset()
         self._count = 0
         self._top_epoch = 0
@@ -256,7 +264,7 @@
     def _is_free(self, now: float) -> bool:
         seen = self._state.seen
         assert seen is not None
-        if seen.record is None or seen.record.released:
+        if seen.record is None or seen.record.released or seen.record.holder in self._former:
             return True
         return now >= seen.first_s + seen.record.duration_s * TAKEOVER_FACTOR
 
--- a/eelgrassferry/node/control.py
+++ b/eelgrassferry/node/control.py
@@ -24,6 +24,8 @@
 # A node that has just started hears of an unchanged upstream when its turn comes. Each turn is a
 # message to every peer, so the rate does not grow with the number of upstreams.
 REPEAT_PERIOD_S = 0.5
+# Terms that ended without a release are rare; a holder asks about the last ones only.
+MAX_RETIRED = 16
 
 log = structlog.get_logger()
 
@@ -31,6 +33,11 @@
 class Control:
     """Competes for the area's lease and, as its holder, decides what is loaded where.
 
+    A process whose term has ended without a release goes on under a new instance id, so that it
+    can promise the next holder that nothing more is sent under the old one. Without the promise
+    the next holder would count the old one's last reservations for ever on engines that ignore
+    fencing numbers. ``retired`` lists the ids given up.
+
     ``on_residency`` is called with an engine's copies when they have changed, ``on_holder`` with
     the epoch now and then while this node holds the lease.
     """
@@ -51,10 +58,18 @@
         self._hosts = hosts
         self._on_residency = on_residency
         self._on_holder = on_holder
-        self._controller = AreaController(instance)
-        self._shell = AreaShell(self._controller, store, client, token=engine_token)
-        machine = LeaseMachine(area, instance, lease_s)
-        self._keeper = LeaseKeeper(store, machine, on_change=self._take_term)
+        self._instance = instance
+        self._lease_s = lease_s
+        self._store = store
+        self._client = client
+        self._engine_token = engine_token
+        self._deployment: Deployment | None = None
+        self._actors: list[asyncio.Task[None]] = []
+        self._closing = False
+        self._lapsed = False
+        self.retired: tuple[str, ...] = ()
+        self._generation = 0
+        self._make_actors(instance)
         self._published: dict[str, tuple[ResidentCopy, ...]] = {}
         self._changes = ResidencyChanges()
         self._epoch = 0
@@ -68,6 +83,7 @@
 
     def update_deployment(self, deployment: Deployment) -> None:
         """Take a new deployment."""
+        self._deployment = deployment
         self._controller.update_deployment(deployment, time.monotonic())
         self._shell.wake()
 
@@ -93,6 +109,11 @@
         self._controller.note_stall(upstream, pause_s, time.monotonic())
         self._shell.wake()
 
+    def note_retired(self, instances: tuple[str, ...]) -> None:
+        """Take a peer's promise that nothing more is sent under these instance ids."""
+        self._controller.on_acknowledged(instances, time.monotonic())
+        self._shell.wake()
+
     def explain(self, name: str) -> Explanation:
         """Return why a model or adapter is loaded where it is."""
         return self._controller.explain(name, time.monotonic())
@@ -103,18 +124,54 @@
 
     def start(self) -> None:
         """Start to compete for the lease and to act."""
-        for work in (self._keeper.run(), self._shell.run(), self._publish(), self._watch_hosts()):
+        self._start_actors()
+        for work in (self._publish(), self._watch_hosts()):
             self._tasks.append(asyncio.ensure_future(work))
 
     async def close(self) -> None:
         """Give the lease back and stop."""
+        self._closing = True
         await self._keeper.release()
-        for task in self._tasks:
+        tasks = [*self._actors, *self._tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks, timeout=1.0)
+
+    def _make_actors(self, instance: str) -> None:
+        self._controller = AreaController(instance)
+        self._shell = AreaShell(
+            self._controller, self._store, self._client, token=self._engine_token
+        )
+        machine = LeaseMachine(self._area, instance, self._lease_s, frozenset(self.retired))
+        self._keeper = LeaseKeeper(self._store, machine, on_change=self._take_term)
+
+    def _start_actors(self) -> None:
+        works = (self._keeper.run(), self._shell.run())
+        self._actors = [asyncio.ensure_future(work) for work in works]
+
+    def _retire(self) -> None:
+        """Give up the instance id under which a term has ended, and go on under a new one.
+
+        The old controller refuses to send without a term, and its shell's tasks are cancelled, so
+        the promise holds from here on but for orders that are in transit already.
+        """
+        log.info("instance retired", step="retire", instance=self._controller.instance)
+        self.retired = (*self.retired[-MAX_RETIRED + 1 :], self._controller.instance)
+        self._generation += 1
+        self._lapsed = False
+        for task in self._actors:
             task.cancel()
-        await asyncio.wait(self._tasks, timeout=1.0)
+        estimator = self._controller.area.estimator
+        self._make_actors(f"{self._instance}.{self._generation}")
+        self._controller.area.estimator = estimator
+        if self._deployment is not None:
+            self._controller.update_deployment(self._deployment, time.monotonic())
+        self._start_actors()
 
     def _take_term(self, term: LeaseTerm | None) -> None:
         self._controller.update_term(term, time.monotonic())
+        # The keeper that calls this cannot be replaced from here.
+        self._lapsed = term is None and (self._lapsed or self._epoch > 0)
         epoch = term.epoch if term is not None else 0
         # A renewal, every 3 s, keeps the epoch. It is no reason to announce every upstream again.
         if epoch != self._epoch:
@@ -160,6 +217,8 @@
         """Tell changes of residency soon, and the holder's name every second."""
         told_at = 0.0
         while True:
+            if self._lapsed and not self._closing:
+                self._retire()
             term = self._keeper.term()
             if term is not None:
                 self._announce(time.monotonic())
--- a/eelgrassferry/node/messages.py
+++ b/eelgrassferry/node/messages.py
@@ -14,6 +14,7 @@
     "HolderNotice",
     "LeavingNotice",
     "ResidencyNotice",
+    "RetiredNotice",
     "StallNotice",
     "SuspectNotice",
     "WantCopy",
@@ -71,6 +72,14 @@
     demand: dict[str, tuple[int, int]]
 
 
+@message("node.retired")
+@dataclass(frozen=True)
+class RetiredNotice:
+    """The sender's process will send no engine order any more under these instance ids."""
+
+    instances: tuple[str, ...]
+
+
 @message("node.stall")
 @dataclass(frozen=True)
 class StallNotice:
--- a/eelgrassferry/node/peer_bridge.py
+++ b/eelgrassferry/node/peer_bridge.py
@@ -29,6 +29,7 @@
     HolderNotice,
     LeavingNotice,
     ResidencyNotice,
+    RetiredNotice,
     StallNotice,
     SuspectNotice,
     WantCopy,
@@ -70,6 +71,8 @@
         on_want: Callable[[str, bool], bool],
         on_demand: Callable[[Demand], None],
         on_stall: Callable[[str, float], None],
+        on_retired: Callable[[tuple[str, ...]], None],
+        own_retired: Callable[[], tuple[str, ...]],
     ) -> None:
         self._name = name
         self._mesh = mesh
@@ -81,6 +84,7 @@
         self._on_want = on_want
         self._on_demand = on_demand
         self._on_stall = on_stall
+        self._own_retired = own_retired
         self._holder: tuple[int, str] = (0, "")
         self._wanted_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -91,6 +95,7 @@
         mesh.handle(DemandNotice, self._take_demand)
         gossiper.on_change(Dispatches, self._take_dispatches)
         mesh.handle(StallNotice, self._take_stall)
+        mesh.handle(RetiredNotice, lambda peer, notice: on_retired(notice.instances))
         mesh.handle(ClaimRequest, self._take_claim)
         mesh.handle(ClaimAnswer, self._take_claim_answer)
         mesh.handle(ClaimRelease, self._take_claim_release)
@@ -193,6 +198,9 @@
     def _take_holder(self, peer: Identity, notice: HolderNotice) -> None:
         if notice.epoch >= self._holder[0]:
             self._holder = (notice.epoch, peer.name)
+            retired = self._own_retired()
+            if retired:
+                self._mesh.send(peer.name, RetiredNotice(retired))
 
     def _take_residency(self, peer: Identity, notice: ResidencyNotice) -> None:
         self._watch.learn_residency(notice.upstream, notice.copies)
--- a/eelgrassferry/node/serving.py
+++ b/eelgrassferry/node/serving.py
@@ -100,6 +100,8 @@
             self.control.want,
             self.control.note_demand,
             self.control.note_stall,
+            self.control.note_retired,
+            lambda: self.control.retired,
         )
         self._journal = make_journal(parts, deployment)
         models = ModelProxy(
--- a/eelgrassferry/node/tests/test_control.py
+++ b/eelgrassferry/node/tests/test_control.py
@@ -1,5 +1,6 @@
 """Tests of what the lease holder announces."""
 
+import asyncio
 import unittest
 
 from ...http import HttpClient
@@ -67,3 +68,30 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class RetireTest(unittest.IsolatedAsyncioTestCase):
+    """A holder whose term ends because the object API is down."""
+
+    async def test_lapsed_term_retires_the_instance(self):
+        """Guards against a next holder that counts this one's last reservations for ever, and
+        against a process that waits for the end of a lease it held itself."""
+        client, store = HttpClient(), MemoryObjectStore()
+        hosts = SharedHosts(HostList(client, "127.0.0.1:1", "d1"))
+        control = Control(
+            "s1", "n1:a", 2.0, store, hosts, client, "", lambda *_: None, lambda *_: None
+        )
+        control.start()
+        async with asyncio.timeout(20):
+            while not control.is_holder:
+                await asyncio.sleep(0.02)
+            store.faults.down = True
+            while not control.retired:
+                await asyncio.sleep(0.02)
+            self.assertFalse(control.is_holder)
+            store.faults.down = False
+            while not control.is_holder:
+                await asyncio.sleep(0.02)
+        self.assertEqual(control.retired, ("n1:a",))
+        self.assertEqual(control._controller.instance, "n1:a.1")
+        await control.close()
--- a/eelgrassferry/objects/host_list.py
+++ b/eelgrassferry/objects/host_list.py
@@ -45,16 +45,26 @@
         self._address = address
         self._headers = (("x-domain", domain),)
         self._timeout_s = timeout_s
+        self._body = b""
+        self._hosts: tuple[Host, ...] = ()
 
     async def read(self) -> Result[tuple[Host, ...], ObjectError]:
-        """Return the hosts as the platform lists them, by id."""
+        """Return the hosts as the platform lists them, by id.
+
+        An answer equal to the last one is not decoded again: 1,260 hosts take 7 ms to decode, and
+        100 hosts fail or are replaced in a day.
+        """
         sent = await self._client.request(
             self._address, "GET", "/hosts", headers=self._headers, timeout_s=self._timeout_s
         )
         match sent:
             case Ok(HttpResponse(status=200) as res):
+                if self._body and res.body == self._body:
+                    return Ok(self._hosts)
                 try:
-                    return Ok(parse_hosts(res))
+                    self._hosts = parse_hosts(res)
+                    self._body = res.body
+                    return Ok(self._hosts)
                 except (ValueError, KeyError, TypeError):
                     return self._unavailable("the answer cannot be read")
             case Ok(HttpResponse(status=429)):
--- a/eelgrassferry/objects/tests/test_http_store.py
+++ b/eelgrassferry/objects/tests/test_http_store.py
@@ -89,6 +89,24 @@
         self.answer = HttpResponse(200, (), json.dumps({"hosts": [{}]}).encode())
         self.assertTrue((await HostList(self.client, self.server.address, "d1").read()).is_err())
 
+    async def test_equal_host_lists_are_decoded_once(self):
+        """Guards against decoding 1,260 hosts at every read, and against a change that is missed
+        for it, also after a malformed answer."""
+        entry = {"id": "u1", "address": "127.0.0.1:1", "kind": "engine", "domain": "d1"}
+        hosts = HostList(self.client, self.server.address, "d1")
+        live = HttpResponse.of_json({"hosts": [{**entry, "state": "live"}]})
+        self.answer = live
+        first = (await hosts.read()).unwrap()
+        self.assertIs((await hosts.read()).unwrap(), first)
+        self.answer = HttpResponse.of_json({"hosts": [{**entry, "state": "leaving"}]})
+        self.assertEqual((await hosts.read()).unwrap()[0].state, HostState.LEAVING)
+        for body in (b'{"hosts": [{}]}', b""):
+            self.answer = HttpResponse(200, (), body)
+            self.assertTrue((await hosts.read()).is_err())
+            self.assertTrue((await hosts.read()).is_err())
+        self.answer = live
+        self.assertEqual((await hosts.read()).unwrap()[0].state, HostState.LIVE)
+
 
 class PutSettledTest(unittest.IsolatedAsyncioTestCase):
     """Lost answers of conditional writes."""
--- a/eelgrassferry/placement/controller.py
+++ b/eelgrassferry/placement/controller.py
@@ -327,6 +327,8 @@
 
     def wake_at(self) -> float:
         """Return when the next tick is due, unless an input comes earlier."""
+        if self._term is None:
+            return self._wake_s  # what was due before the term ended is not
         return min(self._wake_s, self._plan_due_s, self._reads.first_s)
 
     def explain(self, name: str, now: float) -> Explanation:
--- a/eelgrassferry/standins/tests/test_engine_orders.py
+++ b/eelgrassferry/standins/tests/test_engine_orders.py
@@ -115,7 +115,7 @@
     async def test_delayed_order_is_checked_when_it_arrives(self):
         """Guards against an old holder's order that takes effect after the takeover."""
         engine = await self.engine()
-        await self.set_faults(engine, delay_orders_s=0.05)
+        await self.set_faults(engine, delay_orders_s=1.0)
         self.assertEqual(await self.order(engine, "o1", "load_model", "m1", 10, fence=1), 202)
         self.assertEqual((await self.status(engine))["orders"], {})
         await self.set_faults(engine, delay_orders_s=0)
--- a/features/control.feature
+++ b/features/control.feature
@@ -57,7 +57,6 @@
       | yes    | 0    |
       | yes    | 2    |
 
-    @known_red
     Examples: Engines that ignore fencing numbers
       | checks | lost |
       | no     | 0    |
@@ -94,7 +93,6 @@
     And requests for model "results" are sent to "n1, n2" for 2 s
     Then every request is answered in full
 
-  @known_red
   Scenario: A paused holder's order is lost and engines ignore fencing numbers
     Given a platform
     And an engine "e1" of 12000 MiB
