--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -79,3 +79,47 @@
     Then "e1" stops without cutting off a request
     When 4 requests for model "results" are sent to "n1"
     Then every request is answered in full
+
+  Scenario: The only engine that holds a model freezes (I2)
+    Given a platform
+    And an engine "e1" of 12000 MiB that holds model "results" of 8000 MiB
+    And the models
+      | model   | MiB  |
+      | results | 8000 |
+    And an engine "e2" of 24000 MiB
+    And the nodes "n1, n2" in domains "d1, d2"
+    And model "results" is resident on 1 engine
+    When "e1" has the fault "freeze" set to true
+    And 3 requests for model "results" are sent to "n1"
+    And 3 requests for model "results" are sent to "n2"
+    Then every request is answered in full
+
+  Scenario: The only engine that holds a model leaves (I2, I6)
+    Given a platform
+    And an engine "e1" of 12000 MiB that holds model "results" of 8000 MiB
+    And the models
+      | model   | MiB  |
+      | results | 8000 |
+    And an engine "e2" of 24000 MiB
+    And the nodes "n1, n2" in domains "d1, d2"
+    And model "results" is resident on 1 engine
+    When "e1" starts to leave
+    And requests for model "results" are sent to "n1, n2" for 4.5 s
+    Then every request is answered in full
+
+  Scenario: An adapter that nobody has asked for is called while the object API is down (I2)
+    Given a platform
+    And an engine "e1" of 24000 MiB
+    And the models
+      | model   | MiB  |
+      | results | 8000 |
+    And the adapters
+      | adapter | base    | MiB |
+      | club    | results | 200 |
+    And the nodes "n1, n2" in domains "d1, d2"
+    And model "results" is resident on 1 engine
+    And model "club" is resident on 1 engine
+    When "platform" goes down
+    And 2 requests for model "club" are sent to "n1"
+    And 2 requests for model "club" are sent to "n2"
+    Then every request is answered in full
