Run both sites' embedded deployments in the demo

Cause: the main job is to serve both users' kinds of requests, and the command ran one site. Change: scripts/demo.sh runs uy-sur and then lower-mainland; with options it runs as they say.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,11 @@
 #!/usr/bin/env bash
-# Sets up the environment and runs the embedded deployment.
+# Sets up the environment and runs the embedded deployments: both sites, or as the options say.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 venv="$(scripts/setup.sh)"
-exec "$venv/bin/python" -m eelgrassferry demo "$@"
+if [ "$#" -gt 0 ]; then
+  exec "$venv/bin/python" -m eelgrassferry demo "$@"
+fi
+for site in uy-sur lower-mainland; do
+  "$venv/bin/python" -m eelgrassferry demo --site "$site"
+done
