--- a/eelgrassferry/node/router_driver.py
+++ b/eelgrassferry/node/router_driver.py
@@ -52,11 +52,6 @@
         self._on_other = on_other
         self._tickets: dict[str, Ticket] = {}
 
-    @property
-    def in_flight(self) -> int:
-        """The number of requests that are queued or running."""
-        return len(self._tickets)
-
     def submit(self, request: RouteRequest) -> Ticket:
         """Give a request to the router."""
         ticket = Ticket(request)
--- a/eelgrassferry/node/service_proxy.py
+++ b/eelgrassferry/node/service_proxy.py
@@ -73,11 +73,6 @@
         self._metrics = metrics
         self._orders: set[asyncio.Task[HttpResponse]] = set()
 
-    @property
-    def in_flight(self) -> int:
-        """The number of orders that are running, with or without their caller."""
-        return len(self._orders)
-
     async def serve(
         self, service: Service, target: str, req: HttpRequest, request_id: str, out: Responder
     ) -> None:
