Serve the thin path on the users' platform

Cause: the program spoke only its own interface; the platform's pages ask for its own protocol on machines without disks. Change: eelgrassferry/platform/ decodes the platform's names once into types of fleet/, forwarding/ and ordering/; dispatch/ decides on requests without I/O; entry/ is the shell. No orders yet.

--- a/eelgrassferry/cli/app.py
+++ b/eelgrassferry/cli/app.py
@@ -4,6 +4,7 @@
 
 from .. import __version__
 from .apply_command import apply
+from .entry_command import entry
 from .exit_code import ExitCode
 from .local_commands import check, effective
 from .node_commands import diff, drain, explain, status
@@ -17,7 +18,7 @@
     version=__version__,
 )
 
-for command in (node, demo, check, effective, diff, apply, status, drain, explain):
+for command in (node, entry, demo, check, effective, diff, apply, status, drain, explain):
     app.command(command)
 # The stand-ins parse their own options, --help included.
 app.command(standin, help_flags=[], version_flags=[])
--- /dev/null
+++ b/eelgrassferry/dispatch/__init__.py
@@ -0,0 +1,24 @@
+"""Decisions on requests at an entry node on the users' platform, without I/O."""
+
+from .actions import Action, Answer, Fail, FailReason, FlightEnd, Refuse, RefuseReason, Send
+from .dispatcher import Dispatcher
+from .fleet_residency import FleetResidency, OrderedResidency
+from .job import Flight, Job
+from .load_view import UpstreamLoad
+
+__all__ = [
+    "Action",
+    "Answer",
+    "Dispatcher",
+    "Fail",
+    "FailReason",
+    "FleetResidency",
+    "Flight",
+    "FlightEnd",
+    "Job",
+    "OrderedResidency",
+    "Refuse",
+    "RefuseReason",
+    "Send",
+    "UpstreamLoad",
+]
--- /dev/null
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -0,0 +1,446 @@
+"""Decides for each request when it is sent to which upstream, repeated, refused or given up.
+
+No I/O: each input takes the time in seconds and returns the actions that the shell carries out.
+"""
+
+from bisect import insort
+from collections import Counter
+from collections.abc import Mapping
+from random import Random
+
+from ..fleet import (
+    Engine,
+    FleetConfig,
+    ServiceBounds,
+    UpstreamDirectory,
+    UpstreamEntry,
+)
+from ..peers import rendezvous_owner
+from ..routing import RetryBudget, UpstreamState
+from ..routing.pauses import PauseBook
+from .actions import Action, Answer, Fail, FailReason, FlightEnd, Refuse, RefuseReason, Send
+from .fleet_residency import FleetResidency
+from .health_book import HealthBook
+from .job import Flight, Job
+from .load_view import LoadView, UpstreamLoad
+from .pace_book import PaceBook
+from .prefix_book import PrefixBook
+
+__all__ = ["Dispatcher"]
+
+# Part of the repeats allowed to the whole system that the nodes use together; the rest covers
+# uneven shares of the traffic.
+BUDGET_SHARE = 0.7
+# A request that upstreams declined is offered to at most this many more.
+MAX_DECLINED = 3
+# Share of an engine's slots and memory up to which requests are sent to it; the rest absorbs what
+# other nodes send at the same moment.
+SLOT_SHARE = 0.9
+MEMORY_SHARE = 0.92
+# Requests in flight at a plain upstream, in multiples of its slots; more would only queue there.
+PLAIN_LIMIT = 2.5
+# Costs in seconds that are added to estimates: a request to another failure domain pays for its
+# bytes, and the upstream that all nodes would choose for a prompt gets a small advantage.
+OTHER_DOMAIN_COST_S = 0.006
+PREFIX_OWNER_BONUS_S = 0.015
+# Slowing by each request that decodes beside a prefill, relative to the prefill alone.
+DECODE_SHARE = 0.008
+# Service time of a plain request that is assumed first, in seconds, and the weight of one answer.
+PLAIN_START_S = 0.05
+PLAIN_WEIGHT = 0.05
+# Share of the time left after which a silent upstream is given up for a repeatable request.
+SILENCE_SHARE = 0.4
+# Retry-After where nothing better is known, in seconds.
+RETRY_AFTER_S = 1.0
+
+
+class Dispatcher:
+    """The requests of one node. ``nodes`` is the number of live nodes."""
+
+    def __init__(
+        self,
+        domain: str,
+        directory: UpstreamDirectory,
+        residency: FleetResidency,
+        bounds: ServiceBounds,
+        rng: Random,
+    ) -> None:
+        self.load = LoadView()
+        self.pace = PaceBook()
+        self.prefix = PrefixBook()
+        self.health = HealthBook()
+        self.pauses = PauseBook()
+        self.arrivals: Counter[tuple[str, str]] = Counter()
+        self._domain = domain
+        self._directory = directory
+        self._residency = residency
+        self._bounds = bounds
+        self._rng = rng
+        self._config: FleetConfig | None = None
+        self._waiting: list[Job] = []
+        self._budgets: dict[str, RetryBudget] = {}
+        self._plain_s: dict[str, float] = {}
+        self._nodes = 1
+
+    # Requests
+
+    def submit(self, job: Job, now: float) -> list[Action]:
+        """Take a new request."""
+        self._budget(job.service).note_success()
+        if job.model:
+            self.arrivals[job.service, job.model] += 1
+        refusal = self._unservable(job)
+        if refusal is not None:
+            return [self._refuse(job, refusal, now, final=True)]
+        return self._place_or_wait(job, now)
+
+    def note_sent(self, job: Job) -> None:
+        """Take that a byte of the request may reach the upstream from now on."""
+        if job.flight is not None and not job.flight.on_wire:
+            job.flight.on_wire = True
+            job.ran_on.append(job.flight.instance)
+
+    def note_first_event(self, job: Job, now: float) -> None:
+        """Take the first event of an answer."""
+        flight = job.flight
+        if flight is None or flight.first_event_at is not None:
+            return
+        self.load.note_first_event(job)
+        flight.first_event_at = now
+        self.pauses.note_progress(flight.instance, flight.sent_at)
+        engine = self._engine(job.service)
+        if engine is not None and job.model:
+            took_s = now - flight.sent_at
+            self.pace.note(flight.instance, job.model, flight.expected_s, took_s)
+            self.prefix.note_run(
+                flight.instance, job.model, job.adapter, job.parts, engine.cache_tokens
+            )
+
+    def succeed(self, job: Job, now: float) -> list[Action]:
+        """Take a complete answer."""
+        flight = job.flight
+        if flight is not None:
+            self.health.note(flight.instance, False, now)
+            self.pauses.note_progress(flight.instance, flight.sent_at)
+            if not job.model:
+                took_s = now - flight.sent_at
+                mean_s = self._plain_s.get(flight.instance, PLAIN_START_S)
+                self._plain_s[flight.instance] = mean_s + PLAIN_WEIGHT * (took_s - mean_s)
+        self._close(job)
+        return self.pump(now)
+
+    def fail(self, job: Job, end: FlightEnd, now: float) -> list[Action]:
+        """Take the end of a run that brought no success; repeat it, refuse it or give up."""
+        flight = job.flight
+        if flight is None:
+            return []
+        self.load.remove(job)
+        job.flight = None
+        instance = flight.instance
+        if flight.on_wire and end not in (FlightEnd.ERROR, FlightEnd.BROKEN, FlightEnd.SILENT):
+            job.ran_on.remove(instance)
+        match end:
+            case FlightEnd.UNSENT:
+                self.health.note(instance, True, now)
+                self.pauses.note_crash(instance, now)
+                job.avoid.add(instance)
+            case FlightEnd.NOT_RUN:
+                self.pauses.note_refused(instance, now)
+                job.avoid.add(instance)
+                job.not_run_tries += 1
+            case FlightEnd.NOT_RESIDENT:
+                self._residency.note_absent(instance, job.model, job.adapter, now)
+                job.not_run_tries += 1
+            case FlightEnd.OTHER_INSTANCE:
+                self.pauses.note_crash(instance, now)
+                job.avoid.add(instance)
+                job.not_run_tries += 1
+            case FlightEnd.ERROR | FlightEnd.BROKEN | FlightEnd.SILENT:
+                self.health.note(instance, True, now)
+                job.avoid.add(instance)
+        return [*self._go_on(job, end, now), *self.pump(now)]
+
+    def cancel(self, job: Job, now: float) -> list[Action]:
+        """Drop a request whose caller has gone."""
+        self._close(job)
+        return self.pump(now)
+
+    def expire(self, job: Job, now: float) -> list[Action]:
+        """Give a request its final answer because its time has run out."""
+        if job.closed:
+            return []
+        if job.may_have_run:
+            last: Action = Fail(job, FailReason.DEADLINE)
+        else:
+            last = self._refuse(job, self._why_waiting(job, now), now, final=True)
+        self._close(job)
+        return [last, *self.pump(now)]
+
+    def silence_limit_s(self, job: Job, now: float) -> float | None:
+        """Return after how long without an answer a run is given up, None for never."""
+        flight = job.flight
+        if flight is None or not job.route.repeatable or job.answer_begun:
+            return None
+        if len(job.ran_on) >= job.route.max_attempts:
+            return None
+        return max(3.0 * flight.expected_s, SILENCE_SHARE * (job.give_up_at - now))
+
+    # Views
+
+    def set_config(self, config: FleetConfig) -> None:
+        """Use another version of the configuration."""
+        self._config = config
+
+    def set_nodes(self, nodes: int) -> None:
+        """Take the number of live nodes, which share the budget of repeats."""
+        self._nodes = max(1, nodes)
+        for budget in self._budgets.values():
+            budget.burst = self._burst
+
+    def set_other_loads(self, loads: Mapping[str, UpstreamLoad], now: float) -> None:
+        """Replace what the other nodes have in flight."""
+        self.load.set_others(loads, now)
+
+    def forget(self, instance: str) -> None:
+        """Drop what was learned about an upstream that is gone or restarted."""
+        self.prefix.forget(instance)
+        self.health.forget(instance)
+        self.pace.forget(instance)
+        self.pauses.note_live(instance)
+        self._plain_s.pop(instance, None)
+
+    def wanted(self, now: float) -> dict[tuple[str, str, str], tuple[int, float]]:
+        """Return, for each service, model and adapter that requests wait for, how many there are
+        and the least time left to one of them, in seconds.
+        """
+        found: dict[tuple[str, str, str], tuple[int, float]] = {}
+        for job in self._waiting:
+            if not job.model or self._holders(job, now):
+                continue
+            key = (job.service, job.model, job.adapter)
+            count, left_s = found.get(key, (0, float("inf")))
+            found[key] = (count + 1, min(left_s, job.give_up_at - now))
+        return found
+
+    @property
+    def waiting(self) -> int:
+        """The number of requests that wait for an upstream."""
+        return len(self._waiting)
+
+    def pump(self, now: float) -> list[Action]:
+        """Send the waiting requests that have a place now, urgent ones first."""
+        if not self._waiting:
+            return []
+        actions: list[Action] = []
+        kept = []
+        for job in self._waiting:
+            sent = self._place(job, now)
+            if sent is not None:
+                job.waiting = False
+                actions.append(sent)
+            elif self._is_hopeless(job, now):
+                job.waiting = False
+                actions.append(self._end_waiting(job, now))
+            else:
+                kept.append(job)
+        self._waiting = kept
+        return actions
+
+    # Steps
+
+    def _place_or_wait(self, job: Job, now: float) -> list[Action]:
+        sent = self._place(job, now)
+        if sent is not None:
+            return [sent]
+        if self._is_hopeless(job, now):
+            return [self._end_waiting(job, now)]
+        job.waiting = True
+        insort(self._waiting, job, key=lambda waiting: waiting.order)
+        return []
+
+    def _go_on(self, job: Job, end: FlightEnd, now: float) -> list[Action]:
+        """Decide what follows a run that failed."""
+        if job.closed:
+            return []
+        if job.may_have_run:
+            may_repeat = job.route.repeatable and len(job.ran_on) < job.route.max_attempts
+            if job.answer_begun and not (job.route.resumable and job.last_event_id):
+                may_repeat = False
+            if not may_repeat:
+                return [self._last_answer(job, end, now)]
+        if job.not_run_tries > MAX_DECLINED:
+            if job.may_have_run:
+                return [self._last_answer(job, end, now)]
+            return [self._refuse(job, RefuseReason.NOT_RUN_UPSTREAM, now)]
+        if end is not FlightEnd.UNSENT and not self._budget(job.service).take(now):
+            if job.may_have_run:
+                return [self._last_answer(job, end, now)]
+            return [self._refuse(job, RefuseReason.NOT_RUN_UPSTREAM, now)]
+        if job.stored_answer is not None and not self._candidates(job, now):
+            return [self._last_answer(job, end, now)]
+        return self._place_or_wait(job, now)
+
+    def _last_answer(self, job: Job, end: FlightEnd, now: float) -> Action:
+        self._close(job)
+        if job.stored_answer is not None:
+            return Answer(job)
+        bad = end is FlightEnd.ERROR
+        return Fail(job, FailReason.BAD_ANSWER if bad else FailReason.CONNECTION_LOST)
+
+    def _end_waiting(self, job: Job, now: float) -> Action:
+        if job.may_have_run:
+            self._close(job)
+            return Answer(job) if job.stored_answer else Fail(job, FailReason.DEADLINE)
+        return self._refuse(job, self._why_waiting(job, now), now)
+
+    def _refuse(
+        self, job: Job, reason: RefuseReason, now: float, final: bool = False
+    ) -> Refuse | Fail:
+        self._close(job)
+        if job.may_have_run:
+            return Fail(job, FailReason.CONNECTION_LOST)
+        retry_after_s: float | None = None if final else RETRY_AFTER_S
+        if not final and reason is RefuseReason.NOT_RESIDENT:
+            due = self._residency.loading_until(job.service, job.model)
+            if due is not None:
+                retry_after_s = max(0.05, due - now)
+        return Refuse(job, reason, retry_after_s)
+
+    def _close(self, job: Job) -> None:
+        if job.closed:
+            return
+        job.closed = True
+        if job.waiting:
+            job.waiting = False
+            self._waiting.remove(job)
+        if job.flight is not None:
+            self.load.remove(job)
+            job.flight = None
+
+    # Choice
+
+    def _place(self, job: Job, now: float) -> Send | None:
+        """Send a job to the upstream with the least cost, or return None where none has room."""
+        best: tuple[float, UpstreamEntry, Flight] | None = None
+        found = self._candidates(job, now)
+        owner = self._prefix_owner(job, found)
+        for entry in found:
+            planned = self._plan(job, entry, now)
+            if planned is None:
+                continue
+            cost_s = planned.expected_s + self.health.penalty_s(entry.instance, now)
+            if entry.domain != self._domain:
+                cost_s += OTHER_DOMAIN_COST_S
+            if entry.instance == owner:
+                cost_s -= PREFIX_OWNER_BONUS_S
+            cost_s += 0.001 * self._rng.random()
+            if best is None or cost_s < best[0]:
+                best = (cost_s, entry, planned)
+        if best is None:
+            return None
+        _, entry, flight = best
+        repeat = job.not_run_tries > 0 or job.may_have_run
+        job.flight = flight
+        self.load.add(job)
+        return Send(job, entry.instance, repeat)
+
+    def _plan(self, job: Job, entry: UpstreamEntry, now: float) -> Flight | None:
+        """Return the run of a job at an upstream, None where it has no room."""
+        load = self.load.at(entry.instance, now)
+        engine = self._engine(job.service)
+        if engine is None or not job.model:
+            if load.requests >= PLAIN_LIMIT * max(1, entry.slots):
+                return None
+            mean_s = self._plain_s.get(entry.instance, PLAIN_START_S)
+            ahead = max(0.0, load.requests + 1 - entry.slots)
+            expected_s = mean_s * (1.0 + 0.3 * load.requests / entry.slots + ahead / entry.slots)
+            return Flight(entry.instance, now, 0.0, 0.0, expected_s)
+        if load.requests >= SLOT_SHARE * engine.batch_slots:
+            return None
+        tokens = job.prompt_tokens + job.max_output_tokens
+        if load.requests and load.cache_tokens + tokens > MEMORY_SHARE * engine.cache_tokens:
+            return None
+        kept = self.prefix.kept_tokens(entry.instance, job.model, job.adapter, job.parts)
+        fresh = max(1, job.prompt_tokens - kept)
+        prefill_s = self.pace.expected_s(entry.instance, job.model, fresh)
+        busy = 1.0 + DECODE_SHARE * load.requests
+        return Flight(
+            entry.instance, now, prefill_s, float(tokens), (prefill_s + load.backlog_s) * busy
+        )
+
+    def _candidates(self, job: Job, now: float) -> list[UpstreamEntry]:
+        found = [
+            entry
+            for entry in self._holders(job, now)
+            if not self.pauses.is_paused(entry.instance, now)
+        ]
+        fresh = [entry for entry in found if entry.instance not in job.avoid]
+        if not fresh and found and not job.may_have_run:
+            # Every upstream has declined this request once; a pause keeps them apart.
+            job.avoid.clear()
+            return found
+        return fresh
+
+    def _holders(self, job: Job, now: float) -> list[UpstreamEntry]:
+        """Return the live upstreams that could run a job."""
+        return [
+            entry
+            for entry in self._directory.of_service(job.service)
+            if entry.state is UpstreamState.LIVE
+            and (
+                not job.model or self._residency.holds(entry.instance, job.model, job.adapter, now)
+            )
+        ]
+
+    def _prefix_owner(self, job: Job, found: list[UpstreamEntry]) -> str | None:
+        """Return the upstream that every node would choose for prompts that begin like this one."""
+        if len(job.parts) < 2 or len(found) < 2:
+            return None
+        shared = "/".join(part for part, _ in job.parts[:-1])
+        key = f"{job.model}/{job.adapter}/{shared}"
+        return rendezvous_owner(key, (entry.instance for entry in found))
+
+    # Conditions
+
+    def _unservable(self, job: Job) -> RefuseReason | None:
+        """Return why no upstream can ever serve a job, or None."""
+        engine = self._engine(job.service)
+        if engine is None or not job.model:
+            return None
+        model = engine.models.get(job.model)
+        if model is None:
+            return RefuseReason.UNKNOWN_MODEL
+        if job.prompt_tokens + job.max_output_tokens > engine.cache_tokens:
+            return RefuseReason.TOO_LARGE
+        return None
+
+    def _is_hopeless(self, job: Job, now: float) -> bool:
+        """Whether a job that is sent at once would miss its deadline."""
+        if job.model:
+            least_s = self.pace.expected_s("", job.model, job.prompt_tokens) / 2.0
+        else:
+            least_s = PLAIN_START_S / 2.0
+        return now + least_s >= job.give_up_at
+
+    def _why_waiting(self, job: Job, now: float) -> RefuseReason:
+        if not self._directory.of_service(job.service):
+            return RefuseReason.NO_UPSTREAM
+        if job.model and not self._holders(job, now):
+            return RefuseReason.NOT_RESIDENT
+        return RefuseReason.NO_CAPACITY
+
+    def _engine(self, service: str) -> Engine | None:
+        found = self._config.services.get(service) if self._config else None
+        return found.engine if found else None
+
+    @property
+    def _burst(self) -> float:
+        return BUDGET_SHARE * self._bounds.retry_slack / self._nodes
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            ratio = BUDGET_SHARE * self._bounds.retry_ratio
+            budget = RetryBudget(ratio, burst=self._burst, floor_per_s=0.0)
+            self._budgets[service] = budget
+        return budget
--- /dev/null
+++ b/eelgrassferry/dispatch/fleet_residency.py
@@ -0,0 +1,88 @@
+"""Which upstream can run which model and adapter now.
+
+Two sources are joined: what upstreams say of themselves, which is slow for adapters, and what the
+coordinator says about the orders it gives, which is missing while there is no coordinator.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ..fleet import UpstreamDirectory
+
+__all__ = ["FleetResidency", "OrderedResidency"]
+
+# What an upstream said it does not hold is believed for this long against other sources, in
+# seconds. A registry entry lags by some hundred ms.
+ABSENT_FOR_S = 0.6
+
+
+@dataclass(frozen=True)
+class OrderedResidency:
+    """What the coordinator knows about one incarnation of an upstream.
+
+    ``adapters`` maps models to the adapters that are loaded. Requests for ``withdrawn`` models are
+    not to be sent any more. ``loading`` maps models to the expected time of completion.
+    """
+
+    started_ms: int
+    adapters: Mapping[str, frozenset[str]] = field(default_factory=dict)
+    withdrawn: frozenset[str] = frozenset()
+    loading: Mapping[str, float] = field(default_factory=dict)
+
+
+class FleetResidency:
+    """Models and adapters by upstream."""
+
+    def __init__(self, directory: UpstreamDirectory) -> None:
+        self._directory = directory
+        self._ordered: Mapping[str, OrderedResidency] = {}
+        self._absent: dict[tuple[str, str, str], float] = {}
+
+    def set_ordered(self, ordered: Mapping[str, OrderedResidency]) -> None:
+        """Replace what the coordinator says."""
+        self._ordered = ordered
+
+    def note_absent(self, instance: str, model: str, adapter: str, now: float) -> None:
+        """Take an upstream's statement that it does not hold something."""
+        self._absent[instance, model, adapter] = now + ABSENT_FOR_S
+
+    def holds(self, instance: str, model: str, adapter: str, now: float) -> bool:
+        """Return whether a request for a model, and adapter if one is named, can run there."""
+        entry = self._directory.get(instance)
+        if entry is None or model not in entry.residents:
+            return False
+        if self._is_absent(instance, model, adapter, now):
+            return False
+        ordered = self._ordered_of(instance)
+        if ordered is not None:
+            if model in ordered.withdrawn:
+                return False
+            return not adapter or adapter in ordered.adapters.get(model, ())
+        return not adapter or adapter in entry.residents[model]
+
+    def loading_until(self, service: str, model: str) -> float | None:
+        """Return when the next copy of a model is expected, None where none is under way."""
+        times = [
+            ordered.loading[model]
+            for entry in self._directory.of_service(service)
+            if (ordered := self._ordered_of(entry.instance)) is not None
+            and model in ordered.loading
+        ]
+        return min(times, default=None)
+
+    def _ordered_of(self, instance: str) -> OrderedResidency | None:
+        ordered = self._ordered.get(instance)
+        entry = self._directory.get(instance)
+        if ordered is None or entry is None or ordered.started_ms != entry.started_ms:
+            return None
+        return ordered
+
+    def _is_absent(self, instance: str, model: str, adapter: str, now: float) -> bool:
+        key = (instance, model, adapter)
+        until = self._absent.get(key)
+        if until is None:
+            return False
+        if now >= until:
+            del self._absent[key]
+            return False
+        return True
--- /dev/null
+++ b/eelgrassferry/dispatch/job.py
@@ -0,0 +1,69 @@
+"""One caller's request, from its arrival to its final answer."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..fleet import Route
+
+__all__ = ["Flight", "Job"]
+
+
+@dataclass
+class Flight:
+    """One run, or attempted run, of a request at an upstream. Times in seconds.
+
+    ``prefill_s`` is the time in which the upstream is expected to read the prompt, ``cache_tokens``
+    what the run keeps in its memory. ``expected_s`` is the estimated time to the first event.
+    """
+
+    instance: str
+    sent_at: float
+    prefill_s: float
+    cache_tokens: float
+    expected_s: float
+    first_event_at: float | None = None
+    on_wire: bool = False
+
+
+@dataclass(eq=False)
+class Job:
+    """``give_up_at`` is the time by which a final answer is due, ``target_at`` the time within
+    which an answer is worth most. ``ran_on`` are the upstreams that may have run the request.
+    ``owner`` is the exchange that the answer belongs to.
+    """
+
+    request_id: str
+    service: str
+    route: Route
+    arrived_at: float
+    give_up_at: float
+    model: str = ""
+    adapter: str = ""
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    parts: tuple[tuple[str, int], ...] = ()
+    owner: Any = None
+    flight: Flight | None = None
+    waiting: bool = False
+    closed: bool = False
+    answer_begun: bool = False
+    ran_on: list[str] = field(default_factory=list)
+    avoid: set[str] = field(default_factory=set)
+    not_run_tries: int = 0
+    last_event_id: str = ""
+    stored_answer: Any = None
+
+    @property
+    def target_at(self) -> float:
+        """The time within which the answer earns its full worth."""
+        return self.arrived_at + self.route.target_latency_s
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have begun to run the request."""
+        return bool(self.ran_on)
+
+    @property
+    def order(self) -> tuple[int, float]:
+        """The place among waiting jobs: urgent ones first, then early deadlines."""
+        return (self.route.priority, self.give_up_at)
--- /dev/null
+++ b/eelgrassferry/dispatch/load_view.py
@@ -0,0 +1,93 @@
+"""What runs at each upstream: this node's own flights and those of the other nodes."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from .job import Job
+
+__all__ = ["LoadView", "UpstreamLoad"]
+
+# The other nodes' figures are dropped when none has come for this long, in seconds.
+STALE_AFTER_S = 2.0
+
+
+@dataclass
+class UpstreamLoad:
+    """Requests in flight, time to read their prompts that are not read yet, in seconds, and tokens
+    that their runs keep in memory.
+    """
+
+    requests: float = 0.0
+    backlog_s: float = 0.0
+    cache_tokens: float = 0.0
+
+
+NONE = UpstreamLoad()
+
+
+class LoadView:
+    """Sums of flights by upstream."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, UpstreamLoad] = {}
+        self._by_model: dict[tuple[str, str], int] = {}
+        self._others: Mapping[str, UpstreamLoad] = {}
+        self._others_at = float("-inf")
+
+    def add(self, job: Job) -> None:
+        """Count a job's new flight."""
+        flight = job.flight
+        assert flight is not None
+        load = self._own.setdefault(flight.instance, UpstreamLoad())
+        load.requests += 1
+        load.backlog_s += flight.prefill_s
+        load.cache_tokens += flight.cache_tokens
+        key = (flight.instance, job.model)
+        self._by_model[key] = self._by_model.get(key, 0) + 1
+
+    def note_first_event(self, job: Job) -> None:
+        """Take that the prompt of a job's flight has been read."""
+        flight = job.flight
+        assert flight is not None
+        self._own[flight.instance].backlog_s -= flight.prefill_s
+
+    def remove(self, job: Job) -> None:
+        """Count the end of a job's flight."""
+        flight = job.flight
+        assert flight is not None
+        load = self._own[flight.instance]
+        load.requests -= 1
+        if flight.first_event_at is None:
+            load.backlog_s -= flight.prefill_s
+        load.cache_tokens -= flight.cache_tokens
+        key = (flight.instance, job.model)
+        self._by_model[key] -= 1
+        if not self._by_model[key]:
+            del self._by_model[key]
+        if load.requests <= 0:
+            del self._own[flight.instance]
+
+    def set_others(self, loads: Mapping[str, UpstreamLoad], now: float) -> None:
+        """Replace what the other nodes have in flight."""
+        self._others = loads
+        self._others_at = now
+
+    def at(self, instance: str, now: float) -> UpstreamLoad:
+        """Return what all nodes have at an upstream."""
+        own = self._own.get(instance, NONE)
+        if now - self._others_at > STALE_AFTER_S:
+            return own
+        others = self._others.get(instance, NONE)
+        return UpstreamLoad(
+            own.requests + others.requests,
+            own.backlog_s + others.backlog_s,
+            own.cache_tokens + others.cache_tokens,
+        )
+
+    def own(self) -> Mapping[str, UpstreamLoad]:
+        """Return this node's own flights by upstream."""
+        return self._own
+
+    def own_by_model(self) -> Mapping[tuple[str, str], int]:
+        """Return this node's own flights by upstream and model."""
+        return self._by_model
--- /dev/null
+++ b/eelgrassferry/entry/__init__.py
@@ -0,0 +1,6 @@
+"""The entry node on the users' platform: sockets, timers and signals around the decisions."""
+
+from .entry_node import EntryNode
+from .wire import Wire
+
+__all__ = ["EntryNode", "Wire"]
--- /dev/null
+++ b/eelgrassferry/entry/entry_node.py
@@ -0,0 +1,175 @@
+"""One entry node on the users' platform: its parts, its timers and its stop."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Callable
+
+import structlog
+from result import Err, Result
+
+from ..dispatch import Dispatcher, FleetResidency
+from ..fleet import DirectoryChange, EntrySettings, FleetConfig, UpstreamDirectory
+from ..forwarding import CallerServer, UpstreamPool
+from ..http import HttpRequest, HttpResponse, HttpServer, Responder
+from ..metrics import Metrics
+from ..objects import ObjectFeed
+from .boot_clock import boot_clock
+from .front_desk import FrontDesk
+from .registry_view import RegistryView
+from .wire import Wire
+
+__all__ = ["EntryNode"]
+
+log = structlog.get_logger()
+
+# Waiting requests and lapsed registrations are looked at this often, in seconds.
+TICK_S = 0.02
+# Idle connections are looked at this often, in seconds.
+SWEEP_S = 0.5
+# After a stop was asked for, the balancer needs two of its checks, one a second, to send no more
+# callers here. Until then new connections are served.
+LEAVE_ROTATION_S = 3.0
+# Part of the stop's grace that is left for the process to end, in seconds.
+EXIT_MARGIN_S = 0.7
+
+
+class EntryNode:
+    """Serves callers until it is told to stop."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        wire: Wire,
+        reread: Callable[[], Result[EntrySettings, object]],
+    ) -> None:
+        self._settings = settings
+        self._wire = wire
+        self._reread = reread
+        self._metrics = Metrics()
+        self._stop = asyncio.Event()
+        self._directory = UpstreamDirectory()
+        self._residency = FleetResidency(self._directory)
+        self._dispatcher = Dispatcher(
+            settings.domain, self._directory, self._residency, settings.bounds, random.Random()
+        )
+        self._pool = UpstreamPool(wire.decode_answer, boot_clock)
+        self._desk = FrontDesk(
+            wire,
+            self._dispatcher,
+            self._directory,
+            self._pool,
+            self._metrics,
+            boot_clock,
+            self._freshness,
+        )
+        self._callers = CallerServer(self._desk.accept, self._note_rejected, boot_clock)
+        self._view = RegistryView(
+            wire, self._directory, self._metrics, boot_clock, self._use_config, self._use_changes
+        )
+        self._configs = ObjectFeed(
+            wire.object_store, wire.config_prefix, self._view.take_config, boot_clock
+        )
+        self._upstreams = ObjectFeed(
+            wire.object_store, wire.upstreams_prefix, self._view.take_upstreams, boot_clock
+        )
+
+    async def run(self) -> int:
+        """Serve until SIGTERM or SIGINT, then stop gracefully; return the exit code."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._listen()
+        log.info("node started", step="start", node=self._settings.name, **self._addresses())
+        tasks = [
+            loop.create_task(part)
+            for part in (self._configs.run(), self._upstreams.run(), self._tick())
+        ]
+        for task in tasks:
+            task.add_done_callback(self._note_task_end)
+        await self._stop.wait()
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        log.info("node stopped", step="stop", node=self._settings.name, left=self._desk.in_flight)
+        return 0
+
+    async def _listen(self) -> None:
+        ready_host, ready_port = _split(self._settings.ready_listen)
+        await HttpServer(self._answer_ready, host=ready_host, port=ready_port).start()
+        await self._callers.start(*_split(self._settings.caller_listen))
+
+    async def _drain(self) -> None:
+        """Leave the balancer's rotation, then wait for the requests in flight."""
+        self._callers.stopping = True
+        grace_s = self._settings.bounds.stop_grace_s - EXIT_MARGIN_S
+        began = boot_clock()
+        log.info("node stopping", step="stop", in_flight=self._desk.in_flight, grace_s=grace_s)
+        while boot_clock() - began < grace_s:
+            left_rotation = boot_clock() - began >= LEAVE_ROTATION_S
+            if left_rotation:
+                self._callers.close_idle()
+                if not self._desk.in_flight and not self._callers.conns:
+                    break
+            await asyncio.sleep(TICK_S)
+        self._callers.stop_listening()
+
+    async def _tick(self) -> None:
+        swept_at = 0.0
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._view.expire()
+            self._desk.perform(self._dispatcher.pump(boot_clock()))
+            if boot_clock() - swept_at >= SWEEP_S:
+                swept_at = boot_clock()
+                self._callers.sweep()
+                self._pool.sweep()
+
+    async def _answer_ready(self, req: HttpRequest, out: Responder) -> None:
+        ready = self._is_ready and req.path == self._wire.ready_path
+        await out.send(HttpResponse(200 if ready else 503))
+
+    @property
+    def _is_ready(self) -> bool:
+        return self._view.config is not None and not self._stop.is_set()
+
+    def _use_config(self, config: FleetConfig) -> None:
+        self._callers.limits = config.limits
+        self._desk.set_config(config)
+
+    def _use_changes(self, changes: list[DirectoryChange]) -> None:
+        for change in changes:
+            if change.before is not None and (change.after is None or change.restarted):
+                self._dispatcher.forget(change.before.instance)
+                self._pool.forget(change.before.instance)
+        self._desk.perform(self._dispatcher.pump(boot_clock()))
+
+    def _reload(self) -> None:
+        read = self._reread()
+        if isinstance(read, Err):
+            log.error("settings not reloaded", step="reload", detail=str(read.err_value))
+            return
+        self._settings = read.ok_value
+        log.info("settings reloaded", step="reload", node=self._settings.name)
+
+    def _freshness(self) -> tuple[int, float]:
+        return self._upstreams.version, boot_clock() - self._upstreams.fresh_at
+
+    def _note_rejected(self, peer: str, status: int, detail: str) -> None:
+        self._metrics.count(f"rejected.{status}")
+        log.info("bytes rejected", step="read_request", peer=peer, status=status, detail=detail)
+
+    def _note_task_end(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log.error("part failed, stopping", step="run", exc_info=task.exception())
+            self._stop.set()
+
+    def _addresses(self) -> dict[str, str]:
+        settings = self._settings
+        return {"callers": settings.caller_listen, "store": settings.object_store}
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/eelgrassferry/entry/wire.py
@@ -0,0 +1,40 @@
+"""The formats in which a node speaks with its surroundings.
+
+The platform's adapter supplies them, so that no other module knows their names.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from result import Result
+
+from ..fleet import FleetConfig, UpstreamEntry
+from ..forwarding import AnswerHead, RawHeaders, RequestFacts
+from ..http import HttpResponse
+from ..objects import SnapshotStore
+from ..ordering import EngineReport, FleetOrder, OrderAnswer
+
+__all__ = ["Wire"]
+
+
+@dataclass(frozen=True)
+class Wire:
+    """Decoders and encoders, the paths of calls, and the keys of objects of the platform."""
+
+    object_store: SnapshotStore
+    decode_request: Callable[[RawHeaders], Result[RequestFacts, Any]]
+    encode_request: Callable[[RawHeaders, str, float, int, str], list[tuple[bytes, bytes]]]
+    decode_answer: Callable[[int, RawHeaders], AnswerHead]
+    decode_config: Callable[[bytes], Result[FleetConfig, Any]]
+    decode_entry: Callable[[str, bytes], Result[UpstreamEntry, Any]]
+    decode_report: Callable[[bytes], Result[EngineReport, Any]]
+    encode_order: Callable[[FleetOrder, str, int], bytes]
+    order_headers: Callable[[UpstreamEntry], tuple[tuple[str, str], ...]]
+    decode_order_answer: Callable[[HttpResponse], OrderAnswer]
+    ready_path: str
+    report_path: str
+    order_path: str
+    config_prefix: str
+    config_key: str
+    upstreams_prefix: str
--- /dev/null
+++ b/eelgrassferry/fleet/__init__.py
@@ -0,0 +1,25 @@
+"""What the system knows of its surroundings: configuration, services and upstreams."""
+
+from .caller_limits import CallerLimits
+from .entry_settings import EntrySettings, ServiceBounds
+from .fleet_config import FleetConfig
+from .route import Backend, RequestKind, Route
+from .service import Engine, ModelSpec, Service
+from .upstream_directory import DirectoryChange, UpstreamDirectory
+from .upstream_entry import UpstreamEntry
+
+__all__ = [
+    "Backend",
+    "CallerLimits",
+    "DirectoryChange",
+    "Engine",
+    "EntrySettings",
+    "FleetConfig",
+    "ModelSpec",
+    "RequestKind",
+    "Route",
+    "Service",
+    "ServiceBounds",
+    "UpstreamDirectory",
+    "UpstreamEntry",
+]
--- /dev/null
+++ b/eelgrassferry/forwarding/upstream_pool.py
@@ -0,0 +1,96 @@
+"""Connections to upstreams that are kept for the next request."""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from ..http import HttpError
+from .facts import AnswerHead, RawHeaders
+from .upstream_conn import UpstreamConn
+
+__all__ = ["UpstreamPool"]
+
+# A connection is not reused when it has been idle for this share of the time that the upstream
+# announces, which is in whole seconds and so may be up to a second less than stated.
+IDLE_SHARE = 0.6
+# Where an upstream announces no time, it may close an idle connection within a second.
+UNKNOWN_IDLE_S = 0.4
+MAX_IDLE_PER_UPSTREAM = 24
+# An upstream accepts within a few ms; one lost packet on a lossy link is sent again after a second.
+CONNECT_TIMEOUT_S = 0.4
+
+
+class UpstreamPool:
+    """Opens and keeps connections by upstream incarnation and address."""
+
+    def __init__(
+        self,
+        decode_head: Callable[[int, RawHeaders], AnswerHead],
+        clock: Callable[[], float],
+    ) -> None:
+        self.opened = 0
+        self._decode_head = decode_head
+        self._clock = clock
+        self._idle: dict[str, list[UpstreamConn]] = {}
+        self._keys: dict[UpstreamConn, str] = {}
+
+    def take_idle(self, key: str) -> UpstreamConn | None:
+        """Return a kept connection that is fresh enough, or None."""
+        idle = self._idle.get(key, [])
+        while idle:
+            conn = idle.pop()
+            if conn.is_open and self._is_fresh(conn):
+                return conn
+            self._drop(conn)
+        return None
+
+    async def connect(self, key: str, address: str) -> Result[UpstreamConn, HttpError]:
+        """Open a connection."""
+        host, _, port = address.rpartition(":")
+        conn = UpstreamConn(self._decode_head, self._keep)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(lambda: conn, host, int(port))
+        except (OSError, ValueError) as exc:
+            conn.abort()
+            detail = str(exc) or type(exc).__name__
+            return Err(HttpError("connect", address, False, detail))
+        self.opened += 1
+        self._keys[conn] = key
+        return Ok(conn)
+
+    def forget(self, key: str) -> None:
+        """Close the kept connections to an upstream that is gone."""
+        for conn in self._idle.pop(key, []):
+            self._drop(conn)
+
+    def release(self, conn: UpstreamConn) -> None:
+        """Forget a connection that is not kept."""
+        self._keys.pop(conn, None)
+
+    def sweep(self) -> None:
+        """Close connections that have been idle too long to be used again."""
+        for idle in self._idle.values():
+            for conn in [conn for conn in idle if not conn.is_open or not self._is_fresh(conn)]:
+                idle.remove(conn)
+                self._drop(conn)
+
+    def _keep(self, conn: UpstreamConn) -> None:
+        key = self._keys.get(conn)
+        idle = self._idle.setdefault(key, []) if key is not None else None
+        if idle is None or len(idle) >= MAX_IDLE_PER_UPSTREAM:
+            self._drop(conn)
+            return
+        conn.idle_since = self._clock()
+        idle.append(conn)
+
+    def _drop(self, conn: UpstreamConn) -> None:
+        self._keys.pop(conn, None)
+        conn.close()
+
+    def _is_fresh(self, conn: UpstreamConn) -> bool:
+        limit_s = conn.idle_limit_s
+        usable_s = UNKNOWN_IDLE_S if limit_s is None else IDLE_SHARE * limit_s
+        return self._clock() - conn.idle_since < usable_s
--- a/eelgrassferry/http/__init__.py
+++ b/eelgrassferry/http/__init__.py
@@ -2,6 +2,7 @@
 
 from .client import HttpClient, HttpError, HttpStream
 from .limits import HttpLimits
+from .liveness import set_liveness_options
 from .message import HttpRequest, HttpResponse, find_header
 from .problem import Problem, Ran
 from .responder import Responder
@@ -22,4 +23,5 @@
     "SseParser",
     "find_header",
     "format_event",
+    "set_liveness_options",
 ]
--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -7,6 +7,7 @@
 import h11
 from result import Err, Ok, Result
 
+from .liveness import set_liveness_options
 from .message import Headers, HttpResponse, find_header
 
 __all__ = ["HttpClient", "HttpError", "HttpStream"]
@@ -230,6 +231,7 @@
         except (OSError, ValueError) as exc:
             detail = str(exc) or type(exc).__name__
             return Err(HttpError("connect", peer, False, detail))
+        set_liveness_options(writer.transport)
         protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         return Ok(_Conn(protocol, reader, writer))
 
--- a/eelgrassferry/http/problem.py
+++ b/eelgrassferry/http/problem.py
@@ -30,7 +30,7 @@
     ran: Ran
     detail: str
     request_id: str = ""
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
     step: str = ""
     peer: str = ""
 
@@ -48,5 +48,5 @@
         document.update({k: v for k, v in (("step", self.step), ("peer", self.peer)) if v})
         headers = [("content-type", "application/problem+json")]
         if self.retry_after_s is not None:
-            headers.append(("retry-after", str(self.retry_after_s)))
+            headers.append(("retry-after", f"{self.retry_after_s:.3f}".rstrip("0").rstrip(".")))
         return HttpResponse(self.status, tuple(headers), json.dumps(document).encode())
--- a/eelgrassferry/logs/__init__.py
+++ b/eelgrassferry/logs/__init__.py
@@ -1,6 +1,7 @@
 """JSON logs with the request id, step and peer of each line."""
 
+from .bounded_lines import BoundedLines
 from .configure import configure_logs
 from .context import bind_request
 
-__all__ = ["bind_request", "configure_logs"]
+__all__ = ["BoundedLines", "bind_request", "configure_logs"]
--- a/eelgrassferry/logs/configure.py
+++ b/eelgrassferry/logs/configure.py
@@ -7,6 +7,8 @@
 
 import structlog
 
+from .volume import RoutineLimit
+
 __all__ = ["configure_logs"]
 
 FIRST_KEYS = ("timestamp", "level", "event", "request_id", "step", "peer")
@@ -24,6 +26,7 @@
         raise ValueError(f"unknown log level {level!r}")
     structlog.configure(
         processors=[
+            RoutineLimit(),
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
--- a/eelgrassferry/metrics/metrics.py
+++ b/eelgrassferry/metrics/metrics.py
@@ -4,6 +4,8 @@
 
 from statsd import StatsClient
 
+from .histogram import Histogram
+
 __all__ = ["Metrics"]
 
 
@@ -20,6 +22,7 @@
 
     def __init__(self, address: str = "", prefix: str = "eelgrassferry") -> None:
         self.counters: Counter[str] = Counter()
+        self.histograms: dict[str, Histogram] = {}
         self._client: StatsClient | None = None
         if address:
             host, _, port = address.rpartition(":")
@@ -40,3 +43,11 @@
         """Record a duration given in seconds."""
         if self._client is not None:
             self._client.timing(name, duration_s * 1000.0)
+
+    def observe(self, name: str, duration_s: float) -> None:
+        """Add a duration in seconds to a histogram, and record it as ``time`` does."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[name] = Histogram()
+        histogram.add(duration_s)
+        self.time(name, duration_s)
--- a/eelgrassferry/objects/__init__.py
+++ b/eelgrassferry/objects/__init__.py
@@ -1,23 +1,29 @@
 """The platform's object API: versions, conditional updates and watches."""
 
-from .errors import Conflict, ObjectError, RateLimited, TooLarge, Unavailable
+from .errors import Conflict, HistoryGone, ObjectError, RateLimited, TooLarge, Unavailable
+from .feed import FeedUpdate, ObjectFeed
 from .host_list import Host, HostList, HostState
 from .http_store import HttpObjectStore
 from .memory_store import MemoryObjectStore
-from .object_store import Change, ObjectStore, StoredObject, WatchResult
+from .object_store import Change, ObjectStore, Snapshot, SnapshotStore, StoredObject, WatchResult
 from .settle import put_settled
 
 __all__ = [
     "Change",
     "Conflict",
+    "FeedUpdate",
+    "HistoryGone",
     "Host",
     "HostList",
     "HostState",
     "HttpObjectStore",
     "MemoryObjectStore",
     "ObjectError",
+    "ObjectFeed",
     "ObjectStore",
     "RateLimited",
+    "Snapshot",
+    "SnapshotStore",
     "StoredObject",
     "TooLarge",
     "Unavailable",
--- a/eelgrassferry/objects/errors.py
+++ b/eelgrassferry/objects/errors.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Conflict", "ObjectError", "RateLimited", "TooLarge", "Unavailable"]
+__all__ = ["Conflict", "HistoryGone", "ObjectError", "RateLimited", "TooLarge", "Unavailable"]
 
 
 @dataclass(frozen=True)
@@ -14,6 +14,15 @@
     key: str
 
 
+@dataclass(frozen=True)
+class HistoryGone:
+    """The store has dropped the changes asked for; the prefix has to be listed again."""
+
+    step: str
+    peer: str
+    prefix: str
+
+
 @dataclass(frozen=True)
 class RateLimited:
     """The call was refused over the rate and did not take effect."""
@@ -41,4 +50,4 @@
     uncertain: bool
 
 
-ObjectError = Conflict | RateLimited | TooLarge | Unavailable
+ObjectError = Conflict | HistoryGone | RateLimited | TooLarge | Unavailable
--- a/eelgrassferry/objects/memory_store.py
+++ b/eelgrassferry/objects/memory_store.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from .errors import Conflict, ObjectError, TooLarge, Unavailable
-from .object_store import Change, StoredObject, WatchResult
+from .object_store import Change, Snapshot, StoredObject, WatchResult
 
 __all__ = ["MAX_VALUE_BYTES", "MemoryObjectStore", "StoreFaults"]
 
@@ -57,7 +57,7 @@
             return Err(Conflict("put", PEER, key))
         self._version += 1
         self._objects[key] = StoredObject(key, self._version, value)
-        await self._note(Change(key, self._version, deleted=False))
+        await self._note(Change(key, self._version, deleted=False, value=value))
         if self._loses_answer():
             return self._unavailable("put", uncertain=True)
         return Ok(self._objects[key].version)
@@ -84,6 +84,10 @@
         found = sorted(key for key in self._objects if key.startswith(prefix))
         return Ok(tuple(self._objects[key] for key in found))
 
+    async def snapshot(self, prefix: str) -> Result[Snapshot, ObjectError]:
+        """Return all objects whose key starts with ``prefix``, with the store's version."""
+        return (await self.list(prefix)).map(lambda objects: Snapshot(self._version, objects))
+
     async def watch(
         self, prefix: str, after: int, timeout_s: float
     ) -> Result[WatchResult, ObjectError]:
--- a/eelgrassferry/objects/object_store.py
+++ b/eelgrassferry/objects/object_store.py
@@ -7,7 +7,7 @@
 
 from .errors import ObjectError
 
-__all__ = ["Change", "ObjectStore", "StoredObject", "WatchResult"]
+__all__ = ["Change", "ObjectStore", "Snapshot", "SnapshotStore", "StoredObject", "WatchResult"]
 
 
 @dataclass(frozen=True)
@@ -21,11 +21,20 @@
 
 @dataclass(frozen=True)
 class Change:
-    """One change that a watch reports."""
+    """One change that a watch reports. Some stores send the new value along."""
 
     key: str
     version: int
     deleted: bool
+    value: bytes | None = None
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """All objects under a prefix, and the version from which a watch reports later changes."""
+
+    version: int
+    objects: tuple[StoredObject, ...]
 
 
 @dataclass(frozen=True)
@@ -59,3 +68,10 @@
         self, prefix: str, after: int, timeout_s: float
     ) -> Result[WatchResult, ObjectError]:
         """Wait up to ``timeout_s`` for changes under ``prefix`` later than version ``after``."""
+
+
+class SnapshotStore(ObjectStore, Protocol):
+    """An object store that tells the version of a listing, so that a watch can go on from it."""
+
+    async def snapshot(self, prefix: str) -> Result[Snapshot, ObjectError]:
+        """Return all objects whose key starts with ``prefix``, with the store's version."""
--- /dev/null
+++ b/eelgrassferry/platform/config_codec.py
@@ -0,0 +1,114 @@
+"""Decodes the operators' configuration object."""
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from ..fleet import (
+    Backend,
+    CallerLimits,
+    Engine,
+    FleetConfig,
+    ModelSpec,
+    RequestKind,
+    Route,
+    Service,
+)
+from .codec_error import CodecError
+
+__all__ = ["decode_config"]
+
+# A route without a timeout or target gets these, in seconds.
+DEFAULT_TIMEOUT_S = 30.0
+DEFAULT_TARGET_S = 1.0
+
+
+def decode_config(value: bytes) -> Result[FleetConfig, CodecError]:
+    """Decode the value of the object ``CONFIG_KEY``. Unknown fields are ignored."""
+    try:
+        spec = json.loads(value)
+        return Ok(
+            FleetConfig(
+                version=int(spec["version"]),
+                routes=tuple(_route(route) for route in spec["routes"]),
+                services={entry["name"]: _service(entry) for entry in spec["services"]},
+                limits=_limits(spec.get("limits") or {}),
+            )
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        return Err(CodecError("decode_config", "", repr(exc)))
+
+
+def _route(spec: dict[str, Any]) -> Route:
+    # A route names either one service or several "backends", which are services by weight.
+    split = spec.get("backends")
+    if split:
+        backends = tuple(Backend(part["service"], float(part["weight"])) for part in split)
+    else:
+        backends = (Backend(spec["service"], 1.0),)
+    return Route(
+        name=str(spec["name"]),
+        host=str(spec["host"]),
+        path_prefix=str(spec["path_prefix"]),
+        kind=RequestKind(spec["kind"]),
+        backends=backends,
+        timeout_s=_seconds(spec.get("timeout_ms"), DEFAULT_TIMEOUT_S),
+        target_latency_s=_seconds(spec.get("target_latency_ms"), DEFAULT_TARGET_S),
+        priority=int(spec.get("priority", 5)),
+        max_attempts=max(1, int(spec.get("max_attempts", 1))),
+        resumable=bool(spec.get("resumable", False)),
+        gap_target_s=_seconds(spec.get("gap_aim_ms"), 0.0),
+    )
+
+
+def _service(spec: dict[str, Any]) -> Service:
+    engine = spec.get("engine")
+    return Service(
+        name=str(spec["name"]),
+        health_path=str(spec.get("health_path", "/health")),
+        max_conns=int(spec.get("max_conns", 100)),
+        engine=_engine(engine) if engine and engine.get("models") else None,
+    )
+
+
+def _engine(spec: dict[str, Any]) -> Engine:
+    return Engine(
+        batch_slots=int(spec["slots"]),
+        cache_tokens=int(spec["kv_capacity_tokens"]),
+        weights_mb=float(spec["weights_mb"]),
+        adapter_slots=int(spec.get("adapter_slots", 0)),
+        cold_loads_per_s=float(spec.get("loads_per_s", 1.0)),
+        # "host_mb" is a cache of weights in the upstream's main memory, not the size of a host.
+        host_cache_mb=float(spec.get("host_mb", 0.0)),
+        disk_cache_mb=float(spec.get("disk_mb", 0.0)),
+        models={model["name"]: _model(model) for model in spec["models"]},
+    )
+
+
+def _model(spec: dict[str, Any]) -> ModelSpec:
+    load_s = float(spec["load_s"])
+    return ModelSpec(
+        name=str(spec["name"]),
+        weights_mb=float(spec["weights_mb"]),
+        load_s=load_s,
+        # "warm_s" is the time of a load from the upstream's main memory.
+        memory_load_s=float(spec.get("warm_s", load_s)),
+        disk_load_s=float(spec.get("disk_s", load_s)),
+        adapters=int(spec.get("adapters", 0)),
+        adapter_mb=float(spec.get("adapter_mb", 0.0)),
+    )
+
+
+def _limits(spec: dict[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        max_header_bytes=int(spec.get("max_header_bytes", default.max_header_bytes)),
+        max_body_bytes=int(spec.get("max_body_bytes", default.max_body_bytes)),
+        header_timeout_s=_seconds(spec.get("header_timeout_ms"), default.header_timeout_s),
+        idle_timeout_s=_seconds(spec.get("idle_timeout_ms"), default.idle_timeout_s),
+    )
+
+
+def _seconds(milliseconds: Any, default: float) -> float:
+    return default if milliseconds is None else float(milliseconds) / 1000.0
--- /dev/null
+++ b/eelgrassferry/platform/wire.py
@@ -0,0 +1,34 @@
+"""Puts the adapter's parts together."""
+
+from ..entry import Wire
+from ..http import HttpClient
+from .config_codec import decode_config
+from .names import CONFIG_KEY, CONFIG_PREFIX, ORDER_PATH, READY_PATH, REPORT_PATH, UPSTREAMS_PREFIX
+from .object_store import PlatformObjectStore
+from .order_codec import decode_order_answer, encode_order, order_headers
+from .request_codec import decode_answer, decode_request, encode_request
+from .upstream_codec import decode_entry, decode_report
+
+__all__ = ["make_wire"]
+
+
+def make_wire(client: HttpClient, object_store: str) -> Wire:
+    """Return the platform's formats, with its store at an address ``ip:port``."""
+    return Wire(
+        object_store=PlatformObjectStore(client, object_store),
+        decode_request=decode_request,
+        encode_request=encode_request,
+        decode_answer=decode_answer,
+        decode_config=decode_config,
+        decode_entry=decode_entry,
+        decode_report=decode_report,
+        encode_order=encode_order,
+        order_headers=order_headers,
+        decode_order_answer=decode_order_answer,
+        ready_path=READY_PATH,
+        report_path=REPORT_PATH,
+        order_path=ORDER_PATH,
+        config_prefix=CONFIG_PREFIX,
+        config_key=CONFIG_KEY,
+        upstreams_prefix=UPSTREAMS_PREFIX,
+    )
