--- a/eelgrassferry/cli/entry_command.py
+++ b/eelgrassferry/cli/entry_command.py
@@ -39,6 +39,7 @@
     from ..http import HttpClient
     from ..platform import load_entry_settings, make_wire
 
-    wire = make_wire(HttpClient(), settings.object_store)
-    code = await EntryNode(settings, wire, load_entry_settings).run()
+    client = HttpClient()
+    wire = make_wire(client, settings.object_store)
+    code = await EntryNode(settings, wire, client, load_entry_settings).run()
     return ExitCode(code)
--- /dev/null
+++ b/eelgrassferry/coordination/__init__.py
@@ -0,0 +1,18 @@
+"""Coordination between nodes: the lease, the orders to engines, and what nodes tell each other."""
+
+from .engine_wire import EngineWire
+from .leadership import Leadership
+from .messages import FleetView, ObjectsCopy
+from .order_runner import OrderRunner
+from .peer_link import PeerLink
+from .peer_mesh import PeerMesh
+
+__all__ = [
+    "EngineWire",
+    "FleetView",
+    "Leadership",
+    "ObjectsCopy",
+    "OrderRunner",
+    "PeerLink",
+    "PeerMesh",
+]
--- /dev/null
+++ b/eelgrassferry/coordination/engine_wire.py
@@ -0,0 +1,25 @@
+"""The formats in which the coordinator speaks with engines."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from result import Result
+
+from ..fleet import UpstreamEntry
+from ..http import HttpResponse
+from ..ordering import EngineReport, FleetOrder, OrderAnswer
+
+__all__ = ["EngineWire"]
+
+
+@dataclass(frozen=True)
+class EngineWire:
+    """Encoders, decoders and paths of the calls of engines."""
+
+    encode_order: Callable[[FleetOrder, str, int], bytes]
+    order_headers: Callable[[UpstreamEntry], tuple[tuple[str, str], ...]]
+    decode_order_answer: Callable[[HttpResponse], OrderAnswer]
+    decode_report: Callable[[bytes], Result[EngineReport, Any]]
+    order_path: str
+    report_path: str
--- /dev/null
+++ b/eelgrassferry/coordination/messages.py
@@ -0,0 +1,163 @@
+"""Messages between nodes, and their bodies in frames."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Err, Ok, Result
+
+from ..dispatch import OrderedResidency, UpstreamLoad
+from ..objects import StoredObject
+from ..ordering import NodeStatus, Want
+from ..peers.errors import MalformedMessage
+
+__all__ = [
+    "COPY",
+    "PULL",
+    "STATUS",
+    "VIEW",
+    "FleetView",
+    "ObjectsCopy",
+    "decode_copy",
+    "decode_status",
+    "decode_view",
+    "encode_copy",
+    "encode_status",
+    "encode_view",
+]
+
+# Kinds of frames. A node sends its status to the coordinator, which answers with views; any node
+# answers a pull with its copy of the store's objects.
+STATUS = "status"
+VIEW = "view"
+PULL = "pull"
+COPY = "copy"
+
+
+@dataclass(frozen=True)
+class FleetView:
+    """What the coordinator tells all nodes. ``loads`` are the sums over all nodes; ``residency``
+    is None where it has not changed. Times in ``loading`` are seconds from now.
+    """
+
+    epoch: int
+    nodes: int
+    loads: Mapping[str, UpstreamLoad] = field(default_factory=dict)
+    residency: Mapping[str, OrderedResidency] | None = None
+
+
+@dataclass(frozen=True)
+class ObjectsCopy:
+    """A node's copy of the objects under one prefix, ``age_s`` after its last contact with the
+    store.
+    """
+
+    prefix: str
+    version: int
+    age_s: float
+    objects: tuple[StoredObject, ...]
+
+
+def encode_status(status: NodeStatus) -> Any:
+    """Return the body of a status."""
+    return {
+        "node": status.node,
+        "arrivals": [[*key, count] for key, count in status.arrivals.items()],
+        "wants": [[w.service, w.model, w.adapter, w.count, w.left_s] for w in status.wants],
+        "loads": _encode_loads(status.loads),
+        "running": [[*key, count] for key, count in status.running.items()],
+        "used": [list(item) for item in status.used],
+        "declined": list(status.declined),
+    }
+
+
+def decode_status(body: Any) -> Result[NodeStatus, MalformedMessage]:
+    """Decode the body of a status."""
+    try:
+        return Ok(
+            NodeStatus(
+                node=str(body["node"]),
+                arrivals={(service, model): n for service, model, n in body["arrivals"]},
+                wants=tuple(Want(*want) for want in body["wants"]),
+                loads=_decode_loads(body["loads"]),
+                running={(instance, model): n for instance, model, n in body["running"]},
+                used=tuple((i, m, a) for i, m, a in body["used"]),
+                declined=tuple(body["declined"]),
+            )
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        return Err(MalformedMessage("decode_status", "", repr(exc)))
+
+
+def encode_view(view: FleetView, now: float) -> Any:
+    """Return the body of a view."""
+    body: dict[str, Any] = {
+        "epoch": view.epoch,
+        "nodes": view.nodes,
+        "loads": _encode_loads(view.loads),
+    }
+    if view.residency is not None:
+        body["engines"] = {
+            instance: [
+                known.started_ms,
+                {model: sorted(names) for model, names in known.adapters.items()},
+                sorted(known.withdrawn),
+                {model: due - now for model, due in known.loading.items()},
+            ]
+            for instance, known in view.residency.items()
+        }
+    return body
+
+
+def decode_view(body: Any, now: float) -> Result[FleetView, MalformedMessage]:
+    """Decode the body of a view."""
+    try:
+        residency = None
+        if "engines" in body:
+            residency = {
+                instance: OrderedResidency(
+                    started_ms=started_ms,
+                    adapters={model: frozenset(names) for model, names in adapters.items()},
+                    withdrawn=frozenset(withdrawn),
+                    loading={model: now + left_s for model, left_s in loading.items()},
+                )
+                for instance, (started_ms, adapters, withdrawn, loading) in body["engines"].items()
+            }
+        loads = _decode_loads(body["loads"])
+        return Ok(FleetView(int(body["epoch"]), int(body["nodes"]), loads, residency))
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        return Err(MalformedMessage("decode_view", "", repr(exc)))
+
+
+def encode_copy(copy: ObjectsCopy) -> Any:
+    """Return the body of a copy."""
+    return {
+        "prefix": copy.prefix,
+        "version": copy.version,
+        "age_s": copy.age_s,
+        "objects": [[obj.key, obj.version, obj.value] for obj in copy.objects],
+    }
+
+
+def decode_copy(body: Any) -> Result[ObjectsCopy, MalformedMessage]:
+    """Decode the body of a copy."""
+    try:
+        objects = tuple(
+            StoredObject(key, version, value) for key, version, value in body["objects"]
+        )
+        return Ok(
+            ObjectsCopy(str(body["prefix"]), int(body["version"]), float(body["age_s"]), objects)
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        return Err(MalformedMessage("decode_copy", "", repr(exc)))
+
+
+def _encode_loads(loads: Mapping[str, UpstreamLoad]) -> dict[str, list[float]]:
+    return {
+        instance: [load.requests, round(load.backlog_s, 4), load.cache_tokens]
+        for instance, load in loads.items()
+    }
+
+
+def _decode_loads(body: Any) -> dict[str, UpstreamLoad]:
+    return {instance: UpstreamLoad(*values) for instance, values in body.items()}
--- /dev/null
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -0,0 +1,357 @@
+"""Finds the other nodes, keeps the link to the coordinator, and copies objects from peers."""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+
+import structlog
+from result import Err
+
+from ..dispatch import UpstreamLoad
+from ..fleet import EntrySettings
+from ..objects import FeedUpdate, ObjectFeed, SnapshotStore
+from ..ordering import NodeStatus
+from ..peers.frame import Frame
+from .leadership import Leadership
+from .messages import (
+    COPY,
+    PULL,
+    STATUS,
+    VIEW,
+    FleetView,
+    ObjectsCopy,
+    decode_copy,
+    decode_status,
+    decode_view,
+    encode_copy,
+    encode_status,
+    encode_view,
+)
+from .peer_link import PeerLink
+
+__all__ = ["PeerMesh"]
+
+log = structlog.get_logger()
+
+NODES_PREFIX = "nodes/"
+# Status and loads are exchanged this often, in seconds. An engine's queue changes little in that
+# time: a prompt takes 20 to 200 ms to read.
+EXCHANGE_S = 0.1
+# Without news, a frame is sent this often, in seconds, so that a silent link is noticed.
+HEARTBEAT_S = 0.5
+# A coordinator that was not heard for this long is looked for again, in seconds.
+SILENT_S = 1.2
+CONNECT_TIMEOUT_S = 0.4
+# A node copies from a peer once the store has been away for this long, and again at this pace, in
+# seconds.
+PULL_AFTER_S = 0.4
+PULL_EVERY_S = 0.4
+
+
+class PeerMesh:
+    """Links between nodes. ``make_status`` is asked for this node's status, ``on_view`` is told
+    what the coordinator says.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        instance: str,
+        store: SnapshotStore,
+        feeds: list[ObjectFeed],
+        clock: Callable[[], float],
+        make_status: Callable[[], NodeStatus],
+        on_view: Callable[[FleetView, dict[str, UpstreamLoad]], None],
+    ) -> None:
+        self.leadership: Leadership | None = None
+        self._settings = settings
+        self._instance = instance
+        self._store = store
+        self._feeds = {feed.prefix: feed for feed in feeds}
+        self._clock = clock
+        self._make_status = make_status
+        self._on_view = on_view
+        self._nodes: dict[str, str] = {}
+        self._node_feed = ObjectFeed(store, NODES_PREFIX, self._take_nodes, clock)
+        self._members: set[PeerLink] = set()
+        self._leader: PeerLink | None = None
+        self._leader_name = ""
+        self._heard_at = float("-inf")
+        self._epoch = 0
+        self._own_sent: dict[str, UpstreamLoad] = {}
+        self._sent_body: object = None
+        self._sent_at = float("-inf")
+        self._views_at = float("-inf")
+        self._soon: asyncio.TimerHandle | None = None
+        self._rng = random.Random()
+
+    @property
+    def has_leader(self) -> bool:
+        """Whether another node is heard as the coordinator."""
+        return self._leader is not None and self._clock() - self._heard_at < SILENT_S
+
+    @property
+    def registered(self) -> int:
+        """The number of nodes that have registered."""
+        return len(self._nodes)
+
+    async def listen(self) -> None:
+        """Accept links from other nodes."""
+        host, _, port = self._settings.peer_listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        await loop.create_server(
+            lambda: PeerLink(self._take_frame, self._drop_member), host, int(port)
+        )
+
+    async def run(self) -> None:
+        """Register, follow the other nodes and exchange status, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._register())
+            group.create_task(self._node_feed.run())
+            group.create_task(self._exchange())
+            group.create_task(self._pull())
+
+    def status_soon(self) -> None:
+        """Send the status in this loop step's end, because a request waits."""
+        if self._soon is None:
+            self._soon = asyncio.get_running_loop().call_later(0.0, self._send_status, True)
+
+    def publish(self, view: FleetView) -> None:
+        """Send a view to all nodes, this one included."""
+        now = self._clock()
+        body = encode_view(view, now)
+        for link in list(self._members):
+            link.send(VIEW, body)
+        self._apply(view)
+
+    # Registration
+
+    async def _register(self) -> None:
+        """Write this node's address to the store, where others find it."""
+        key = NODES_PREFIX + self._settings.name
+        value = json.dumps({"address": self._settings.peer_listen, "instance": self._instance})
+        while True:
+            read = await self._store.get(key)
+            if not isinstance(read, Err):
+                held = read.ok_value
+                if held is not None and held.value == value.encode():
+                    return
+                wrote = await self._store.put(key, value.encode(), held.version if held else 0)
+                if not isinstance(wrote, Err):
+                    return
+            await asyncio.sleep(0.5)
+
+    def _take_nodes(self, update: FeedUpdate) -> None:
+        if update.complete:
+            self._nodes.clear()
+        for key in update.removed:
+            self._nodes.pop(key.removeprefix(NODES_PREFIX), None)
+        for stored in update.written:
+            try:
+                address = json.loads(stored.value)["address"]
+            except (ValueError, KeyError, TypeError) as exc:
+                log.warning("node entry not used", step="decode_node", detail=repr(exc))
+                continue
+            self._nodes[stored.key.removeprefix(NODES_PREFIX)] = str(address)
+
+    # Coordinator's side
+
+    def _drop_member(self, link: PeerLink) -> None:
+        self._members.discard(link)
+        if link.peer and self.leadership is not None and self.leadership.coordinator is not None:
+            self.leadership.coordinator.forget_node(link.peer)
+            log.info("node lost", step="peer_link", peer=link.peer)
+
+    def _take_frame(self, link: PeerLink, frame: Frame) -> None:
+        match frame.kind:
+            case "status":
+                self._take_status(link, frame)
+            case "pull":
+                self._answer_pull(link, frame)
+
+    def _take_status(self, link: PeerLink, frame: Frame) -> None:
+        decoded = decode_status(frame.body)
+        if isinstance(decoded, Err):
+            log.warning("status not used", step="decode_status", detail=decoded.err_value.detail)
+            return
+        leadership = self.leadership
+        if leadership is None or leadership.term() is None:
+            # The sender takes this node for the coordinator; the end of the link tells it.
+            link.close()
+            return
+        link.peer = decoded.ok_value.node
+        if link not in self._members:
+            self._members.add(link)
+            log.info("node joined", step="peer_link", peer=link.peer)
+            view = leadership.current_view()
+            if view is not None:
+                link.send(VIEW, encode_view(view, self._clock()))
+        leadership.take_status(decoded.ok_value)
+
+    def _answer_pull(self, link: PeerLink, frame: Frame) -> None:
+        body = frame.body
+        feed = self._feeds.get(body.get("prefix", "")) if isinstance(body, dict) else None
+        if feed is None or feed.version <= int(body.get("version", 0)):
+            link.send(COPY, None)
+            return
+        age_s = self._clock() - feed.fresh_at
+        objects = tuple(feed.objects.values())
+        link.send(COPY, encode_copy(ObjectsCopy(feed.prefix, feed.version, age_s, objects)))
+
+    # Node's side
+
+    async def _exchange(self) -> None:
+        while True:
+            await asyncio.sleep(EXCHANGE_S)
+            leadership = self.leadership
+            if leadership is None:
+                continue
+            if leadership.term() is not None:
+                self._leave_leader()
+                self._send_loads(leadership)
+                self._send_status(False)
+                continue
+            if not self.has_leader:
+                await self._find_leader(leadership)
+            self._send_status(False)
+
+    def _send_loads(self, leadership: Leadership) -> None:
+        view = leadership.load_view()
+        if view is not None:
+            self.publish(view)
+
+    def _send_status(self, waiting: bool) -> None:
+        if waiting:
+            self._soon = None
+        leadership = self.leadership
+        if leadership is None:
+            return
+        leads = leadership.term() is not None
+        if not leads and not self.has_leader:
+            return
+        status = self._make_status()
+        self._own_sent = dict(status.loads)
+        if leads:
+            leadership.take_status(status)
+            return
+        assert self._leader is not None
+        body = encode_status(status)
+        now = self._clock()
+        if body == self._sent_body and now - self._sent_at < HEARTBEAT_S:
+            return
+        self._sent_body, self._sent_at = body, now
+        self._leader.send(STATUS, body)
+
+    async def _find_leader(self, leadership: Leadership) -> None:
+        self._leave_leader()
+        name = leadership.holder.partition(":")[0]
+        address = self._nodes.get(name)
+        if not address or name == self._settings.name:
+            return
+        link = PeerLink(self._take_view, self._note_leader_lost)
+        if not await self._connect(link, address):
+            return
+        self._leader, self._leader_name = link, name
+        # The new link counts as heard until its first view is overdue.
+        self._heard_at = self._clock()
+        self._sent_body = None
+        log.info("coordinator found", step="peer_link", peer=name, address=address)
+
+    async def _connect(self, link: PeerLink, address: str) -> bool:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                loop = asyncio.get_running_loop()
+                await loop.create_connection(lambda: link, host, int(port))
+        except (OSError, ValueError) as exc:
+            log.info("peer not reached", step="connect", peer=address, detail=str(exc))
+            link.close()
+            return False
+        return True
+
+    def _leave_leader(self) -> None:
+        if self._leader is not None:
+            link, self._leader = self._leader, None
+            link.close()
+
+    def _note_leader_lost(self, link: PeerLink) -> None:
+        if link is self._leader:
+            log.warning("coordinator lost", step="peer_link", peer=self._leader_name)
+            self._leader = None
+
+    def _take_view(self, link: PeerLink, frame: Frame) -> None:
+        if frame.kind != VIEW or link is not self._leader:
+            return
+        decoded = decode_view(frame.body, self._clock())
+        if isinstance(decoded, Err):
+            log.warning("view not used", step="decode_view", detail=decoded.err_value.detail)
+            return
+        self._heard_at = self._clock()
+        self._apply(decoded.ok_value)
+
+    def _apply(self, view: FleetView) -> None:
+        if view.epoch < self._epoch:
+            return
+        self._epoch = view.epoch
+        others = {}
+        for instance, load in view.loads.items():
+            own = self._own_sent.get(instance, UpstreamLoad())
+            others[instance] = UpstreamLoad(
+                max(0.0, load.requests - own.requests),
+                max(0.0, load.backlog_s - own.backlog_s),
+                max(0.0, load.cache_tokens - own.cache_tokens),
+            )
+        self._on_view(view, others)
+
+    # Copies of objects while the store is away
+
+    async def _pull(self) -> None:
+        while True:
+            await asyncio.sleep(PULL_EVERY_S)
+            stale = [feed for feed in self._feeds.values() if feed.away_s >= PULL_AFTER_S]
+            addresses = self._peer_addresses()
+            if stale and addresses:
+                await self._pull_from(self._rng.choice(addresses), stale)
+
+    def _peer_addresses(self) -> list[str]:
+        own = self._settings.peer_listen
+        known = [address for address in self._nodes.values() if address != own]
+        return known or [address for address in self._settings.seeds if address != own]
+
+    async def _pull_from(self, address: str, feeds: list[ObjectFeed]) -> None:
+        answered = asyncio.Event()
+        link = PeerLink(
+            lambda _link, frame: self._take_copy(frame, answered), lambda _link: answered.set()
+        )
+        if not await self._connect(link, address):
+            return
+        for feed in feeds:
+            answered.clear()
+            link.send(PULL, {"prefix": feed.prefix, "version": feed.version})
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await answered.wait()
+            except TimeoutError:
+                log.info("no copy from peer", step="pull_objects", peer=address)
+                break
+        link.close()
+
+    def _take_copy(self, frame: Frame, answered: asyncio.Event) -> None:
+        answered.set()
+        if frame.kind != COPY or frame.body is None:
+            return
+        decoded = decode_copy(frame.body)
+        if isinstance(decoded, Err):
+            log.warning("copy not used", step="decode_copy", detail=decoded.err_value.detail)
+            return
+        copy = decoded.ok_value
+        feed = self._feeds.get(copy.prefix)
+        if feed is not None and feed.take_from_peer(copy.version, copy.objects):
+            log.info(
+                "objects copied from peer",
+                step="pull_objects",
+                prefix=copy.prefix,
+                version=copy.version,
+                age_ms=round(copy.age_s * 1000),
+            )
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -71,6 +71,8 @@
         self.health = HealthBook()
         self.pauses = PauseBook()
         self.arrivals: Counter[tuple[str, str]] = Counter()
+        self.adapters_used: set[tuple[str, str, str]] = set()
+        self.declined: set[str] = set()
         self._domain = domain
         self._directory = directory
         self._residency = residency
@@ -150,6 +152,7 @@
                 job.not_run_tries += 1
             case FlightEnd.NOT_RESIDENT:
                 self._residency.note_absent(instance, job.model, job.adapter, now)
+                self.declined.add(instance)
                 job.not_run_tries += 1
             case FlightEnd.OTHER_INSTANCE:
                 self.pauses.note_crash(instance, now)
@@ -342,6 +345,8 @@
         repeat = job.not_run_tries > 0 or job.may_have_run
         job.flight = flight
         self.load.add(job)
+        if job.adapter:
+            self.adapters_used.add((entry.instance, job.model, job.adapter))
         return Send(job, entry.instance, repeat)
 
     def _plan(self, job: Job, entry: UpstreamEntry, now: float) -> Flight | None:
--- a/eelgrassferry/dispatch/fleet_residency.py
+++ b/eelgrassferry/dispatch/fleet_residency.py
@@ -14,6 +14,9 @@
 # What an upstream said it does not hold is believed for this long against other sources, in
 # seconds. A registry entry lags by some hundred ms.
 ABSENT_FOR_S = 0.6
+# A withdrawal counts only while the coordinator is heard: one that is gone unloads nothing. The
+# time covers an order that was on its way, in seconds.
+WITHDRAWN_FOR_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -37,11 +40,16 @@
         self._directory = directory
         self._ordered: Mapping[str, OrderedResidency] = {}
         self._absent: dict[tuple[str, str, str], float] = {}
+        self._heard_at = float("-inf")
 
     def set_ordered(self, ordered: Mapping[str, OrderedResidency]) -> None:
         """Replace what the coordinator says."""
         self._ordered = ordered
 
+    def note_heard(self, now: float) -> None:
+        """Take that the coordinator was heard."""
+        self._heard_at = now
+
     def note_absent(self, instance: str, model: str, adapter: str, now: float) -> None:
         """Take an upstream's statement that it does not hold something."""
         self._absent[instance, model, adapter] = now + ABSENT_FOR_S
@@ -55,7 +63,7 @@
             return False
         ordered = self._ordered_of(instance)
         if ordered is not None:
-            if model in ordered.withdrawn:
+            if model in ordered.withdrawn and now - self._heard_at < WITHDRAWN_FOR_S:
                 return False
             return not adapter or adapter in ordered.adapters.get(model, ())
         return not adapter or adapter in entry.residents[model]
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -2,18 +2,21 @@
 
 import asyncio
 import random
+import secrets
 import signal
 from collections.abc import Callable
 
 import structlog
 from result import Err, Result
 
-from ..dispatch import Dispatcher, FleetResidency
+from ..coordination import FleetView, Leadership, OrderRunner, PeerMesh
+from ..dispatch import Dispatcher, FleetResidency, UpstreamLoad
 from ..fleet import DirectoryChange, EntrySettings, FleetConfig, UpstreamDirectory
 from ..forwarding import CallerServer, UpstreamPool
-from ..http import HttpRequest, HttpResponse, HttpServer, Responder
+from ..http import HttpClient, HttpRequest, HttpResponse, HttpServer, Responder
 from ..metrics import Metrics
 from ..objects import ObjectFeed
+from ..ordering import NodeStatus, Want
 from .boot_clock import boot_clock
 from .front_desk import FrontDesk
 from .registry_view import RegistryView
@@ -41,6 +44,7 @@
         self,
         settings: EntrySettings,
         wire: Wire,
+        client: HttpClient,
         reread: Callable[[], Result[EntrySettings, object]],
     ) -> None:
         self._settings = settings
@@ -62,6 +66,7 @@
             self._metrics,
             boot_clock,
             self._freshness,
+            self._note_waiting,
         )
         self._callers = CallerServer(self._desk.accept, self._note_rejected, boot_clock)
         self._view = RegistryView(
@@ -73,6 +78,30 @@
         self._upstreams = ObjectFeed(
             wire.object_store, wire.upstreams_prefix, self._view.take_upstreams, boot_clock
         )
+        instance = f"{settings.name}:{secrets.token_hex(4)}"
+        self._mesh = PeerMesh(
+            settings,
+            instance,
+            wire.object_store,
+            [self._configs, self._upstreams],
+            boot_clock,
+            self._make_status,
+            self._use_view,
+        )
+        self._leadership = Leadership(
+            settings,
+            instance,
+            wire.object_store,
+            self._directory,
+            lambda term: OrderRunner(
+                wire.engines, client, settings.name, term, boot_clock, self._metrics
+            ),
+            boot_clock,
+            self._metrics,
+            self._mesh.publish,
+            lambda: self._mesh.has_leader,
+        )
+        self._mesh.leadership = self._leadership
 
     async def run(self) -> int:
         """Serve until SIGTERM or SIGINT, then stop gracefully; return the exit code."""
@@ -84,7 +113,13 @@
         log.info("node started", step="start", node=self._settings.name, **self._addresses())
         tasks = [
             loop.create_task(part)
-            for part in (self._configs.run(), self._upstreams.run(), self._tick())
+            for part in (
+                self._configs.run(),
+                self._upstreams.run(),
+                self._mesh.run(),
+                self._leadership.run(),
+                self._tick(),
+            )
         ]
         for task in tasks:
             task.add_done_callback(self._note_task_end)
@@ -98,6 +133,7 @@
     async def _listen(self) -> None:
         ready_host, ready_port = _split(self._settings.ready_listen)
         await HttpServer(self._answer_ready, host=ready_host, port=ready_port).start()
+        await self._mesh.listen()
         await self._callers.start(*_split(self._settings.caller_listen))
 
     async def _drain(self) -> None:
@@ -106,11 +142,12 @@
         grace_s = self._settings.bounds.stop_grace_s - EXIT_MARGIN_S
         began = boot_clock()
         log.info("node stopping", step="stop", in_flight=self._desk.in_flight, grace_s=grace_s)
+        resigning = asyncio.ensure_future(self._leadership.resign())
         while boot_clock() - began < grace_s:
             left_rotation = boot_clock() - began >= LEAVE_ROTATION_S
             if left_rotation:
                 self._callers.close_idle()
-                if not self._desk.in_flight and not self._callers.conns:
+                if resigning.done() and not self._desk.in_flight and not self._callers.conns:
                     break
             await asyncio.sleep(TICK_S)
         self._callers.stop_listening()
@@ -137,12 +174,46 @@
     def _use_config(self, config: FleetConfig) -> None:
         self._callers.limits = config.limits
         self._desk.set_config(config)
+        self._leadership.set_config(config)
+
+    def _use_view(self, view: FleetView, others: dict[str, UpstreamLoad]) -> None:
+        now = boot_clock()
+        self._residency.note_heard(now)
+        if view.residency is not None:
+            self._residency.set_ordered(view.residency)
+        self._dispatcher.set_other_loads(others, now)
+        self._dispatcher.set_nodes(view.nodes)
+        self._desk.perform(self._dispatcher.pump(now))
+
+    def _make_status(self) -> NodeStatus:
+        dispatcher = self._dispatcher
+        wanted = dispatcher.wanted(boot_clock())
+        status = NodeStatus(
+            node=self._settings.name,
+            arrivals=dict(dispatcher.arrivals),
+            wants=tuple(
+                Want(service, model, adapter, count, left_s)
+                for (service, model, adapter), (count, left_s) in wanted.items()
+            ),
+            loads={
+                instance: UpstreamLoad(load.requests, load.backlog_s, load.cache_tokens)
+                for instance, load in dispatcher.load.own().items()
+            },
+            running=dict(dispatcher.load.own_by_model()),
+            used=tuple(dispatcher.adapters_used),
+            declined=tuple(dispatcher.declined),
+        )
+        dispatcher.arrivals.clear()
+        dispatcher.adapters_used.clear()
+        dispatcher.declined.clear()
+        return status
 
     def _use_changes(self, changes: list[DirectoryChange]) -> None:
         for change in changes:
             if change.before is not None and (change.after is None or change.restarted):
                 self._dispatcher.forget(change.before.instance)
                 self._pool.forget(change.before.instance)
+        self._leadership.take_directory()
         self._desk.perform(self._dispatcher.pump(boot_clock()))
 
     def _reload(self) -> None:
@@ -153,6 +224,9 @@
         self._settings = read.ok_value
         log.info("settings reloaded", step="reload", node=self._settings.name)
 
+    def _note_waiting(self) -> None:
+        self._mesh.status_soon()
+
     def _freshness(self) -> tuple[int, float]:
         return self._upstreams.version, boot_clock() - self._upstreams.fresh_at
 
--- a/eelgrassferry/entry/front_desk.py
+++ b/eelgrassferry/entry/front_desk.py
@@ -58,6 +58,7 @@
         metrics: Metrics,
         clock: Callable[[], float],
         freshness: Callable[[], tuple[int, float]],
+        on_waiting: Callable[[], None],
     ) -> None:
         self.dispatcher = dispatcher
         self.directory = directory
@@ -70,6 +71,7 @@
         self._wire = wire
         self._metrics = metrics
         self._freshness = freshness
+        self._on_waiting = on_waiting
         self._rng = random.Random()
         self._performing: list[Action] = []
 
@@ -101,6 +103,8 @@
         conn.hold(exchange)
         self.in_flight += 1
         self.perform(self.dispatcher.submit(job, self.clock()))
+        if job.waiting and job.model:
+            self._on_waiting()
         return None if exchange.done else exchange
 
     def perform(self, actions: list[Action]) -> None:
--- a/eelgrassferry/entry/registry_view.py
+++ b/eelgrassferry/entry/registry_view.py
@@ -110,7 +110,7 @@
                 service=entry.service,
                 state=change.after.state.value if change.after else "gone",
                 restarted=change.restarted,
-                orders=entry.accepted_orders,
+                at_hand=sorted(entry.on_disk | entry.in_host_memory),
                 residents=sorted(entry.residents),
                 directory_version=version,
             )
--- a/eelgrassferry/entry/wire.py
+++ b/eelgrassferry/entry/wire.py
@@ -9,11 +9,10 @@
 
 from result import Result
 
+from ..coordination import EngineWire
 from ..fleet import FleetConfig, UpstreamEntry
 from ..forwarding import AnswerHead, RawHeaders, RequestFacts
-from ..http import HttpResponse
 from ..objects import SnapshotStore
-from ..ordering import EngineReport, FleetOrder, OrderAnswer
 
 __all__ = ["Wire"]
 
@@ -28,13 +27,8 @@
     decode_answer: Callable[[int, RawHeaders], AnswerHead]
     decode_config: Callable[[bytes], Result[FleetConfig, Any]]
     decode_entry: Callable[[str, bytes], Result[UpstreamEntry, Any]]
-    decode_report: Callable[[bytes], Result[EngineReport, Any]]
-    encode_order: Callable[[FleetOrder, str, int], bytes]
-    order_headers: Callable[[UpstreamEntry], tuple[tuple[str, str], ...]]
-    decode_order_answer: Callable[[HttpResponse], OrderAnswer]
+    engines: EngineWire
     ready_path: str
-    report_path: str
-    order_path: str
     config_prefix: str
     config_key: str
     upstreams_prefix: str
--- a/eelgrassferry/fleet/upstream_entry.py
+++ b/eelgrassferry/fleet/upstream_entry.py
@@ -14,9 +14,8 @@
 
     An upstream may start again under the same ``instance``; ``started_ms`` then differs.
     ``residents`` maps each model it holds to that model's adapters. ``leaving_in_s`` is the time
-    until an upstream that leaves at short notice is gone, or None. ``accepted_orders`` is the
-    number of orders accepted since its start. ``at_hand`` are models on its disk or in its host
-    memory, which load faster.
+    until an upstream that leaves at short notice is gone, or None. Models ``on_disk`` or
+    ``in_host_memory`` load faster than from the weight store.
     """
 
     instance: str
@@ -26,7 +25,6 @@
     slots: int
     state: UpstreamState
     started_ms: int
-    accepted_orders: int = 0
     leaving_in_s: float | None = None
     residents: Mapping[str, frozenset[str]] = field(default_factory=dict)
     in_host_memory: frozenset[str] = frozenset()
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -94,6 +94,9 @@
     moment its write was sent. A holder whose term has run out takes a new epoch, even where no
     other candidate came between, so that orders from before the gap are fenced. ``former`` are
     instances that this process has given up; their lease is taken without waiting for its end.
+    With ``one_per_host``, so is that of an earlier process of the same host. A holder stops
+    ``stop_early_s`` before its term ends and renews every ``renew_s``, by default a third of the
+    duration.
 
     >>> machine = LeaseMachine("uy-sur", "n1:a")
     >>> machine.tick(0.0)
@@ -106,11 +109,16 @@
         instance: str,
         duration_s: float = 9.0,
         former: frozenset[str] = frozenset(),
+        stop_early_s: float = STOP_EARLY_S,
+        renew_s: float | None = None,
+        one_per_host: bool = False,
     ) -> None:
         self.key = f"leases/{area}"
         self.instance = instance
         self._duration_s = duration_s
-        self._renew_s = duration_s / 3
+        self._renew_s = duration_s / 3 if renew_s is None else renew_s
+        self._stop_early_s = stop_early_s
+        self._one_per_host = one_per_host
         self._former = former
         self._acknowledged: frozenset[str] = frozenset()
         self._count = 0
@@ -191,6 +199,11 @@
         state = self._state
         return state.releasing and not state.busy and not state.unread and not self._is_held()
 
+    @property
+    def last_record(self) -> LeaseRecord | None:
+        """The lease as last read, None where there was none."""
+        return self._state.seen.record if self._state.seen is not None else None
+
     def wake_at(self) -> float:
         """Return the time of the next tick that may have an action."""
         return self._state.next_s
@@ -252,7 +265,7 @@
             state.term = None
             return
         state.renewed_s = write.sent_s
-        end_s = write.sent_s + record.duration_s - STOP_EARLY_S
+        end_s = write.sent_s + record.duration_s - self._stop_early_s
         state.term = LeaseTerm(record.epoch, end_s, self._acknowledged)
 
     def _is_held(self) -> bool:
@@ -264,10 +277,15 @@
     def _is_free(self, now: float) -> bool:
         seen = self._state.seen
         assert seen is not None
-        if seen.record is None or seen.record.released or seen.record.holder in self._former:
+        if seen.record is None or seen.record.released or self._is_former(seen.record.holder):
             return True
         return now >= seen.first_s + seen.record.duration_s * TAKEOVER_FACTOR
 
+    def _is_former(self, holder: str) -> bool:
+        if holder in self._former:
+            return True
+        return self._one_per_host and _host_of(holder) == _host_of(self.instance)
+
     def _poll_at(self, now: float) -> float:
         seen = self._state.seen
         assert seen is not None
@@ -278,3 +296,7 @@
         term = self._state.term
         assert term is not None
         return term.valid_until
+
+
+def _host_of(instance: str) -> str:
+    return instance.partition(":")[0]
--- a/eelgrassferry/ordering/__init__.py
+++ b/eelgrassferry/ordering/__init__.py
@@ -1,6 +1,17 @@
 """Which engine holds which models and adapters: decisions and orders of the coordinator."""
 
+from .coordinator import AskReport, Coordinator, GiveOrder
 from .engine_report import EngineReport
 from .fleet_order import FleetOrder, OrderAnswer
+from .node_status import NodeStatus, Want
 
-__all__ = ["EngineReport", "FleetOrder", "OrderAnswer"]
+__all__ = [
+    "AskReport",
+    "Coordinator",
+    "EngineReport",
+    "FleetOrder",
+    "GiveOrder",
+    "NodeStatus",
+    "OrderAnswer",
+    "Want",
+]
--- /dev/null
+++ b/eelgrassferry/ordering/cold_load_gate.py
@@ -0,0 +1,37 @@
+"""Keeps loads from the weight store within its agreed rate."""
+
+from collections import deque
+
+from ..fleet import ServiceBounds
+
+__all__ = ["ColdLoadGate"]
+
+# Loads that may begin in a window beyond the rate (three by agreement); one is left for an order
+# without an answer that is carried out late.
+EXTRA_LOADS = 2
+
+
+class ColdLoadGate:
+    """Counts loads that begin within the window. The window slides.
+
+    >>> gate = ColdLoadGate(ServiceBounds(), 1.4, now=0.0, used=0)
+    >>> gate.allowed(0.0, under_way=0)
+    True
+    """
+
+    def __init__(self, bounds: ServiceBounds, loads_per_s: float, now: float, used: int) -> None:
+        self._window_s = bounds.cold_load_window_s
+        most = loads_per_s * bounds.cold_load_window_s * bounds.cold_load_factor + EXTRA_LOADS
+        self._most = max(1, int(most))
+        # What an earlier coordinator began is not known.
+        self._begun: deque[float] = deque([now] * min(used, self._most))
+
+    def allowed(self, now: float, under_way: int) -> bool:
+        """Whether a load may begin while some are under way."""
+        while self._begun and now - self._begun[0] > self._window_s:
+            self._begun.popleft()
+        return len(self._begun) < self._most and under_way < self._most
+
+    def note_begun(self, now: float) -> None:
+        """Count a load that begins now."""
+        self._begun.append(now)
--- /dev/null
+++ b/eelgrassferry/ordering/coordinator.py
@@ -0,0 +1,303 @@
+"""Owns the orders to all engines while it holds the lease. No I/O."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..dispatch import OrderedResidency, UpstreamLoad
+from ..fleet import FleetConfig, ServiceBounds, UpstreamDirectory, UpstreamEntry
+from ..placement import OrderKind
+from ..routing import UpstreamState
+from .adapter_places import place_adapter
+from .cold_load_gate import ColdLoadGate
+from .demand_book import DemandBook
+from .engine_book import CopyState, EngineBook
+from .engine_report import EngineReport
+from .fleet_order import FleetOrder, OrderAnswer
+from .node_status import NodeStatus
+from .planner import LoadStep, Planner, UnloadStep, WithdrawStep
+
+__all__ = ["AskReport", "Coordinator", "GiveOrder"]
+
+# Once demand has been seen for this long, it replaces the first assumption of what is busy, in
+# seconds.
+PRIOR_FOR_S = 5.0
+# A node that has sent no status for this long counts as gone, in seconds.
+NODE_GONE_S = 2.5
+
+
+@dataclass(frozen=True)
+class GiveOrder:
+    """Send an order to an engine; ``reason`` is for the log."""
+
+    entry: UpstreamEntry
+    order: FleetOrder
+    reason: str
+
+
+@dataclass(frozen=True)
+class AskReport:
+    """Read an engine's report."""
+
+    entry: UpstreamEntry
+
+
+class Coordinator:
+    """Plans and orders for all engines of all services, from the start of one lease term on.
+
+    ``quiet_s`` is the time for which an earlier holder's order may still be on its way. Books are
+    kept by incarnation. ``changes`` counts the changes of what nodes are told about engines.
+    """
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        bounds: ServiceBounds,
+        now: float,
+        first_start: bool,
+        quiet_s: float = 0.3,
+    ) -> None:
+        self.changes = 0
+        self.books: dict[str, EngineBook] = {}
+        self._directory = directory
+        self._bounds = bounds
+        self._first_start = first_start
+        self._quiet_s = quiet_s
+        self._config: FleetConfig | None = None
+        self._demand = DemandBook()
+        self._planners: dict[str, Planner] = {}
+        self._statuses: dict[str, tuple[float, NodeStatus]] = {}
+        self._learned: set[str] = set()
+        self._demand_since: float | None = None
+
+    # Inputs
+
+    def set_config(self, config: FleetConfig, now: float) -> None:
+        """Use a version of the configuration."""
+        self._config = config
+        for service in config.services.values():
+            if service.engine is None:
+                continue
+            planner = self._planners.get(service.name)
+            if planner is not None:
+                planner.set_service(service)
+                continue
+            rate = service.engine.cold_loads_per_s
+            used = 0 if self._first_start else 100
+            gate = ColdLoadGate(self._bounds, rate, now, used)
+            self._planners[service.name] = Planner(service, self._demand, gate)
+
+    def take_status(self, status: NodeStatus, now: float) -> None:
+        """Take a node's status."""
+        self._statuses[status.node] = (now, status)
+        if status.arrivals and self._demand_since is None:
+            self._demand_since = now
+        for (service, model), count in status.arrivals.items():
+            self._demand.note_arrivals(service, model, count, now)
+        for instance, model, adapter in status.used:
+            book = self.books.get(instance)
+            if book is not None:
+                book.used_at[model, adapter] = now
+        for instance in status.declined:
+            if instance in self.books:
+                self.books[instance].note_declined(now)
+
+    def forget_node(self, node: str) -> None:
+        """Drop the status of a node that is gone."""
+        self._statuses.pop(node, None)
+
+    def take_directory(self, now: float) -> None:
+        """Look at the registered upstreams again."""
+        if self._config is None:
+            return
+        seen = set()
+        for service in self._config.services.values():
+            if service.engine is None:
+                continue
+            for entry in self._directory.of_service(service.name):
+                seen.add(entry.instance)
+                book = self.books.get(entry.instance)
+                if book is None or _is_other_process(book.entry, entry):
+                    book = EngineBook(entry, service.engine, now, self._quiet_s)
+                    self.books[entry.instance] = book
+                    self.changes += 1
+                elif book.entry is not entry:
+                    book.take_entry(entry, now)
+                    self.changes += 1
+                book.spec = service.engine
+        for instance in [instance for instance in self.books if instance not in seen]:
+            del self.books[instance]
+            self.changes += 1
+
+    def take_report(self, instance: str, report: EngineReport, asked_at: float, now: float) -> bool:
+        """Take an engine's report; return whether it was used."""
+        book = self.books.get(instance)
+        if book is None:
+            return False
+        used = book.take_report(report, asked_at, now)
+        self.changes += int(used)
+        return used
+
+    def take_answer(self, instance: str, answer: OrderAnswer, now: float) -> GiveOrder | None:
+        """Take the answer to an order; return the order where it is to be sent again."""
+        book = self.books.get(instance)
+        if book is None or book.pending is None:
+            return None
+        again = book.settle(answer, now)
+        self.changes += 1
+        return GiveOrder(book.entry, again, "no answer") if again is not None else None
+
+    # Decisions
+
+    def decide(self, now: float) -> list[GiveOrder | AskReport]:
+        """Return the orders and questions that are due."""
+        if self._config is None:
+            return []
+        actions: list[GiveOrder | AskReport] = []
+        for book in self.books.values():
+            if book.entry.state is UpstreamState.LIVE and book.wants_report(now):
+                book.note_asked(now)
+                actions.append(AskReport(book.entry))
+        self._expire_nodes(now)
+        waiting, adapters = self._wants()
+        requests = self._requests()
+        running = self._running()
+        for name, planner in self._planners.items():
+            service = self._config.services.get(name)
+            if service is None or service.engine is None:
+                continue
+            books = [book for book in self.books.values() if book.entry.service == name]
+            self._learn_priors(name, planner, books)
+            if self._demand_since is not None and now - self._demand_since > PRIOR_FOR_S:
+                planner.drop_priors()
+            actions += self._order_adapters(adapters.get(name, {}), books, requests, now)
+            for step in planner.plan(books, waiting.get(name, {}), running, requests, now):
+                action = self._take_step(step, now)
+                if action is not None:
+                    actions.append(action)
+        return actions
+
+    def residency(self, now: float) -> dict[str, OrderedResidency]:
+        """Return what nodes are told about each engine."""
+        return {
+            instance: OrderedResidency(
+                started_ms=book.entry.started_ms,
+                adapters=self._ready_adapters(book, now),
+                withdrawn=frozenset(
+                    model
+                    for model, copy in book.copies.items()
+                    if copy.state in (CopyState.WITHDRAWN, CopyState.UNLOADING)
+                ),
+                loading={
+                    model: copy.due
+                    for model, copy in book.copies.items()
+                    if copy.state is CopyState.LOADING
+                },
+            )
+            for instance, book in self.books.items()
+            if book.synced or book.copies
+        }
+
+    def next_ready_at(self, now: float) -> float | None:
+        """Return when the next adapter under way is expected to be usable, None without one."""
+        times = [
+            ready_at
+            for book in self.books.values()
+            for ready_at in book.adapters.values()
+            if now < ready_at < float("inf")
+        ]
+        return min(times, default=None)
+
+    def loads(self) -> dict[str, UpstreamLoad]:
+        """Return what all nodes have in flight by upstream."""
+        total: dict[str, UpstreamLoad] = {}
+        for _, status in self._statuses.values():
+            for instance, load in status.loads.items():
+                held = total.setdefault(instance, UpstreamLoad())
+                held.requests += load.requests
+                held.backlog_s += load.backlog_s
+                held.cache_tokens += load.cache_tokens
+        return total
+
+    @property
+    def nodes(self) -> int:
+        """The number of nodes that send their status."""
+        return max(1, len(self._statuses))
+
+    # Steps
+
+    def _order_adapters(
+        self,
+        wanted: dict[tuple[str, str], float],
+        books: list[EngineBook],
+        requests: dict[str, float],
+        now: float,
+    ) -> Iterable[GiveOrder]:
+        for model, adapter in sorted(wanted, key=lambda pair: wanted[pair]):
+            placed = place_adapter(model, adapter, books, wanted, requests, now)
+            if placed is not None:
+                book, order = placed
+                book.begin(order, now)
+                self.changes += 1
+                yield GiveOrder(book.entry, order, f"requests wait for {model}/{adapter}")
+
+    def _take_step(
+        self, step: LoadStep | UnloadStep | WithdrawStep, now: float
+    ) -> GiveOrder | None:
+        book = self.books[step.instance]
+        self.changes += 1
+        match step:
+            case WithdrawStep(_, model, _):
+                book.withdraw(model, now)
+                return None
+            case LoadStep(_, model):
+                order = FleetOrder(OrderKind.LOAD_MODEL, model, book.count)
+                reason = "demand"
+            case UnloadStep(_, model):
+                order = FleetOrder(OrderKind.UNLOAD_MODEL, model, book.count)
+                reason = "makes room"
+        book.begin(order, now)
+        return GiveOrder(book.entry, order, reason)
+
+    def _learn_priors(self, name: str, planner: Planner, books: list[EngineBook]) -> None:
+        if name not in self._learned and books and all(book.synced for book in books):
+            self._learned.add(name)
+            planner.learn_priors(books)
+
+    def _wants(self) -> tuple[dict[str, dict[str, int]], dict[str, dict[tuple[str, str], float]]]:
+        """Return the waiting requests by service and model, and the adapters waited for."""
+        waiting: dict[str, dict[str, int]] = {}
+        adapters: dict[str, dict[tuple[str, str], float]] = {}
+        for _, status in self._statuses.values():
+            for want in status.wants:
+                models = waiting.setdefault(want.service, {})
+                models[want.model] = models.get(want.model, 0) + want.count
+                if want.adapter:
+                    pairs = adapters.setdefault(want.service, {})
+                    pair = (want.model, want.adapter)
+                    pairs[pair] = min(want.left_s, pairs.get(pair, want.left_s))
+        return waiting, adapters
+
+    def _requests(self) -> dict[str, float]:
+        return {instance: load.requests for instance, load in self.loads().items()}
+
+    def _running(self) -> dict[tuple[str, str], int]:
+        total: dict[tuple[str, str], int] = {}
+        for _, status in self._statuses.values():
+            for key, count in status.running.items():
+                total[key] = total.get(key, 0) + count
+        return total
+
+    def _expire_nodes(self, now: float) -> None:
+        for node in [n for n, (at, _) in self._statuses.items() if now - at > NODE_GONE_S]:
+            del self._statuses[node]
+
+    def _ready_adapters(self, book: EngineBook, now: float) -> dict[str, frozenset[str]]:
+        found: dict[str, set[str]] = {}
+        for (model, adapter), ready_at in book.adapters.items():
+            if ready_at <= now:
+                found.setdefault(model, set()).add(adapter)
+        return {model: frozenset(names) for model, names in found.items()}
+
+
+def _is_other_process(before: UpstreamEntry, after: UpstreamEntry) -> bool:
+    return (before.started_ms, before.address) != (after.started_ms, after.address)
--- /dev/null
+++ b/eelgrassferry/ordering/engine_book.py
@@ -0,0 +1,243 @@
+"""What one incarnation of an engine holds, counting orders that are under way or open."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ..fleet import Engine, UpstreamEntry
+from ..placement import OrderKind
+from .engine_report import EngineReport
+from .fleet_order import FleetOrder, OrderAnswer
+
+__all__ = ["CopyState", "EngineBook", "ModelCopy"]
+
+# An engine's report describes it as it was up to this long before, in seconds.
+REPORT_LAG_S = 0.35
+# An adapter is usable this long after its order was accepted, in seconds, while few are in transit.
+ADAPTER_LOAD_S = 0.008
+# An order without an answer is sent again, with the same count, this often before the engine's
+# report is asked for.
+MAX_REPEATS = 2
+# Once a load or unload is overdue by this time, in seconds, the report is read.
+OVERDUE_S = 0.25
+# Time after which an unload is expected to be done once its runs have ended, in seconds.
+UNLOAD_S = 0.1
+
+
+class CopyState(Enum):
+    """The life of a model's copy. A withdrawn copy gets no new requests and is unloaded next."""
+
+    LOADING = "loading"
+    LIVE = "live"
+    WITHDRAWN = "withdrawn"
+    UNLOADING = "unloading"
+
+
+@dataclass
+class ModelCopy:
+    """A copy of a model. ``since`` is the time of its last change of state, ``due`` the expected
+    time of completion of a load or unload.
+    """
+
+    state: CopyState
+    since: float
+    due: float = 0.0
+
+
+class EngineBook:
+    """Orders to one engine, one at a time, and what they leave behind.
+
+    The book is ready once a report was read that no earlier order can contradict. An order without
+    an answer counts as carried out until the engine's report says otherwise. Every order carries
+    the number of orders accepted before it, so that at most one of two competing orders is obeyed.
+    """
+
+    def __init__(self, entry: UpstreamEntry, spec: Engine, now: float, quiet_s: float) -> None:
+        self.entry = entry
+        self.spec = spec
+        self.copies: dict[str, ModelCopy] = {}
+        self.adapters: dict[tuple[str, str], float] = {}
+        self.used_at: dict[tuple[str, str], float] = {}
+        self.pending: FleetOrder | None = None
+        self.count = 0
+        self.synced = False
+        self.open_until = 0.0
+        self._repeats = 0
+        # A report proves what it says only if it was read this long after the last order that may
+        # have been sent, by this coordinator or an earlier one.
+        self._quiet_since = now - REPORT_LAG_S + quiet_s
+        self._asked_at = float("-inf")
+
+    # Views
+
+    @property
+    def instance(self) -> str:
+        """The incarnation's id."""
+        return self.entry.instance
+
+    def is_ready(self, now: float) -> bool:
+        """Whether an order may be given now."""
+        return self.synced and self.pending is None and now >= self.open_until
+
+    @property
+    def is_moving(self) -> bool:
+        """Whether a model is being loaded or unloaded, or is about to be unloaded."""
+        return any(copy.state is not CopyState.LIVE for copy in self.copies.values())
+
+    def live(self, model: str) -> bool:
+        """Whether requests for a model may be sent."""
+        copy = self.copies.get(model)
+        return copy is not None and copy.state is CopyState.LIVE
+
+    @property
+    def used_mb(self) -> float:
+        """Memory of all copies, those under way and withdrawn included, and of all adapter slots."""
+        models = self.spec.models
+        used = sum(models[name].weights_mb for name in self.copies if name in models)
+        largest = max((model.adapter_mb for model in models.values()), default=0.0)
+        return used + largest * self.spec.adapter_slots
+
+    @property
+    def free_mb(self) -> float:
+        """Memory for another model."""
+        return self.spec.weights_mb - self.used_mb
+
+    @property
+    def free_slots(self) -> int:
+        """Places for another adapter."""
+        return self.spec.adapter_slots - len(self.adapters)
+
+    def load_s(self, model: str) -> float:
+        """Return how long a load of a model takes here."""
+        spec = self.spec.models[model]
+        if model in self.entry.in_host_memory:
+            return spec.memory_load_s
+        return spec.disk_load_s if model in self.entry.on_disk else spec.load_s
+
+    def is_cold(self, model: str) -> bool:
+        """Whether a load of a model here takes a load from the weight store."""
+        return model not in self.entry.in_host_memory and model not in self.entry.on_disk
+
+    # Orders
+
+    def begin(self, order: FleetOrder, now: float) -> None:
+        """Take that an order is about to be sent."""
+        self.pending = order
+        self._repeats = 0
+        match order.kind:
+            case OrderKind.LOAD_MODEL:
+                due = now + self.load_s(order.model)
+                self.copies[order.model] = ModelCopy(CopyState.LOADING, now, due)
+            case OrderKind.LOAD_ADAPTER:
+                self.adapters[order.model, order.adapter] = float("inf")
+                self.used_at[order.model, order.adapter] = now
+            case OrderKind.UNLOAD_MODEL:
+                self.copies[order.model] = ModelCopy(CopyState.UNLOADING, now, now + UNLOAD_S)
+            case OrderKind.UNLOAD_ADAPTER:
+                self.adapters[order.model, order.adapter] = float("inf")
+
+    def settle(self, answer: OrderAnswer, now: float) -> FleetOrder | None:
+        """Take the answer to the pending order; return it where it is to be sent again."""
+        order, self.pending = self.pending, None
+        assert order is not None
+        self._quiet_since = now
+        if answer is OrderAnswer.UNKNOWN:
+            self._repeats += 1
+            if self._repeats <= MAX_REPEATS:
+                self.pending = order
+                return order
+            self._lose_track(now)
+            return None
+        if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.HOLDS):
+            self._lose_track(now)
+            return None
+        if answer is OrderAnswer.ACCEPTED or order.kind is OrderKind.UNLOAD_ADAPTER:
+            self.count = max(self.count, order.expected_count + 1)
+        match order.kind:
+            case OrderKind.LOAD_ADAPTER:
+                self.adapters[order.model, order.adapter] = now + ADAPTER_LOAD_S
+            case OrderKind.UNLOAD_ADAPTER if answer is OrderAnswer.HOLDS:
+                self.adapters.pop((order.model, order.adapter), None)
+            case OrderKind.UNLOAD_ADAPTER:
+                # Its runs have to end first, so the slot is taken until a report shows otherwise.
+                self._lose_track(now)
+            case OrderKind.LOAD_MODEL if answer is OrderAnswer.HOLDS:
+                self.copies[order.model] = ModelCopy(CopyState.LIVE, now)
+        return None
+
+    def withdraw(self, model: str, now: float) -> None:
+        """Stop sending requests to a copy that is to be unloaded."""
+        self.copies[model] = ModelCopy(CopyState.WITHDRAWN, now)
+
+    def restore(self, model: str, now: float) -> None:
+        """Take back the withdrawal of a copy."""
+        self.copies[model] = ModelCopy(CopyState.LIVE, now)
+
+    # Evidence
+
+    def wants_report(self, now: float) -> bool:
+        """Whether the engine's report is to be read now."""
+        if self.pending is not None or now - self._asked_at < REPORT_LAG_S:
+            return False
+        if not self.synced:
+            return now >= self._quiet_since + REPORT_LAG_S
+        return any(
+            copy.due and now >= copy.due + OVERDUE_S
+            for copy in self.copies.values()
+            if copy.state in (CopyState.LOADING, CopyState.UNLOADING)
+        )
+
+    def note_asked(self, now: float) -> None:
+        """Take that the report is asked for now."""
+        self._asked_at = now
+
+    def take_entry(self, entry: UpstreamEntry, now: float) -> None:
+        """Take a registry entry, which an engine writes when a model was loaded or unloaded."""
+        before, self.entry = self.entry, entry
+        if not self.synced:
+            return
+        for model in set(before.residents) | set(entry.residents):
+            copy = self.copies.get(model)
+            if copy is None:
+                continue
+            if copy.state is CopyState.LOADING and model in entry.residents:
+                if model not in before.residents:
+                    self.copies[model] = ModelCopy(CopyState.LIVE, now)
+            elif copy.state is CopyState.UNLOADING and model not in entry.residents:
+                self._drop(model)
+
+    def take_report(self, report: EngineReport, asked_at: float, now: float) -> bool:
+        """Take a report that was asked for at ``asked_at``; return whether it was used."""
+        if self.pending is not None or asked_at < self._quiet_since + REPORT_LAG_S:
+            return False
+        self.count = report.accepted_orders
+        self.synced = True
+        for model in list(self.copies):
+            copy = self.copies[model]
+            if model in report.residents:
+                if copy.state is CopyState.LOADING or (copy.state is CopyState.UNLOADING and not report.order_in_progress):
+                    self.copies[model] = ModelCopy(CopyState.LIVE, now)
+            elif not report.order_in_progress or copy.state is not CopyState.LOADING:
+                self._drop(model)
+        for model in report.residents:
+            self.copies.setdefault(model, ModelCopy(CopyState.LIVE, now))
+        held = {(model, name) for model, names in report.residents.items() for name in names}
+        coming = {pair for pair in report.adapters_in_transit if len(pair) == 2}
+        self.adapters = {
+            **{pair: now + ADAPTER_LOAD_S for pair in coming},
+            **{pair: min(self.adapters.get(pair, now), now) for pair in held},
+        }
+        return True
+
+    def note_declined(self, now: float) -> None:
+        """Take that a request was declined for a model or adapter that should be there."""
+        self._lose_track(now)
+
+    def _lose_track(self, now: float) -> None:
+        """Read the report before the next order."""
+        self.synced = False
+        self._quiet_since = max(self._quiet_since, now)
+
+    def _drop(self, model: str) -> None:
+        self.copies.pop(model, None)
+        for pair in [pair for pair in self.adapters if pair[0] == model]:
+            del self.adapters[pair]
--- /dev/null
+++ b/eelgrassferry/ordering/planner.py
@@ -0,0 +1,251 @@
+"""Decides which model is loaded where, and what makes room for it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..fleet import Service
+from ..routing import UpstreamState
+from .cold_load_gate import ColdLoadGate
+from .demand_book import DemandBook
+from .engine_book import CopyState, EngineBook
+
+__all__ = ["LoadStep", "ModelNeed", "Planner", "UnloadStep", "WithdrawStep"]
+
+# Work of one copy above which another copy is wanted, as requests a second for a model that runs
+# at the usual pace. At this rate an engine is about half busy with prompts of the present sites.
+RATE_PER_COPY = 3.0
+# A model that is asked for at this rate is kept on two engines, so that a crash leaves one.
+SPARE_COPY_RATE = 0.8
+# The demand of the model to be loaded must exceed this multiple of the demand that the evicted
+# copy carries, which keeps models from trading places.
+HYSTERESIS = 1.6
+# A copy is not evicted for this long after it was loaded, in seconds.
+MIN_RESIDENCE_S = 1.5
+# A model that was asked for within this time keeps its last copy, unless one that is waited for
+# needs the place, in seconds.
+KEEP_LAST_S = 6.0
+# Nodes stop sending to a withdrawn copy within this time, in seconds.
+WITHDRAW_S = 0.06
+# Requests that run on a withdrawn copy delay its unload by at most this time, in seconds, after
+# which the engine waits for them itself.
+RUNS_WAIT_S = 1.0
+# Rate assumed at first for a model, for each copy that it has beyond the first: the models that
+# are on several engines at the start are the busy ones.
+PRIOR_RATE = 1.0
+
+
+@dataclass(frozen=True)
+class ModelNeed:
+    """A model to load. ``waited_for`` says that requests cannot be served without it."""
+
+    model: str
+    waited_for: bool
+    worth: float
+
+
+@dataclass(frozen=True)
+class LoadStep:
+    """Load a model on an engine now."""
+
+    instance: str
+    model: str
+
+
+@dataclass(frozen=True)
+class WithdrawStep:
+    """Stop sending requests for a model to an engine, to unload it next."""
+
+    instance: str
+    model: str
+    makes_room_for: str
+
+
+@dataclass(frozen=True)
+class UnloadStep:
+    """Unload a withdrawn model."""
+
+    instance: str
+    model: str
+
+
+Step = LoadStep | WithdrawStep | UnloadStep
+
+
+class Planner:
+    """Plans the model copies of one service's engines."""
+
+    def __init__(self, service: Service, demand: DemandBook, gate: ColdLoadGate) -> None:
+        self._service = service
+        self._demand = demand
+        self._gate = gate
+        self._prior: dict[str, float] = {}
+
+    def set_service(self, service: Service) -> None:
+        """Use another configuration of the service."""
+        self._service = service
+
+    def plan(
+        self,
+        books: list[EngineBook],
+        waiting: Mapping[str, int],
+        running: Mapping[tuple[str, str], int],
+        requests: Mapping[str, float],
+        now: float,
+    ) -> list[Step]:
+        """Return the next steps. ``waiting`` counts requests by model that no engine can take,
+        ``running`` requests by instance and model, ``requests`` all by instance.
+        """
+        usable = [book for book in books if book.entry.state is UpstreamState.LIVE]
+        steps: list[Step] = [
+            UnloadStep(book.instance, model)
+            for book in usable
+            for model in self._unloadable(book, running, now)
+        ]
+        taken = {step.instance for step in steps}
+        for need in self._needs(usable, waiting, now):
+            step = self._serve(need, usable, running, requests, taken, now)
+            if step is not None:
+                taken.add(step.instance)
+                steps.append(step)
+        return steps
+
+    # Needs
+
+    def rate(self, model: str, now: float) -> float:
+        """Return the demand of a model in requests a second."""
+        prior = self._prior.get(model, 0.0)
+        return self._demand.rate(self._service.name, model, now) + prior
+
+    def _needs(
+        self, books: list[EngineBook], waiting: Mapping[str, int], now: float
+    ) -> list[ModelNeed]:
+        """Return the models that should get another copy, the most important first."""
+        found = []
+        engine = self._service.engine
+        assert engine is not None
+        for model in engine.models:
+            copies = self._copies(books, model)
+            if waiting.get(model) and not copies:
+                found.append(ModelNeed(model, True, 1000.0 + waiting[model]))
+                continue
+            rate = self._demand.rate(self._service.name, model, now)
+            wanted = max(rate / RATE_PER_COPY, 2.0 if rate >= SPARE_COPY_RATE else 0.0)
+            if copies < wanted and copies < len(books):
+                found.append(ModelNeed(model, False, rate / (copies + 1)))
+        return sorted(found, key=lambda need: -need.worth)
+
+    def _copies(self, books: list[EngineBook], model: str) -> int:
+        states = (CopyState.LIVE, CopyState.LOADING)
+        return sum(model in book.copies and book.copies[model].state in states for book in books)
+
+    # Places
+
+    def _serve(
+        self,
+        need: ModelNeed,
+        books: list[EngineBook],
+        running: Mapping[tuple[str, str], int],
+        requests: Mapping[str, float],
+        taken: set[str],
+        now: float,
+    ) -> Step | None:
+        under_way = sum(
+            copy.state is CopyState.LOADING and book.is_cold(model)
+            for book in books
+            for model, copy in book.copies.items()
+        )
+        cold_allowed = self._gate.allowed(now, under_way)
+        best: tuple[float, Step] | None = None
+        for book in books:
+            if book.instance in taken or need.model in book.copies or book.is_moving:
+                continue
+            if not book.is_ready(now):
+                continue
+            if book.is_cold(need.model) and not cold_allowed:
+                continue
+            found = self._step_at(need, book, books, running, now)
+            if found is None:
+                continue
+            step, penalty = found
+            cost = book.load_s(need.model) + penalty + 0.02 * requests.get(book.instance, 0.0)
+            if best is None or cost < best[0]:
+                best = (cost, step)
+        if best is None:
+            return None
+        step = best[1]
+        if isinstance(step, LoadStep):
+            book = next(book for book in books if book.instance == step.instance)
+            if book.is_cold(step.model):
+                self._gate.note_begun(now)
+        return step
+
+    def _step_at(
+        self,
+        need: ModelNeed,
+        book: EngineBook,
+        books: list[EngineBook],
+        running: Mapping[tuple[str, str], int],
+        now: float,
+    ) -> tuple[Step, float] | None:
+        """Return the step towards a copy on one engine and its cost in seconds."""
+        weights_mb = book.spec.models[need.model].weights_mb
+        if book.free_mb >= weights_mb:
+            return LoadStep(book.instance, need.model), 0.0
+        victims = [
+            (self._loss(book, model, books, running, now), model)
+            for model, copy in book.copies.items()
+            if copy.state is CopyState.LIVE
+            and now - copy.since >= MIN_RESIDENCE_S
+            and book.free_mb + book.spec.models[model].weights_mb >= weights_mb
+        ]
+        if not victims:
+            return None
+        loss, victim = min(victims)
+        gain = 1000.0 if need.waited_for else need.worth
+        if gain < HYSTERESIS * loss:
+            return None
+        return WithdrawStep(book.instance, victim, need.model), 0.15 + min(loss, 50.0) * 0.1
+
+    def _loss(
+        self,
+        book: EngineBook,
+        model: str,
+        books: list[EngineBook],
+        running: Mapping[tuple[str, str], int],
+        now: float,
+    ) -> float:
+        """Return how much the eviction of a copy costs, in requests a second."""
+        copies = self._copies(books, model)
+        rate = self.rate(model, now)
+        loss = rate / max(1, copies)
+        if copies <= 1:
+            loss += rate
+            if now - self._demand.last_asked(self._service.name, model) < KEEP_LAST_S:
+                loss += 1.0
+        return loss + 0.05 * running.get((book.instance, model), 0)
+
+    def _unloadable(
+        self, book: EngineBook, running: Mapping[tuple[str, str], int], now: float
+    ) -> list[str]:
+        if not book.is_ready(now):
+            return []
+        found = []
+        for model, copy in book.copies.items():
+            if copy.state is not CopyState.WITHDRAWN or now - copy.since < WITHDRAW_S:
+                continue
+            runs = running.get((book.instance, model), 0)
+            if not runs or now - copy.since >= RUNS_WAIT_S:
+                found.append(model)
+        return found[:1]
+
+    def learn_priors(self, books: list[EngineBook]) -> None:
+        """Take the models that are on several engines at the start as the busy ones."""
+        counts: dict[str, int] = {}
+        for book in books:
+            for model in book.copies:
+                counts[model] = counts.get(model, 0) + 1
+        self._prior = {model: PRIOR_RATE * (n - 1) for model, n in counts.items() if n > 1}
+
+    def drop_priors(self) -> None:
+        """Forget the first assumption once demand is known."""
+        self._prior = {}
--- a/eelgrassferry/platform/upstream_codec.py
+++ b/eelgrassferry/platform/upstream_codec.py
@@ -38,8 +38,7 @@
                 state=STATES[spec["state"]],
                 # "born" is the Unix millisecond at which the process started.
                 started_ms=started_ms,
-                # "sequence" counts the orders that the upstream accepted since its start.
-                accepted_orders=_number(spec.get("sequence", 0)),
+                # "sequence" numbers the heartbeats here, and the accepted orders in a report.
                 leaving_in_s=None if leaving_ms is None else float(leaving_ms) / 1000.0,
                 residents=_residents(spec.get("models") or ()),
                 in_host_memory=_names(at_hand.get("in_memory") or ()),
--- a/eelgrassferry/platform/wire.py
+++ b/eelgrassferry/platform/wire.py
@@ -1,5 +1,6 @@
 """Puts the adapter's parts together."""
 
+from ..coordination import EngineWire
 from ..entry import Wire
 from ..http import HttpClient
 from .config_codec import decode_config
@@ -21,13 +22,15 @@
         decode_answer=decode_answer,
         decode_config=decode_config,
         decode_entry=decode_entry,
-        decode_report=decode_report,
-        encode_order=encode_order,
-        order_headers=order_headers,
-        decode_order_answer=decode_order_answer,
+        engines=EngineWire(
+            encode_order=encode_order,
+            order_headers=order_headers,
+            decode_order_answer=decode_order_answer,
+            decode_report=decode_report,
+            order_path=ORDER_PATH,
+            report_path=REPORT_PATH,
+        ),
         ready_path=READY_PATH,
-        report_path=REPORT_PATH,
-        order_path=ORDER_PATH,
         config_prefix=CONFIG_PREFIX,
         config_key=CONFIG_KEY,
         upstreams_prefix=UPSTREAMS_PREFIX,
