Plan copies by work, keep adapters off engines that load, and mind callers' patience

Streams are abandoned after a known time. Change: a second copy only where prompts keep an engine over 0.4 busy; cold loads at once bounded by the store's rate; adapters only on engines at rest; waiting streams end with the caller's patience.

--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -62,7 +62,7 @@
     """Return the body of a status."""
     return {
         "node": status.node,
-        "arrivals": [[*key, count] for key, count in status.arrivals.items()],
+        "arrivals": [[*key, *work] for key, work in status.arrivals.items()],
         "wants": [[w.service, w.model, w.adapter, w.count, w.left_s] for w in status.wants],
         "loads": _encode_loads(status.loads),
         "running": [[*key, count] for key, count in status.running.items()],
@@ -77,7 +77,7 @@
         return Ok(
             NodeStatus(
                 node=str(body["node"]),
-                arrivals={(service, model): n for service, model, n in body["arrivals"]},
+                arrivals={(service, model): (n, s) for service, model, n, s in body["arrivals"]},
                 wants=tuple(Want(*want) for want in body["wants"]),
                 loads=_decode_loads(body["loads"]),
                 running={(instance, model): n for instance, model, n in body["running"]},
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -4,7 +4,6 @@
 """
 
 from bisect import insort
-from collections import Counter
 from collections.abc import Mapping
 from random import Random
 
@@ -70,7 +69,7 @@
         self.prefix = PrefixBook()
         self.health = HealthBook()
         self.pauses = PauseBook()
-        self.arrivals: Counter[tuple[str, str]] = Counter()
+        self.arrivals: dict[tuple[str, str], tuple[int, float]] = {}
         self.adapters_used: set[tuple[str, str, str]] = set()
         self.declined: set[str] = set()
         self._domain = domain
@@ -89,11 +88,11 @@
     def submit(self, job: Job, now: float) -> list[Action]:
         """Take a new request."""
         self._budget(job.service).note_success()
-        if job.model:
-            self.arrivals[job.service, job.model] += 1
         refusal = self._unservable(job)
         if refusal is not None:
             return [self._refuse(job, refusal, now, final=True)]
+        if job.model:
+            self._note_arrival(job)
         return self._place_or_wait(job, now)
 
     def note_sent(self, job: Job) -> None:
@@ -222,7 +221,7 @@
                 continue
             key = (job.service, job.model, job.adapter)
             count, left_s = found.get(key, (0, float("inf")))
-            found[key] = (count + 1, min(left_s, job.give_up_at - now))
+            found[key] = (count + 1, min(left_s, job.patience_at - now))
         return found
 
     @property
@@ -251,6 +250,14 @@
 
     # Steps
 
+    def _note_arrival(self, job: Job) -> None:
+        """Count a request for a model and the work that its own part of the prompt is."""
+        own_tokens = job.parts[-1][1] if job.parts else job.prompt_tokens
+        work_s = self.pace.expected_s("", job.model, own_tokens)
+        key = (job.service, job.model)
+        count, total_s = self.arrivals.get(key, (0, 0.0))
+        self.arrivals[key] = (count + 1, total_s + work_s)
+
     def _place_or_wait(self, job: Job, now: float) -> list[Action]:
         sent = self._place(job, now)
         if sent is not None:
@@ -425,7 +432,7 @@
             least_s = self.pace.expected_s("", job.model, job.prompt_tokens) / 2.0
         else:
             least_s = PLAIN_START_S / 2.0
-        return now + least_s >= job.give_up_at
+        return now + least_s >= job.patience_at
 
     def _why_waiting(self, job: Job, now: float) -> RefuseReason:
         if not self._directory.of_service(job.service):
--- a/eelgrassferry/dispatch/job.py
+++ b/eelgrassferry/dispatch/job.py
@@ -3,10 +3,16 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ..fleet import Route
+from ..fleet import RequestKind, Route
 
 __all__ = ["Flight", "Job"]
 
+# Callers abandon a stream without an event after the longest of these: a time in seconds, a
+# multiple of the latency target, and a multiple of the longest pause between events.
+LEAST_PATIENCE_S = 2.0
+TARGETS_OF_PATIENCE = 4.0
+GAPS_OF_PATIENCE = 8.0
+
 
 @dataclass
 class Flight:
@@ -58,6 +64,18 @@
         """The time within which the answer earns its full worth."""
         return self.arrived_at + self.route.target_latency_s
 
+    @property
+    def patience_at(self) -> float:
+        """The time by which an answer has to begin, because the caller leaves then."""
+        if self.route.kind is not RequestKind.STREAM:
+            return self.give_up_at
+        patience_s = max(
+            LEAST_PATIENCE_S,
+            TARGETS_OF_PATIENCE * self.route.target_latency_s,
+            GAPS_OF_PATIENCE * self.route.gap_target_s,
+        )
+        return min(self.give_up_at, self.arrived_at + patience_s)
+
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have begun to run the request."""
@@ -66,4 +84,4 @@
     @property
     def order(self) -> tuple[int, float]:
         """The place among waiting jobs: urgent ones first, then early deadlines."""
-        return (self.route.priority, self.give_up_at)
+        return (self.route.priority, self.patience_at)
--- a/eelgrassferry/ordering/adapter_places.py
+++ b/eelgrassferry/ordering/adapter_places.py
@@ -23,6 +23,8 @@
 ) -> tuple[EngineBook, FleetOrder] | None:
     """Return the next order towards an adapter that requests wait for, or None.
 
+    Engines take no order for an adapter while they load or unload a model.
+
     An adapter that is loaded or under way anywhere needs none. Otherwise the least busy engine
     that holds the model and has a free place gets it; where all places are taken, the adapter that
     was not used for longest is unloaded first, unless requests wait for it.
@@ -36,7 +38,7 @@
     ]
     if any((model, adapter) in book.adapters for book in holders):
         return None
-    ready = [book for book in holders if book.is_ready(now)]
+    ready = [book for book in holders if book.is_ready(now) and not book.is_moving]
     free = [book for book in ready if book.free_slots > 0]
     if free:
         book = min(free, key=lambda b: (requests.get(b.instance, 0.0), -b.free_slots))
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -83,7 +83,8 @@
                 continue
             rate = service.engine.cold_loads_per_s
             used = 0 if self._first_start else 100
-            gate = ColdLoadGate(self._bounds, rate, now, used)
+            load_s = max(model.load_s for model in service.engine.models.values())
+            gate = ColdLoadGate(self._bounds, rate, load_s, now, used)
             self._planners[service.name] = Planner(service, self._demand, gate)
 
     def take_status(self, status: NodeStatus, now: float) -> None:
@@ -91,8 +92,8 @@
         self._statuses[status.node] = (now, status)
         if status.arrivals and self._demand_since is None:
             self._demand_since = now
-        for (service, model), count in status.arrivals.items():
-            self._demand.note_arrivals(service, model, count, now)
+        for (service, model), (count, work_s) in status.arrivals.items():
+            self._demand.note_arrivals(service, model, count, work_s, now)
         for instance, model, adapter in status.used:
             book = self.books.get(instance)
             if book is not None:
--- a/eelgrassferry/ordering/demand_book.py
+++ b/eelgrassferry/ordering/demand_book.py
@@ -9,29 +9,39 @@
 
 
 class DemandBook:
-    """Arrival rates and waiting requests by service and model.
+    """Arrival rates and work by service and model.
 
     >>> demand = DemandBook()
-    >>> demand.note_arrivals("s", "m", 3, now=0.0)
+    >>> demand.note_arrivals("s", "m", 3, 0.3, now=0.0)
     >>> round(demand.rate("s", "m", now=0.0), 2)
     0.69
     """
 
     def __init__(self) -> None:
-        self._rates: dict[tuple[str, str], tuple[float, float]] = {}
+        self._rates: dict[tuple[str, str], tuple[float, float, float]] = {}
         self._last: dict[tuple[str, str], float] = {}
 
-    def note_arrivals(self, service: str, model: str, count: float, now: float) -> None:
-        """Count requests for a model."""
-        key = (service, model)
-        self._rates[key] = (self.rate(service, model, now) + count * DECAY, now)
-        self._last[key] = now
+    def note_arrivals(
+        self, service: str, model: str, count: float, work_s: float, now: float
+    ) -> None:
+        """Count requests for a model and the seconds of an engine that their prompts take."""
+        rate, busy = self._current(service, model, now)
+        self._rates[service, model] = (rate + count * DECAY, busy + work_s * DECAY, now)
+        self._last[service, model] = now
 
     def rate(self, service: str, model: str, now: float) -> float:
         """Return requests a second."""
-        rate, at = self._rates.get((service, model), (0.0, now))
-        return rate * 0.5 ** (max(0.0, now - at) / HALF_LIFE_S)
+        return self._current(service, model, now)[0]
+
+    def busy(self, service: str, model: str, now: float) -> float:
+        """Return the engines that the prompts of a model keep busy."""
+        return self._current(service, model, now)[1]
 
     def last_asked(self, service: str, model: str) -> float:
         """Return when a model was last asked for, minus infinity for never."""
         return self._last.get((service, model), float("-inf"))
+
+    def _current(self, service: str, model: str, now: float) -> tuple[float, float]:
+        rate, busy, at = self._rates.get((service, model), (0.0, 0.0, now))
+        faded = 0.5 ** (max(0.0, now - at) / HALF_LIFE_S)
+        return rate * faded, busy * faded
--- a/eelgrassferry/ordering/engine_book.py
+++ b/eelgrassferry/ordering/engine_book.py
@@ -90,7 +90,7 @@
 
     @property
     def used_mb(self) -> float:
-        """Memory of all copies, those under way and withdrawn included, and of all adapter slots."""
+        """Memory of all copies, those under way and withdrawn included, and all adapter slots."""
         models = self.spec.models
         used = sum(models[name].weights_mb for name in self.copies if name in models)
         largest = max((model.adapter_mb for model in models.values()), default=0.0)
@@ -214,7 +214,9 @@
         for model in list(self.copies):
             copy = self.copies[model]
             if model in report.residents:
-                if copy.state is CopyState.LOADING or (copy.state is CopyState.UNLOADING and not report.order_in_progress):
+                if copy.state is CopyState.LOADING or (
+                    copy.state is CopyState.UNLOADING and not report.order_in_progress
+                ):
                     self.copies[model] = ModelCopy(CopyState.LIVE, now)
             elif not report.order_in_progress or copy.state is not CopyState.LOADING:
                 self._drop(model)
--- a/eelgrassferry/ordering/node_status.py
+++ b/eelgrassferry/ordering/node_status.py
@@ -21,13 +21,14 @@
 
 @dataclass(frozen=True)
 class NodeStatus:
-    """``arrivals`` counts requests by service and model since the last status, ``running`` those
+    """``arrivals`` counts requests by service and model since the last status, with the time to
+    read their prompts in seconds, ``running`` those
     in flight by instance and model. ``used`` are adapters that requests were sent to, and
     ``declined`` instances that did not hold what they should.
     """
 
     node: str
-    arrivals: Mapping[tuple[str, str], int] = field(default_factory=dict)
+    arrivals: Mapping[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
     wants: tuple[Want, ...] = ()
     loads: Mapping[str, UpstreamLoad] = field(default_factory=dict)
     running: Mapping[tuple[str, str], int] = field(default_factory=dict)
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -11,11 +11,14 @@
 
 __all__ = ["LoadStep", "ModelNeed", "Planner", "UnloadStep", "WithdrawStep"]
 
-# Work of one copy above which another copy is wanted, as requests a second for a model that runs
-# at the usual pace. At this rate an engine is about half busy with prompts of the present sites.
-RATE_PER_COPY = 3.0
-# A model that is asked for at this rate is kept on two engines, so that a crash leaves one.
-SPARE_COPY_RATE = 0.8
+# Share of an engine's time that the prompts of one model may take before another copy is wanted.
+# Beyond it, the wait for other prompts grows quickly.
+BUSY_PER_COPY = 0.4
+# A model that is asked for at this rate, in requests a second, gets a second copy where that costs
+# nobody anything, so that a crash leaves one.
+SPARE_COPY_RATE = 1.5
+# The least loss that counts as something, in requests a second.
+SMALL_LOSS = 0.05
 # The demand of the model to be loaded must exceed this multiple of the demand that the evicted
 # copy carries, which keeps models from trading places.
 HYSTERESIS = 1.6
@@ -29,6 +32,9 @@
 # Requests that run on a withdrawn copy delay its unload by at most this time, in seconds, after
 # which the engine waits for them itself.
 RUNS_WAIT_S = 1.0
+# Engines that are loading or unloading take no adapters, so that at most this share of them does
+# so for models that nothing waits for.
+MOVING_SHARE = 0.2
 # Rate assumed at first for a model, for each copy that it has beyond the first: the models that
 # are on several engines at the start are the busy ones.
 PRIOR_RATE = 1.0
@@ -36,11 +42,14 @@
 
 @dataclass(frozen=True)
 class ModelNeed:
-    """A model to load. ``waited_for`` says that requests cannot be served without it."""
+    """A model to load. ``waited_for`` says that requests cannot be served without it, ``spare``
+    that the copy is only kept against a crash.
+    """
 
     model: str
     waited_for: bool
     worth: float
+    spare: bool = False
 
 
 @dataclass(frozen=True)
@@ -96,6 +105,7 @@
         ``running`` requests by instance and model, ``requests`` all by instance.
         """
         usable = [book for book in books if book.entry.state is UpstreamState.LIVE]
+        moving = sum(book.is_moving for book in usable)
         steps: list[Step] = [
             UnloadStep(book.instance, model)
             for book in usable
@@ -103,10 +113,13 @@
         ]
         taken = {step.instance for step in steps}
         for need in self._needs(usable, waiting, now):
+            if not need.waited_for and moving >= max(1, int(MOVING_SHARE * len(usable))):
+                continue
             step = self._serve(need, usable, running, requests, taken, now)
             if step is not None:
                 taken.add(step.instance)
                 steps.append(step)
+                moving += 1
         return steps
 
     # Needs
@@ -129,9 +142,13 @@
                 found.append(ModelNeed(model, True, 1000.0 + waiting[model]))
                 continue
             rate = self._demand.rate(self._service.name, model, now)
-            wanted = max(rate / RATE_PER_COPY, 2.0 if rate >= SPARE_COPY_RATE else 0.0)
-            if copies < wanted and copies < len(books):
-                found.append(ModelNeed(model, False, rate / (copies + 1)))
+            busy = self._demand.busy(self._service.name, model, now)
+            if copies >= len(books):
+                continue
+            if busy > BUSY_PER_COPY * copies > 0:
+                found.append(ModelNeed(model, False, rate / copies))
+            elif copies == 1 and rate >= SPARE_COPY_RATE:
+                found.append(ModelNeed(model, False, rate / 10.0, spare=True))
         return sorted(found, key=lambda need: -need.worth)
 
     def _copies(self, books: list[EngineBook], model: str) -> int:
@@ -149,8 +166,10 @@
         taken: set[str],
         now: float,
     ) -> Step | None:
-        under_way = sum(
-            copy.state is CopyState.LOADING and book.is_cold(model)
+        # Room that is being made is for a load that follows.
+        under_way = len(taken) + sum(
+            copy.state is not CopyState.LIVE
+            and (copy.state is not CopyState.LOADING or book.is_cold(model))
             for book in books
             for model, copy in book.copies.items()
         )
@@ -201,6 +220,8 @@
         if not victims:
             return None
         loss, victim = min(victims)
+        if need.spare and loss > SMALL_LOSS:
+            return None
         gain = 1000.0 if need.waited_for else need.worth
         if gain < HYSTERESIS * loss:
             return None
