Hand the coordination over within a moment where its holder says so or has ended

Change: a holder whose renewals fail resigns to its peers; a process that has ended is recognised by its closed port; views carry the times of the last orders and cold loads, so that a successor waits only where an engine had an order within the handover time.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -1,6 +1,7 @@
 """Runs the coordinator on the node that holds the lease."""
 
 import asyncio
+import secrets
 from collections.abc import Callable, Coroutine
 
 import structlog
@@ -10,7 +11,7 @@
 from ..leases import LeaseMachine, LeaseTerm, ReadLease, WriteLease
 from ..metrics import Metrics
 from ..objects import ObjectStore
-from ..ordering import AskReport, Coordinator, GiveOrder, NodeStatus
+from ..ordering import AskReport, Coordinator, GiveOrder, Inheritance, NodeStatus
 from .messages import FleetView
 from .order_runner import OrderRunner
 
@@ -23,6 +24,9 @@
 # more tries, short enough that a successor takes over soon.
 TERM_S = 1.3
 RENEW_S = 0.4
+# A holder whose last renewal is this old gives the lease up and says so, in seconds: another node
+# then takes over at once, instead of after the lease's whole duration.
+GIVE_UP_S = 1.0
 # An order that was sent in the last moment of a term arrives within this time, in seconds.
 TRANSIT_S = 0.4
 # The lease and the coordinator's plan are looked at this often, in seconds.
@@ -39,31 +43,29 @@
     def __init__(
         self,
         settings: EntrySettings,
-        instance: str,
         store: ObjectStore,
         directory: UpstreamDirectory,
         runner: Callable[[Callable[[], LeaseTerm | None]], OrderRunner],
         clock: Callable[[], float],
         metrics: Metrics,
         publish: Callable[[FleetView], None],
+        announce_end: Callable[[str], None],
         has_leader: Callable[[], bool],
     ) -> None:
         handover_s = settings.bounds.order_handover_s + TRANSIT_S
-        self.machine = LeaseMachine(
-            LEASE_AREA,
-            instance,
-            duration_s=handover_s + TERM_S,
-            stop_early_s=handover_s,
-            renew_s=RENEW_S,
-            one_per_host=True,
-        )
+        self._handover_s = handover_s
+        self.machine = self._make_machine(f"{settings.name}:{secrets.token_hex(4)}")
         self.coordinator: Coordinator | None = None
+        self._inherited: Inheritance | None = None
+        self._certain: set[str] = set()
+        self._not_before = float("-inf")
         self._settings = settings
         self._store = store
         self._directory = directory
         self._clock = clock
         self._metrics = metrics
         self._publish = publish
+        self._announce_end = announce_end
         self._has_leader = has_leader
         self._runner = runner(self.term)
         self._config: FleetConfig | None = None
@@ -72,10 +74,35 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = False
 
+    def _make_machine(self, instance: str) -> LeaseMachine:
+        return LeaseMachine(
+            LEASE_AREA,
+            instance,
+            duration_s=self._handover_s + TERM_S,
+            stop_early_s=self._handover_s,
+            renew_s=RENEW_S,
+            one_per_host=True,
+        )
+
     def term(self) -> LeaseTerm | None:
         """Return the term if this node may give orders at this moment."""
         return None if self._stopping else self.machine.term(self._clock())
 
+    def inherit(self, orders: Inheritance) -> None:
+        """Take what the present coordinator says of its orders."""
+        self._inherited = orders
+
+    def note_gone(self, instance: str, up_to_date: bool) -> None:
+        """Take that a coordinator has ended or gives no more orders. ``up_to_date`` says that this
+        node has heard of all its orders.
+        """
+        now = self._clock()
+        if up_to_date and self._inherited is not None:
+            self._certain.add(instance)
+        else:
+            self._not_before = max(self._not_before, now + self._handover_s)
+        self.machine.note_gone(instance, now)
+
     @property
     def holder(self) -> str:
         """The instance that holds the lease as last read, empty where none does."""
@@ -120,20 +147,32 @@
     async def _run_plan(self) -> None:
         while True:
             self._follow_term()
+            term = self.term()
+            if term is not None and term.valid_until - self._clock() < TERM_S - GIVE_UP_S:
+                self._give_up_term()
             self.step()
             await asyncio.sleep(STEP_S)
 
     async def resign(self) -> None:
-        """Give no more orders, and hand the lease over once none can be on its way."""
+        """Give no more orders, say so to the other nodes, and release the lease."""
         held = self.term() is not None
         self._stopping = True
         self._follow_term()
         if not held:
             return
-        await asyncio.sleep(self._settings.bounds.order_handover_s)
+        self._announce_end(self.machine.instance)
         for action in self.machine.release(self._clock()):
             await self._perform(action)
 
+    def _give_up_term(self) -> None:
+        """End the term because the store does not answer, so that another node can go on now."""
+        given_up = self.machine.instance
+        self.machine = self._make_machine(f"{self._settings.name}:{secrets.token_hex(4)}")
+        log.warning("lease given up", step="lease", epoch=self._epoch, instance=given_up)
+        self._metrics.count("lease_given_up")
+        self._follow_term()
+        self._announce_end(given_up)
+
     def step(self) -> None:
         """Plan once and start what is due."""
         coordinator = self.coordinator
@@ -163,17 +202,19 @@
         changed = coordinator.changes != self._published
         self._published = coordinator.changes
         residency = coordinator.residency(now) if changed else None
-        view = FleetView(term.epoch, coordinator.nodes, coordinator.loads(), residency)
-        if changed:
-            self._publish(view)
+        if residency is not None:
+            orders = coordinator.inheritance(now)
+            loads = coordinator.loads()
+            self._publish(FleetView(term.epoch, coordinator.nodes, loads, residency, orders))
 
     def current_view(self) -> FleetView | None:
         """Return a complete view for a node that has just connected."""
         term, coordinator = self.term(), self.coordinator
         if term is None or coordinator is None:
             return None
-        residency = coordinator.residency(self._clock())
-        return FleetView(term.epoch, coordinator.nodes, coordinator.loads(), residency)
+        now = self._clock()
+        residency, orders = coordinator.residency(now), coordinator.inheritance(now)
+        return FleetView(term.epoch, coordinator.nodes, coordinator.loads(), residency, orders)
 
     def load_view(self) -> FleetView | None:
         """Return a view with loads only."""
@@ -187,17 +228,19 @@
     async def _keep_lease(self) -> None:
         if self._stopping or (self.term() is None and self._has_leader()):
             return
-        for action in self.machine.tick(self._clock()):
+        machine = self.machine
+        for action in machine.tick(self._clock()):
             await self._perform(action)
 
     async def _perform(self, action: ReadLease | WriteLease) -> None:
+        machine = self.machine
         match action:
             case ReadLease():
-                read = await self._store.get(self.machine.key)
-                self.machine.on_read(read, self._clock())
+                read = await self._store.get(machine.key)
+                machine.on_read(read, self._clock())
             case WriteLease(value, expected):
-                wrote = await self._store.put(self.machine.key, value, expected)
-                self.machine.on_write(wrote, self._clock())
+                wrote = await self._store.put(machine.key, value, expected)
+                machine.on_write(wrote, self._clock())
 
     def _follow_term(self) -> None:
         """Start or end the coordinator's work as the lease is taken or lost."""
@@ -211,14 +254,31 @@
             return
         now = self._clock()
         self._epoch = term.epoch
-        first = self._settings.first_start and term.epoch == 1
-        self.coordinator = Coordinator(self._directory, self._settings.bounds, now, first)
-        log.info("coordination begun", step="lease", epoch=term.epoch, first_start=first)
+        inherited = self._inheritance(term, now)
+        self.coordinator = Coordinator(self._directory, self._settings.bounds, inherited)
+        log.info(
+            "coordination begun",
+            step="lease",
+            epoch=term.epoch,
+            orders_known=len(inherited.last_orders),
+            cold_loads_known=inherited.cold_loads is not None,
+            wait_s=round(max(0.0, inherited.not_before - now), 3),
+        )
         self._metrics.count("coordination_begun")
         if self._config is not None:
             self.coordinator.set_config(self._config, now)
             self.coordinator.take_directory(now)
 
+    def _inheritance(self, term: LeaseTerm, now: float) -> Inheritance:
+        """Return what is known of the orders before this term."""
+        if self._settings.first_start and term.epoch == 1:
+            return Inheritance(cold_loads={})
+        known = self._inherited or Inheritance()
+        released = term.acknowledged - self._certain
+        # A holder that released the lease without a word to this node may just have ordered.
+        not_before = max(now + self._handover_s if released else now, self._not_before)
+        return Inheritance(known.last_orders, known.cold_loads, not_before)
+
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -8,14 +8,16 @@
 
 from ..dispatch import OrderedResidency, UpstreamLoad
 from ..objects import StoredObject
-from ..ordering import NodeStatus, Want
+from ..ordering import Inheritance, NodeStatus, Want
 from ..peers.errors import MalformedMessage
 
 __all__ = [
     "COPY",
     "PULL",
+    "RESIGN",
     "STATUS",
     "VIEW",
+    "WHO",
     "FleetView",
     "ObjectsCopy",
     "decode_copy",
@@ -26,24 +28,29 @@
     "encode_view",
 ]
 
-# Kinds of frames. A node sends its status to the coordinator, which answers with views; any node
-# answers a pull with its copy of the store's objects.
+# Kinds of frames. A node sends its status to the coordinator, which answers with views, and with a
+# resignation when it will give no more orders. Any node answers a pull with its copy of the
+# store's objects, and the question who it is with its instance.
 STATUS = "status"
 VIEW = "view"
 PULL = "pull"
 COPY = "copy"
+RESIGN = "resign"
+WHO = "who"
 
 
 @dataclass(frozen=True)
 class FleetView:
     """What the coordinator tells all nodes. ``loads`` are the sums over all nodes; ``residency``
-    is None where it has not changed. Times in ``loading`` are seconds from now.
+    is None where it has not changed. ``orders`` tells a successor what was ordered, and comes with
+    the residency. On the wire, times are seconds before or after the moment of sending.
     """
 
     epoch: int
     nodes: int
     loads: Mapping[str, UpstreamLoad] = field(default_factory=dict)
     residency: Mapping[str, OrderedResidency] | None = None
+    orders: Inheritance | None = None
 
 
 @dataclass(frozen=True)
@@ -106,6 +113,11 @@
             ]
             for instance, known in view.residency.items()
         }
+    if view.orders is not None and view.orders.cold_loads is not None:
+        body["orders"] = {i: at - now for i, at in view.orders.last_orders.items()}
+        body["cold_loads"] = {
+            name: [at - now for at in times] for name, times in view.orders.cold_loads.items()
+        }
     return body
 
 
@@ -123,8 +135,17 @@
                 )
                 for instance, (started_ms, adapters, withdrawn, loading) in body["engines"].items()
             }
+        orders = None
+        if "orders" in body:
+            orders = Inheritance(
+                {instance: now + ago_s for instance, ago_s in body["orders"].items()},
+                {
+                    name: tuple(now + ago_s for ago_s in times)
+                    for name, times in body["cold_loads"].items()
+                },
+            )
         loads = _decode_loads(body["loads"])
-        return Ok(FleetView(int(body["epoch"]), int(body["nodes"]), loads, residency))
+        return Ok(FleetView(int(body["epoch"]), int(body["nodes"]), loads, residency, orders))
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Err(MalformedMessage("decode_view", "", repr(exc)))
 
--- a/eelgrassferry/coordination/peer_link.py
+++ b/eelgrassferry/coordination/peer_link.py
@@ -75,6 +75,11 @@
             return
         self._transport.write(data)
 
+    def close_gently(self) -> None:
+        """Close once everything was sent."""
+        if self._transport is not None:
+            self._transport.close()
+
     def close(self) -> None:
         """Close at once."""
         if self._transport is not None:
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import secrets
 from collections.abc import Callable
 
 import structlog
@@ -17,8 +18,10 @@
 from .messages import (
     COPY,
     PULL,
+    RESIGN,
     STATUS,
     VIEW,
+    WHO,
     FleetView,
     ObjectsCopy,
     decode_copy,
@@ -43,6 +46,9 @@
 # A coordinator that was not heard for this long is looked for again, in seconds.
 SILENT_S = 1.2
 CONNECT_TIMEOUT_S = 0.4
+# Views come every ``EXCHANGE_S``, and before each order. A link whose last view is older than this
+# may have missed one, in seconds.
+RECENT_VIEW_S = 0.35
 # A node copies from a peer once the store has been away for this long, and again at this pace, in
 # seconds.
 PULL_AFTER_S = 0.4
@@ -57,7 +63,6 @@
     def __init__(
         self,
         settings: EntrySettings,
-        instance: str,
         store: SnapshotStore,
         feeds: list[ObjectFeed],
         clock: Callable[[], float],
@@ -66,7 +71,8 @@
     ) -> None:
         self.leadership: Leadership | None = None
         self._settings = settings
-        self._instance = instance
+        # New for each process, so that a peer can tell a restarted node from the one before.
+        self._process = secrets.token_hex(8)
         self._store = store
         self._feeds = {feed.prefix: feed for feed in feeds}
         self._clock = clock
@@ -77,6 +83,9 @@
         self._members: set[PeerLink] = set()
         self._leader: PeerLink | None = None
         self._leader_name = ""
+        self._leader_holder = ""
+        self._leader_process = ""
+        self._probes: set[asyncio.Task[None]] = set()
         self._heard_at = float("-inf")
         self._epoch = 0
         self._own_sent: dict[str, UpstreamLoad] = {}
@@ -125,12 +134,19 @@
             link.send(VIEW, body)
         self._apply(view)
 
+    def announce_end(self, instance: str) -> None:
+        """Tell all nodes that a lease of this node's has ended and it gives no more orders."""
+        for link in list(self._members):
+            link.send(RESIGN, instance)
+            link.close_gently()
+        self._members.clear()
+
     # Registration
 
     async def _register(self) -> None:
         """Write this node's address to the store, where others find it."""
         key = NODES_PREFIX + self._settings.name
-        value = json.dumps({"address": self._settings.peer_listen, "instance": self._instance})
+        value = json.dumps({"address": self._settings.peer_listen})
         while True:
             read = await self._store.get(key)
             if not isinstance(read, Err):
@@ -169,6 +185,8 @@
                 self._take_status(link, frame)
             case "pull":
                 self._answer_pull(link, frame)
+            case "who":
+                link.send(WHO, self._process)
 
     def _take_status(self, link: PeerLink, frame: Frame) -> None:
         decoded = decode_status(frame.body)
@@ -253,6 +271,8 @@
         if not await self._connect(link, address):
             return
         self._leader, self._leader_name = link, name
+        self._leader_holder, self._leader_process = leadership.holder, ""
+        link.send(WHO, None)
         # The new link counts as heard until its first view is overdue.
         self._heard_at = self._clock()
         self._sent_body = None
@@ -276,18 +296,62 @@
             link.close()
 
     def _note_leader_lost(self, link: PeerLink) -> None:
-        if link is self._leader:
-            log.warning("coordinator lost", step="peer_link", peer=self._leader_name)
-            self._leader = None
+        if link is not self._leader:
+            return
+        log.warning("coordinator lost", step="peer_link", peer=self._leader_name)
+        self._leader = None
+        up_to_date = self._clock() - self._heard_at < RECENT_VIEW_S
+        probe = asyncio.ensure_future(
+            self._probe(self._leader_name, self._leader_holder, self._leader_process, up_to_date)
+        )
+        self._probes.add(probe)
+        probe.add_done_callback(self._probes.discard)
+
+    async def _probe(self, name: str, holder: str, process: str, up_to_date: bool) -> None:
+        """Find out whether a coordinator's process has ended: nothing listens at its address any
+        more, or another process does.
+        """
+        address = self._nodes.get(name, "")
+        answers: asyncio.Queue[object] = asyncio.Queue()
+        link = PeerLink(lambda _link, frame: answers.put_nowait(frame.body), lambda _link: None)
+        host, _, port = address.rpartition(":")
+        gone = False
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                loop = asyncio.get_running_loop()
+                await loop.create_connection(lambda: link, host, int(port))
+                link.send(WHO, None)
+                gone = bool(process) and await answers.get() != process
+        except ConnectionRefusedError:
+            gone = True
+        except (OSError, ValueError) as exc:
+            log.info("coordinator not reached", step="probe", peer=name, detail=str(exc))
+        link.close()
+        if gone and self.leadership is not None:
+            log.info("coordinator's process has ended", step="probe", peer=name, holder=holder)
+            self.leadership.note_gone(holder, up_to_date)
 
     def _take_view(self, link: PeerLink, frame: Frame) -> None:
-        if frame.kind != VIEW or link is not self._leader:
+        if link is not self._leader:
+            return
+        if frame.kind == WHO:
+            self._leader_process = str(frame.body)
+            return
+        if frame.kind == RESIGN:
+            log.info("coordinator resigned", step="peer_link", peer=self._leader_name)
+            self._leave_leader()
+            if self.leadership is not None:
+                self.leadership.note_gone(str(frame.body), up_to_date=True)
+            return
+        if frame.kind != VIEW:
             return
         decoded = decode_view(frame.body, self._clock())
         if isinstance(decoded, Err):
             log.warning("view not used", step="decode_view", detail=decoded.err_value.detail)
             return
         self._heard_at = self._clock()
+        if decoded.ok_value.orders is not None and self.leadership is not None:
+            self.leadership.inherit(decoded.ok_value.orders)
         self._apply(decoded.ok_value)
 
     def _apply(self, view: FleetView) -> None:
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import secrets
 import signal
 from collections.abc import Callable
 
@@ -78,10 +77,8 @@
         self._upstreams = ObjectFeed(
             wire.object_store, wire.upstreams_prefix, self._view.take_upstreams, boot_clock
         )
-        instance = f"{settings.name}:{secrets.token_hex(4)}"
         self._mesh = PeerMesh(
             settings,
-            instance,
             wire.object_store,
             [self._configs, self._upstreams],
             boot_clock,
@@ -90,7 +87,6 @@
         )
         self._leadership = Leadership(
             settings,
-            instance,
             wire.object_store,
             self._directory,
             lambda term: OrderRunner(
@@ -99,6 +95,7 @@
             boot_clock,
             self._metrics,
             self._mesh.publish,
+            self._mesh.announce_end,
             lambda: self._mesh.has_leader,
         )
         self._mesh.leadership = self._leadership
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -181,6 +181,12 @@
                 state.writes.pop(state.sent.write_id, None)
                 state.next_s = now + RETRY_S
 
+    def note_gone(self, instance: str, now: float) -> None:
+        """Take that a holder has ended, or has promised to send nothing more."""
+        self._former |= {instance}
+        self._state.unread = True
+        self._state.next_s = now
+
     def stop(self, now: float) -> None:
         """Stop acting as the holder for good; the next ticks release the lease."""
         self._state.releasing = True
--- a/eelgrassferry/ordering/__init__.py
+++ b/eelgrassferry/ordering/__init__.py
@@ -3,6 +3,7 @@
 from .coordinator import AskReport, Coordinator, GiveOrder
 from .engine_report import EngineReport
 from .fleet_order import FleetOrder, OrderAnswer
+from .inheritance import Inheritance
 from .node_status import NodeStatus, Want
 
 __all__ = [
@@ -11,6 +12,7 @@
     "EngineReport",
     "FleetOrder",
     "GiveOrder",
+    "Inheritance",
     "NodeStatus",
     "OrderAnswer",
     "Want",
--- a/eelgrassferry/ordering/cold_load_gate.py
+++ b/eelgrassferry/ordering/cold_load_gate.py
@@ -17,20 +17,25 @@
 
     Loads that run at once share the store's speed, so that no more run than its rate needs.
 
-    >>> gate = ColdLoadGate(ServiceBounds(), loads_per_s=1.4, load_s=1.2, now=0.0, used=0)
+    >>> gate = ColdLoadGate(ServiceBounds(), loads_per_s=1.4, load_s=1.2, now=0.0)
     >>> gate.allowed(0.0, under_way=1), gate.allowed(0.0, under_way=2)
     (True, False)
     """
 
     def __init__(
-        self, bounds: ServiceBounds, loads_per_s: float, load_s: float, now: float, used: int
+        self,
+        bounds: ServiceBounds,
+        loads_per_s: float,
+        load_s: float,
+        now: float,
+        begun: tuple[float, ...] | None = (),
     ) -> None:
         self._at_once = max(1, math.ceil(loads_per_s * load_s))
         self._window_s = bounds.cold_load_window_s
         most = loads_per_s * bounds.cold_load_window_s * bounds.cold_load_factor + EXTRA_LOADS
         self._most = max(1, int(most))
-        # What an earlier coordinator began is not known.
-        self._begun: deque[float] = deque([now] * min(used, self._most))
+        # Where it is not known what an earlier coordinator began, it may have used the window up.
+        self._begun = deque([now] * self._most if begun is None else begun)
 
     def allowed(self, now: float, under_way: int) -> bool:
         """Whether a load may begin while some are under way."""
@@ -38,6 +43,11 @@
             self._begun.popleft()
         return len(self._begun) < self._most and under_way < self._at_once
 
+    @property
+    def begun(self) -> tuple[float, ...]:
+        """The times at which the loads of the window began."""
+        return tuple(self._begun)
+
     def note_begun(self, now: float) -> None:
         """Count a load that begins now."""
         self._begun.append(now)
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..dispatch import OrderedResidency, UpstreamLoad
-from ..fleet import FleetConfig, ServiceBounds, UpstreamDirectory, UpstreamEntry
+from ..fleet import Engine, FleetConfig, ServiceBounds, UpstreamDirectory, UpstreamEntry
 from ..placement import OrderKind
 from ..routing import UpstreamState
 from .adapter_places import place_adapter
@@ -13,6 +13,7 @@
 from .engine_book import CopyState, EngineBook
 from .engine_report import EngineReport
 from .fleet_order import FleetOrder, OrderAnswer
+from .inheritance import Inheritance
 from .node_status import NodeStatus
 from .planner import LoadStep, Planner, UnloadStep, WithdrawStep
 
@@ -44,24 +45,21 @@
 class Coordinator:
     """Plans and orders for all engines of all services, from the start of one lease term on.
 
-    ``quiet_s`` is the time for which an earlier holder's order may still be on its way. Books are
-    kept by incarnation. ``changes`` counts the changes of what nodes are told about engines.
+    ``inheritance`` tells what an earlier holder ordered. Books are kept by incarnation.
+    ``changes`` counts the changes of what nodes are told about engines.
     """
 
     def __init__(
         self,
         directory: UpstreamDirectory,
         bounds: ServiceBounds,
-        now: float,
-        first_start: bool,
-        quiet_s: float = 0.3,
+        inheritance: Inheritance,
     ) -> None:
         self.changes = 0
         self.books: dict[str, EngineBook] = {}
         self._directory = directory
         self._bounds = bounds
-        self._first_start = first_start
-        self._quiet_s = quiet_s
+        self._inheritance = inheritance
         self._config: FleetConfig | None = None
         self._demand = DemandBook()
         self._planners: dict[str, Planner] = {}
@@ -82,9 +80,10 @@
                 planner.set_service(service)
                 continue
             rate = service.engine.cold_loads_per_s
-            used = 0 if self._first_start else 100
+            known = self._inheritance.cold_loads
+            begun = None if known is None else known.get(service.name, ())
             load_s = max(model.load_s for model in service.engine.models.values())
-            gate = ColdLoadGate(self._bounds, rate, load_s, now, used)
+            gate = ColdLoadGate(self._bounds, rate, load_s, now, begun)
             self._planners[service.name] = Planner(service, self._demand, gate)
 
     def take_status(self, status: NodeStatus, now: float) -> None:
@@ -118,7 +117,7 @@
                 seen.add(entry.instance)
                 book = self.books.get(entry.instance)
                 if book is None or _is_other_process(book.entry, entry):
-                    book = EngineBook(entry, service.engine, now, self._quiet_s)
+                    book = self._open_book(entry, service.engine, now)
                     self.books[entry.instance] = book
                     self.changes += 1
                 elif book.entry is not entry:
@@ -219,6 +218,18 @@
                 held.cache_tokens += load.cache_tokens
         return total
 
+    def inheritance(self, now: float) -> Inheritance:
+        """Return what a successor has to know."""
+        recent_s = 2.0 * self._bounds.order_handover_s
+        return Inheritance(
+            last_orders={
+                instance: book.last_order_at
+                for instance, book in self.books.items()
+                if now - book.last_order_at < recent_s
+            },
+            cold_loads={name: planner.cold_loads for name, planner in self._planners.items()},
+        )
+
     @property
     def nodes(self) -> int:
         """The number of nodes that send their status."""
@@ -259,6 +270,15 @@
         book.begin(order, now)
         return GiveOrder(book.entry, order, reason)
 
+    def _open_book(self, entry: UpstreamEntry, engine: Engine, now: float) -> EngineBook:
+        inherited = self._inheritance
+        last_order_at = inherited.last_orders.get(entry.instance, float("-inf"))
+        open_at = max(inherited.not_before, last_order_at + self._bounds.order_handover_s)
+        # An order that is not known of may have been sent up to ``not_before``.
+        return EngineBook(
+            entry, engine, max(last_order_at, min(inherited.not_before, now)), open_at
+        )
+
     def _learn_priors(self, name: str, planner: Planner, books: list[EngineBook]) -> None:
         if name not in self._learned and books and all(book.synced for book in books):
             self._learned.add(name)
--- a/eelgrassferry/ordering/engine_book.py
+++ b/eelgrassferry/ordering/engine_book.py
@@ -46,12 +46,16 @@
 class EngineBook:
     """Orders to one engine, one at a time, and what they leave behind.
 
-    The book is ready once a report was read that no earlier order can contradict. An order without
-    an answer counts as carried out until the engine's report says otherwise. Every order carries
-    the number of orders accepted before it, so that at most one of two competing orders is obeyed.
+    Orders are given from ``open_at`` on; the last order of an earlier coordinator was sent at
+    ``last_order_at``. The book is ready once a report was read that no earlier order can
+    contradict. An order without an answer counts as carried out until the engine's report says
+    otherwise. Every order carries the number of orders accepted before it, so that at most one of
+    two competing orders is obeyed.
     """
 
-    def __init__(self, entry: UpstreamEntry, spec: Engine, now: float, quiet_s: float) -> None:
+    def __init__(
+        self, entry: UpstreamEntry, spec: Engine, last_order_at: float, open_at: float
+    ) -> None:
         self.entry = entry
         self.spec = spec
         self.copies: dict[str, ModelCopy] = {}
@@ -60,11 +64,12 @@
         self.pending: FleetOrder | None = None
         self.count = 0
         self.synced = False
-        self.open_until = 0.0
+        self.last_order_at = last_order_at
+        self._open_at = open_at
         self._repeats = 0
         # A report proves what it says only if it was read this long after the last order that may
         # have been sent, by this coordinator or an earlier one.
-        self._quiet_since = now - REPORT_LAG_S + quiet_s
+        self._quiet_since = last_order_at
         self._asked_at = float("-inf")
 
     # Views
@@ -76,7 +81,7 @@
 
     def is_ready(self, now: float) -> bool:
         """Whether an order may be given now."""
-        return self.synced and self.pending is None and now >= self.open_until
+        return self.synced and self.pending is None and now >= self._open_at
 
     @property
     def is_moving(self) -> bool:
@@ -122,6 +127,7 @@
     def begin(self, order: FleetOrder, now: float) -> None:
         """Take that an order is about to be sent."""
         self.pending = order
+        self.last_order_at = now
         self._repeats = 0
         match order.kind:
             case OrderKind.LOAD_MODEL:
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -122,6 +122,11 @@
                 moving += 1
         return steps
 
+    @property
+    def cold_loads(self) -> tuple[float, ...]:
+        """The times at which recent loads from the weight store began."""
+        return self._gate.begun
+
     # Needs
 
     def rate(self, model: str, now: float) -> float:
