Give a copy elsewhere to models on engines with too much work; estimate waits by priority

Change: the planner looks at the work and the unread prompts of whole engines; a request waits only for prompts at least as urgent.

--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -175,10 +175,17 @@
 
 def _encode_loads(loads: Mapping[str, UpstreamLoad]) -> dict[str, list[float]]:
     return {
-        instance: [load.requests, round(load.backlog_s, 4), load.cache_tokens]
+        instance: [
+            load.requests,
+            load.cache_tokens,
+            [[level, round(wait_s, 4)] for level, wait_s in load.backlog.items() if wait_s > 0],
+        ]
         for instance, load in loads.items()
     }
 
 
 def _decode_loads(body: Any) -> dict[str, UpstreamLoad]:
-    return {instance: UpstreamLoad(*values) for instance, values in body.items()}
+    return {
+        instance: UpstreamLoad(requests, cache_tokens, dict(backlog))
+        for instance, (requests, cache_tokens, backlog) in body.items()
+    }
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -358,14 +358,10 @@
         if view.epoch < self._epoch:
             return
         self._epoch = view.epoch
-        others = {}
-        for instance, load in view.loads.items():
-            own = self._own_sent.get(instance, UpstreamLoad())
-            others[instance] = UpstreamLoad(
-                max(0.0, load.requests - own.requests),
-                max(0.0, load.backlog_s - own.backlog_s),
-                max(0.0, load.cache_tokens - own.cache_tokens),
-            )
+        others = {
+            instance: load.plus(self._own_sent.get(instance, UpstreamLoad()), sign=-1.0)
+            for instance, load in view.loads.items()
+        }
         self._on_view(view, others)
 
     # Copies of objects while the store is away
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -108,6 +108,7 @@
             return
         self.load.note_first_event(job)
         flight.first_event_at = now
+        job.first_event_ms = round((now - flight.sent_at) * 1000)
         self.pauses.note_progress(flight.instance, flight.sent_at)
         engine = self._engine(job.service)
         if engine is not None and job.model:
@@ -377,7 +378,11 @@
         prefill_s = self.pace.expected_s(entry.instance, job.model, fresh)
         busy = 1.0 + DECODE_SHARE * load.requests
         return Flight(
-            entry.instance, now, prefill_s, float(tokens), (prefill_s + load.backlog_s) * busy
+            entry.instance,
+            now,
+            prefill_s,
+            float(tokens),
+            (prefill_s + load.ahead_s(job.route.priority)) * busy,
         )
 
     def _candidates(self, job: Job, now: float) -> list[UpstreamEntry]:
--- a/eelgrassferry/dispatch/job.py
+++ b/eelgrassferry/dispatch/job.py
@@ -35,7 +35,8 @@
 class Job:
     """``give_up_at`` is the time by which a final answer is due, ``target_at`` the time within
     which an answer is worth most. ``ran_on`` are the upstreams that may have run the request.
-    ``owner`` is the exchange that the answer belongs to.
+    ``owner`` is the exchange that the answer belongs to. ``first_event_ms`` is the time from the
+    last sending to the first event.
     """
 
     request_id: str
@@ -58,6 +59,7 @@
     not_run_tries: int = 0
     last_event_id: str = ""
     stored_answer: Any = None
+    first_event_ms: int | None = None
 
     @property
     def target_at(self) -> float:
--- a/eelgrassferry/dispatch/load_view.py
+++ b/eelgrassferry/dispatch/load_view.py
@@ -1,7 +1,7 @@
 """What runs at each upstream: this node's own flights and those of the other nodes."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .job import Job
 
@@ -13,13 +13,30 @@
 
 @dataclass
 class UpstreamLoad:
-    """Requests in flight, time to read their prompts that are not read yet, in seconds, and tokens
-    that their runs keep in memory.
+    """Requests in flight, tokens that their runs keep in memory, and by priority the time to read
+    the prompts that are not read yet, in seconds.
     """
 
     requests: float = 0.0
-    backlog_s: float = 0.0
     cache_tokens: float = 0.0
+    backlog: dict[int, float] = field(default_factory=dict)
+
+    def ahead_s(self, priority: int) -> float:
+        """Return the time to read the prompts that are at least as urgent as ``priority``."""
+        return sum(wait_s for level, wait_s in self.backlog.items() if level <= priority)
+
+    def plus(self, other: "UpstreamLoad", sign: float = 1.0) -> "UpstreamLoad":
+        """Return the sum, or with ``sign`` -1 the difference where it is positive."""
+        levels = self.backlog.keys() | other.backlog.keys()
+        backlog = {
+            level: max(0.0, self.backlog.get(level, 0.0) + sign * other.backlog.get(level, 0.0))
+            for level in levels
+        }
+        return UpstreamLoad(
+            max(0.0, self.requests + sign * other.requests),
+            max(0.0, self.cache_tokens + sign * other.cache_tokens),
+            backlog,
+        )
 
 
 NONE = UpstreamLoad()
@@ -40,7 +57,8 @@
         assert flight is not None
         load = self._own.setdefault(flight.instance, UpstreamLoad())
         load.requests += 1
-        load.backlog_s += flight.prefill_s
+        level = job.route.priority
+        load.backlog[level] = load.backlog.get(level, 0.0) + flight.prefill_s
         load.cache_tokens += flight.cache_tokens
         key = (flight.instance, job.model)
         self._by_model[key] = self._by_model.get(key, 0) + 1
@@ -49,7 +67,7 @@
         """Take that the prompt of a job's flight has been read."""
         flight = job.flight
         assert flight is not None
-        self._own[flight.instance].backlog_s -= flight.prefill_s
+        self._own[flight.instance].backlog[job.route.priority] -= flight.prefill_s
 
     def remove(self, job: Job) -> None:
         """Count the end of a job's flight."""
@@ -58,7 +76,7 @@
         load = self._own[flight.instance]
         load.requests -= 1
         if flight.first_event_at is None:
-            load.backlog_s -= flight.prefill_s
+            load.backlog[job.route.priority] -= flight.prefill_s
         load.cache_tokens -= flight.cache_tokens
         key = (flight.instance, job.model)
         self._by_model[key] -= 1
@@ -77,12 +95,8 @@
         own = self._own.get(instance, NONE)
         if now - self._others_at > STALE_AFTER_S:
             return own
-        others = self._others.get(instance, NONE)
-        return UpstreamLoad(
-            own.requests + others.requests,
-            own.backlog_s + others.backlog_s,
-            own.cache_tokens + others.cache_tokens,
-        )
+        others = self._others.get(instance)
+        return own if others is None else own.plus(others)
 
     def own(self) -> Mapping[str, UpstreamLoad]:
         """Return this node's own flights by upstream."""
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -193,7 +193,7 @@
                 for (service, model, adapter), (count, left_s) in wanted.items()
             ),
             loads={
-                instance: UpstreamLoad(load.requests, load.backlog_s, load.cache_tokens)
+                instance: UpstreamLoad(load.requests, load.cache_tokens, dict(load.backlog))
                 for instance, load in dispatcher.load.own().items()
             },
             running=dict(dispatcher.load.own_by_model()),
--- a/eelgrassferry/entry/front_desk.py
+++ b/eelgrassferry/entry/front_desk.py
@@ -267,6 +267,7 @@
             model=job.model,
             adapter=job.adapter,
             reason=reason,
+            first_event_ms=job.first_event_ms,
             took_ms=round(took_s * 1000),
             declined=job.not_run_tries,
             ran_on=len(job.ran_on),
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -159,7 +159,8 @@
                 actions.append(AskReport(book.entry))
         self._expire_nodes(now)
         waiting, adapters = self._wants()
-        requests = self._requests()
+        loads = self.loads()
+        requests = {instance: load.requests for instance, load in loads.items()}
         running = self._running()
         for name, planner in self._planners.items():
             service = self._config.services.get(name)
@@ -170,7 +171,7 @@
             if self._demand_since is not None and now - self._demand_since > PRIOR_FOR_S:
                 planner.drop_priors()
             actions += self._order_adapters(adapters.get(name, {}), books, requests, now)
-            for step in planner.plan(books, waiting.get(name, {}), running, requests, now):
+            for step in planner.plan(books, waiting.get(name, {}), running, loads, now):
                 action = self._take_step(step, now)
                 if action is not None:
                     actions.append(action)
@@ -212,10 +213,7 @@
         total: dict[str, UpstreamLoad] = {}
         for _, status in self._statuses.values():
             for instance, load in status.loads.items():
-                held = total.setdefault(instance, UpstreamLoad())
-                held.requests += load.requests
-                held.backlog_s += load.backlog_s
-                held.cache_tokens += load.cache_tokens
+                total[instance] = total.get(instance, UpstreamLoad()).plus(load)
         return total
 
     def inheritance(self, now: float) -> Inheritance:
@@ -298,9 +296,6 @@
                     pairs[pair] = min(want.left_s, pairs.get(pair, want.left_s))
         return waiting, adapters
 
-    def _requests(self) -> dict[str, float]:
-        return {instance: load.requests for instance, load in self.loads().items()}
-
     def _running(self) -> dict[tuple[str, str], int]:
         total: dict[tuple[str, str], int] = {}
         for _, status in self._statuses.values():
--- a/eelgrassferry/ordering/demand_book.py
+++ b/eelgrassferry/ordering/demand_book.py
@@ -4,7 +4,7 @@
 
 # Half-life of the arrival rate, in seconds. Demand moves from model to model within about 5 s at
 # the present sites.
-HALF_LIFE_S = 3.0
+HALF_LIFE_S = 2.0
 DECAY = 0.6931471805599453 / HALF_LIFE_S
 
 
@@ -14,7 +14,7 @@
     >>> demand = DemandBook()
     >>> demand.note_arrivals("s", "m", 3, 0.3, now=0.0)
     >>> round(demand.rate("s", "m", now=0.0), 2)
-    0.69
+    1.04
     """
 
     def __init__(self) -> None:
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from ..dispatch import UpstreamLoad
 from ..fleet import Service
 from ..routing import UpstreamState
 from .cold_load_gate import ColdLoadGate
@@ -11,22 +12,29 @@
 
 __all__ = ["LoadStep", "ModelNeed", "Planner", "UnloadStep", "WithdrawStep"]
 
-# Share of an engine's time that the prompts of one model may take before another copy is wanted.
-# Beyond it, the wait for other prompts grows quickly.
-BUSY_PER_COPY = 0.4
+# Share of an engine's time that prompts may take before a model on it gets a copy elsewhere. Beyond
+# it, the wait for other prompts grows quickly.
+BUSY_LIMIT = 0.45
+# A copy behind this much unread prompt, in seconds, is overloaded whatever the rates say: the
+# latency targets of the present sites are 0.4 s and more.
+BACKLOG_LIMIT_S = 0.25
 # A model that is asked for at this rate, in requests a second, gets a second copy where that costs
-# nobody anything, so that a crash leaves one.
+# little, so that a crash leaves one.
 SPARE_COPY_RATE = 1.5
-# The least loss that counts as something, in requests a second.
-SMALL_LOSS = 0.05
+# Loss that a spare copy is worth, in requests a second.
+SPARE_LOSS = 0.3
+# What a request that waits for a model counts, in requests a second.
+WAITING_WORTH = 2.0
 # The demand of the model to be loaded must exceed this multiple of the demand that the evicted
 # copy carries, which keeps models from trading places.
 HYSTERESIS = 1.6
+# Cost of a copy on an engine that is fully busy already, in seconds of a load.
+BUSY_COST_S = 2.0
 # A copy is not evicted for this long after it was loaded, in seconds.
 MIN_RESIDENCE_S = 1.5
 # A model that was asked for within this time keeps its last copy, unless one that is waited for
 # needs the place, in seconds.
-KEEP_LAST_S = 6.0
+KEEP_LAST_S = 3.0
 # Nodes stop sending to a withdrawn copy within this time, in seconds.
 WITHDRAW_S = 0.06
 # Requests that run on a withdrawn copy delay its unload by at most this time, in seconds, after
@@ -77,6 +85,8 @@
     model: str
 
 
+NO_LOAD = UpstreamLoad()
+
 Step = LoadStep | WithdrawStep | UnloadStep
 
 
@@ -98,11 +108,11 @@
         books: list[EngineBook],
         waiting: Mapping[str, int],
         running: Mapping[tuple[str, str], int],
-        requests: Mapping[str, float],
+        loads: Mapping[str, UpstreamLoad],
         now: float,
     ) -> list[Step]:
         """Return the next steps. ``waiting`` counts requests by model that no engine can take,
-        ``running`` requests by instance and model, ``requests`` all by instance.
+        ``running`` requests by instance and model, ``loads`` all work by instance.
         """
         usable = [book for book in books if book.entry.state is UpstreamState.LIVE]
         moving = sum(book.is_moving for book in usable)
@@ -112,10 +122,11 @@
             for model in self._unloadable(book, running, now)
         ]
         taken = {step.instance for step in steps}
-        for need in self._needs(usable, waiting, now):
-            if not need.waited_for and moving >= max(1, int(MOVING_SHARE * len(usable))):
+        busy = {book.instance: self._busy(book, usable, now) for book in usable}
+        for need in self._needs(usable, waiting, busy, loads, now):
+            if need.spare and moving >= max(1, int(MOVING_SHARE * len(usable))):
                 continue
-            step = self._serve(need, usable, running, requests, taken, now)
+            step = self._serve(need, usable, running, busy, taken, now)
             if step is not None:
                 taken.add(step.instance)
                 steps.append(step)
@@ -135,30 +146,60 @@
         return self._demand.rate(self._service.name, model, now) + prior
 
     def _needs(
-        self, books: list[EngineBook], waiting: Mapping[str, int], now: float
+        self,
+        books: list[EngineBook],
+        waiting: Mapping[str, int],
+        busy: Mapping[str, float],
+        loads: Mapping[str, UpstreamLoad],
+        now: float,
     ) -> list[ModelNeed]:
         """Return the models that should get another copy, the most important first."""
         found = []
         engine = self._service.engine
         assert engine is not None
         for model in engine.models:
-            copies = self._copies(books, model)
-            if waiting.get(model) and not copies:
-                found.append(ModelNeed(model, True, 1000.0 + waiting[model]))
-                continue
+            holders = [book for book in books if self._has_copy(book, model)]
             rate = self._demand.rate(self._service.name, model, now)
-            busy = self._demand.busy(self._service.name, model, now)
-            if copies >= len(books):
+            if not holders:
+                if waiting.get(model):
+                    worth = WAITING_WORTH + waiting[model] + rate
+                    found.append(ModelNeed(model, True, worth))
+            elif len(holders) == len(books) or any(not book.live(model) for book in holders):
                 continue
-            if busy > BUSY_PER_COPY * copies > 0:
-                found.append(ModelNeed(model, False, rate / copies))
-            elif copies == 1 and rate >= SPARE_COPY_RATE:
+            elif rate > 0.0 and self._is_overloaded(holders, busy, loads):
+                found.append(ModelNeed(model, False, rate))
+            elif len(holders) == 1 and rate >= SPARE_COPY_RATE:
                 found.append(ModelNeed(model, False, rate / 10.0, spare=True))
         return sorted(found, key=lambda need: -need.worth)
 
+    def _is_overloaded(
+        self,
+        holders: list[EngineBook],
+        busy: Mapping[str, float],
+        loads: Mapping[str, UpstreamLoad],
+    ) -> bool:
+        """Whether every copy of a model is on an engine with too much work."""
+        return all(
+            busy[book.instance] > BUSY_LIMIT
+            or sum(loads.get(book.instance, NO_LOAD).backlog.values()) > BACKLOG_LIMIT_S
+            for book in holders
+        )
+
+    def _busy(self, book: EngineBook, books: list[EngineBook], now: float) -> float:
+        """Return the share of an engine's time that prompts of its models take."""
+        name = self._service.name
+        return sum(
+            self._demand.busy(name, model, now) / max(1, self._copies(books, model))
+            for model, copy in book.copies.items()
+            if copy.state is CopyState.LIVE
+        )
+
+    def _has_copy(self, book: EngineBook, model: str) -> bool:
+        copy = book.copies.get(model)
+        return copy is not None and copy.state in (CopyState.LIVE, CopyState.LOADING)
+
     def _copies(self, books: list[EngineBook], model: str) -> int:
-        states = (CopyState.LIVE, CopyState.LOADING)
-        return sum(model in book.copies and book.copies[model].state in states for book in books)
+        return sum(self._has_copy(book, model) for book in books)
 
     # Places
 
@@ -167,7 +208,7 @@
         need: ModelNeed,
         books: list[EngineBook],
         running: Mapping[tuple[str, str], int],
-        requests: Mapping[str, float],
+        busy: Mapping[str, float],
         taken: set[str],
         now: float,
     ) -> Step | None:
@@ -191,7 +232,7 @@
             if found is None:
                 continue
             step, penalty = found
-            cost = book.load_s(need.model) + penalty + 0.02 * requests.get(book.instance, 0.0)
+            cost = book.load_s(need.model) + penalty + BUSY_COST_S * busy[book.instance]
             if best is None or cost < best[0]:
                 best = (cost, step)
         if best is None:
@@ -225,10 +266,7 @@
         if not victims:
             return None
         loss, victim = min(victims)
-        if need.spare and loss > SMALL_LOSS:
-            return None
-        gain = 1000.0 if need.waited_for else need.worth
-        if gain < HYSTERESIS * loss:
+        if loss * HYSTERESIS > (SPARE_LOSS if need.spare else need.worth):
             return None
         return WithdrawStep(book.instance, victim, need.model), 0.15 + min(loss, 50.0) * 0.1
 
