Wait out a load of an earlier coordinator before ordering its engine

A load that is in progress is not among the reported residents, and the reported count includes its order, so the next coordinator's load was obeyed right after it; an entry older than a load could also end an unload too early. Change: a report that shows an order which the book does not know is not used; only a change of the entry proves an unload.

--- a/eelgrassferry/ordering/engine_book.py
+++ b/eelgrassferry/ordering/engine_book.py
@@ -88,6 +88,12 @@
         """Whether a model is being loaded or unloaded, or is about to be unloaded."""
         return any(copy.state is not CopyState.LIVE for copy in self.copies.values())
 
+    @property
+    def _moves_model(self) -> bool:
+        """Whether an order of this book explains that the engine is loading or unloading."""
+        moving = (CopyState.LOADING, CopyState.UNLOADING)
+        return any(copy.state in moving for copy in self.copies.values())
+
     def live(self, model: str) -> bool:
         """Whether requests for a model may be sent."""
         copy = self.copies.get(model)
@@ -209,12 +215,17 @@
                 if model not in before.residents:
                     self.copies[model] = ModelCopy(CopyState.LIVE, now)
             elif copy.state is CopyState.UNLOADING and model not in entry.residents:
-                self._drop(model)
+                # An entry may be older than the load of the copy; only a change proves the unload.
+                if model in before.residents:
+                    self._drop(model)
 
     def take_report(self, report: EngineReport, asked_at: float, now: float) -> bool:
         """Take a report that was asked for at ``asked_at``; return whether it was used."""
         if self.pending is not None or asked_at < self._quiet_since + REPORT_LAG_S:
             return False
+        if report.order_in_progress and not self._moves_model:
+            # An earlier coordinator's load is not among the residents yet, but takes its memory.
+            return False
         self.count = report.accepted_orders
         self.synced = True
         for model in list(self.copies):
