Bring every model's weights to some disk before demand; reload lively models at once

Cause: rarely used models waited for loads from the weight store (1.2 s and the store's rate) where a load from disk takes 0.39 s; a model that lost its last copy was reloaded only once a request waited. Change: before any demand is seen, models at hand nowhere are loaded in turn; a model asked for once a second or more is reloaded without a waiting request.

--- a/eelgrassferry/ordering/engine_book.py
+++ b/eelgrassferry/ordering/engine_book.py
@@ -214,10 +214,10 @@
             if copy.state is CopyState.LOADING and model in entry.residents:
                 if model not in before.residents:
                     self.copies[model] = ModelCopy(CopyState.LIVE, now)
-            elif copy.state is CopyState.UNLOADING and model not in entry.residents:
-                # An entry may be older than the load of the copy; only a change proves the unload.
-                if model in before.residents:
-                    self._drop(model)
+            # An entry may be older than the load of the copy; only a change proves the unload.
+            unloaded = model in before.residents and model not in entry.residents
+            if copy.state is CopyState.UNLOADING and unloaded:
+                self._drop(model)
 
     def take_report(self, report: EngineReport, asked_at: float, now: float) -> bool:
         """Take a report that was asked for at ``asked_at``; return whether it was used."""
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -23,6 +23,12 @@
 SPARE_COPY_RATE = 1.5
 # Loss that a spare copy is worth, in requests a second.
 SPARE_LOSS = 0.3
+# A model without a copy is loaded before a request waits for it if it is asked for at this rate, in
+# requests a second.
+LIVELY_RATE = 1.0
+# Worth of a load that only brings a model's weights to an engine's disk, in requests a second.
+# Later loads there take a third of the time and do not draw on the weight store's rate.
+AT_HAND_WORTH = 0.01
 # What a request that waits for a model counts, in requests a second.
 WAITING_WORTH = 2.0
 # The demand of the model to be loaded must exceed this multiple of the demand that the evicted
@@ -164,6 +170,11 @@
                 if waiting.get(model):
                     worth = WAITING_WORTH + waiting[model] + rate
                     found.append(ModelNeed(model, True, worth))
+                elif rate >= LIVELY_RATE:
+                    # Its last copy was lost or is leaving; the next requests are about to come.
+                    found.append(ModelNeed(model, True, rate))
+                elif self._prior and not any(not book.is_cold(model) for book in books):
+                    found.append(ModelNeed(model, False, AT_HAND_WORTH, spare=True))
             elif len(holders) == len(books) or any(not book.live(model) for book in holders):
                 continue
             elif rate > 0.0 and self._is_overloaded(holders, busy, loads):
@@ -268,6 +279,8 @@
         loss, victim = min(victims)
         if loss * HYSTERESIS > (SPARE_LOSS if need.spare else need.worth):
             return None
+        if need.worth <= AT_HAND_WORTH < loss:
+            return None
         return WithdrawStep(book.instance, victim, need.model), 0.15 + min(loss, 50.0) * 0.1
 
     def _loss(
