--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -7,11 +7,12 @@
 from result import Err, Ok, Result
 
 from ..dispatch import OrderedResidency, UpstreamLoad
-from ..objects import StoredObject
+from ..objects import FeedUpdate, StoredObject
 from ..ordering import Inheritance, NodeStatus, Want
 from ..peers.errors import MalformedMessage
 
 __all__ = [
+    "CHANGES",
     "COPY",
     "PULL",
     "RESIGN",
@@ -20,9 +21,11 @@
     "WHO",
     "FleetView",
     "ObjectsCopy",
+    "decode_changes",
     "decode_copy",
     "decode_status",
     "decode_view",
+    "encode_changes",
     "encode_copy",
     "encode_status",
     "encode_view",
@@ -30,11 +33,13 @@
 
 # Kinds of frames. A node sends its status to the coordinator, which answers with views, and with a
 # resignation when it will give no more orders. Any node answers a pull with its copy of the
-# store's objects, and the question who it is with its instance.
+# store's objects, and the question who it is with its instance. The coordinator also passes on the
+# changes of the store's objects, so that one node watches the store for all.
 STATUS = "status"
 VIEW = "view"
 PULL = "pull"
 COPY = "copy"
+CHANGES = "changes"
 RESIGN = "resign"
 WHO = "who"
 
@@ -173,6 +178,35 @@
         return Err(MalformedMessage("decode_copy", "", repr(exc)))
 
 
+def encode_changes(prefix: str, update: FeedUpdate) -> Any:
+    """Return the body of changes."""
+    return {
+        "prefix": prefix,
+        "complete": update.complete,
+        "base": update.base,
+        "version": update.version,
+        "written": [[obj.key, obj.version, obj.value] for obj in update.written],
+        "removed": list(update.removed),
+        "after_outage": update.after_outage,
+    }
+
+
+def decode_changes(body: Any) -> Result[tuple[str, FeedUpdate], MalformedMessage]:
+    """Decode the body of changes into their prefix and the update."""
+    try:
+        update = FeedUpdate(
+            complete=bool(body["complete"]),
+            version=int(body["version"]),
+            written=tuple(StoredObject(*fields) for fields in body["written"]),
+            removed=tuple(body["removed"]),
+            after_outage=bool(body["after_outage"]),
+            base=int(body["base"]),
+        )
+        return Ok((str(body["prefix"]), update))
+    except (KeyError, TypeError, ValueError) as exc:
+        return Err(MalformedMessage("decode_changes", "", repr(exc)))
+
+
 def _encode_loads(loads: Mapping[str, UpstreamLoad]) -> dict[str, list[float]]:
     return {
         instance: [
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 from collections.abc import Callable
+from functools import partial
 
 import structlog
 from result import Err
@@ -16,6 +17,7 @@
 from ..peers.frame import Frame
 from .leadership import Leadership
 from .messages import (
+    CHANGES,
     COPY,
     PULL,
     RESIGN,
@@ -24,9 +26,11 @@
     WHO,
     FleetView,
     ObjectsCopy,
+    decode_changes,
     decode_copy,
     decode_status,
     decode_view,
+    encode_changes,
     encode_copy,
     encode_status,
     encode_view,
@@ -80,6 +84,11 @@
         self._on_view = on_view
         self._nodes: dict[str, str] = {}
         self._node_feed = ObjectFeed(store, NODES_PREFIX, self._take_nodes, clock)
+        self._feeds[NODES_PREFIX] = self._node_feed
+        for feed in self._feeds.values():
+            feed.is_relayed = partial(self._is_relayed, feed)
+            feed.on_step = partial(self._relay, feed)
+        self._relayed: set[str] = set()
         self._members: set[PeerLink] = set()
         self._leader: PeerLink | None = None
         self._leader_name = ""
@@ -141,6 +150,48 @@
             link.close_gently()
         self._members.clear()
 
+    # Changes of the store's objects
+
+    def _is_relayed(self, feed: ObjectFeed) -> bool:
+        """Whether the coordinator passes on the changes that a feed follows."""
+        return self.has_leader and feed.prefix in self._relayed
+
+    def _relay(self, feed: ObjectFeed, update: FeedUpdate) -> None:
+        """Pass on changes to the nodes that follow this coordinator."""
+        if self._members:
+            body = encode_changes(feed.prefix, update)
+            for link in list(self._members):
+                link.send(CHANGES, body)
+
+    def _ask_copy(self, feed: ObjectFeed) -> None:
+        """Ask the coordinator for what this node lacks, after which it follows the changes."""
+        self._relayed.discard(feed.prefix)
+        if self._leader is not None:
+            self._leader.send(PULL, {"prefix": feed.prefix, "version": feed.version})
+
+    def _take_changes(self, frame: Frame) -> None:
+        decoded = decode_changes(frame.body)
+        if isinstance(decoded, Err):
+            log.warning("changes not used", step="decode_changes", detail=decoded.err_value.detail)
+            return
+        prefix, update = decoded.ok_value
+        feed = self._feeds.get(prefix)
+        if feed is not None and not feed.take_relayed(update):
+            self._ask_copy(feed)
+
+    def _take_leader_copy(self, frame: Frame) -> None:
+        decoded = decode_copy(frame.body)
+        if isinstance(decoded, Err):
+            log.warning("copy not used", step="decode_copy", detail=decoded.err_value.detail)
+            return
+        copy = decoded.ok_value
+        feed = self._feeds.get(copy.prefix)
+        if feed is None:
+            return
+        if copy.version > feed.version:
+            feed.take_relayed(FeedUpdate(True, copy.version, copy.objects, ()))
+        self._relayed.add(copy.prefix)
+
     # Registration
 
     async def _register(self) -> None:
@@ -210,11 +261,12 @@
     def _answer_pull(self, link: PeerLink, frame: Frame) -> None:
         body = frame.body
         feed = self._feeds.get(body.get("prefix", "")) if isinstance(body, dict) else None
-        if feed is None or feed.version <= int(body.get("version", 0)):
+        if feed is None:
             link.send(COPY, None)
             return
+        newer = feed.version > int(body.get("version", 0))
         age_s = self._clock() - feed.fresh_at
-        objects = tuple(feed.objects.values())
+        objects = tuple(feed.objects.values()) if newer else ()
         link.send(COPY, encode_copy(ObjectsCopy(feed.prefix, feed.version, age_s, objects)))
 
     # Node's side
@@ -276,6 +328,8 @@
         # The new link counts as heard until its first view is overdue.
         self._heard_at = self._clock()
         self._sent_body = None
+        for feed in self._feeds.values():
+            self._ask_copy(feed)
         log.info("coordinator found", step="peer_link", peer=name, address=address)
 
     async def _connect(self, link: PeerLink, address: str) -> bool:
@@ -291,6 +345,7 @@
         return True
 
     def _leave_leader(self) -> None:
+        self._relayed.clear()
         if self._leader is not None:
             link, self._leader = self._leader, None
             link.close()
@@ -343,6 +398,10 @@
             if self.leadership is not None:
                 self.leadership.note_gone(str(frame.body), up_to_date=True)
             return
+        if frame.kind == CHANGES:
+            self._take_changes(frame)
+        if frame.kind == COPY and frame.body is not None:
+            self._take_leader_copy(frame)
         if frame.kind != VIEW:
             return
         decoded = decode_view(frame.body, self._clock())
--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -18,7 +18,9 @@
 WATCH_S = 8.0
 # Least time between the starts of two watches, in seconds: changes that come in quick succession
 # are taken together, which saves calls of the store.
-WATCH_PAUSE_S = 0.1
+WATCH_PAUSE_S = 0.05
+# While a peer passes changes on, the feed looks this often whether it still does, in seconds.
+RELAY_CHECK_S = 0.05
 # Time between two tries while the store does not answer, in seconds.
 RETRY_S = 0.25
 # A gap between two answers of the store that is at least this long counts as an outage, in
@@ -28,7 +30,7 @@
 
 @dataclass(frozen=True)
 class FeedUpdate:
-    """Changes to apply in order. ``complete`` updates hold all objects, so others are gone.
+    """Changes since version ``base``. ``complete`` updates hold all objects, so others are gone.
 
     ``after_outage`` says that the store answers again after it did not for a while.
     """
@@ -38,13 +40,16 @@
     written: tuple[StoredObject, ...]
     removed: tuple[str, ...]
     after_outage: bool = False
+    base: int = 0
 
 
 class ObjectFeed:
     """Keeps a copy of the objects under one prefix and tells ``on_update`` of each change.
 
     ``version`` only grows: an update that is older than the copy is dropped. Updates may also come
-    from peers, while this process cannot reach the store.
+    from peers: while ``is_relayed`` says that one passes all changes on, the store is not asked,
+    and while this process cannot reach the store, it takes a peer's copy. ``on_step`` is told of
+    every step of the version, also without changes.
     """
 
     def __init__(
@@ -55,6 +60,8 @@
         clock: Callable[[], float],
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
+        self.is_relayed: Callable[[], bool] = lambda: False
+        self.on_step: Callable[[FeedUpdate], None] = lambda _update: None
         self.prefix = prefix
         self.version = 0
         self.objects: dict[str, StoredObject] = {}
@@ -75,6 +82,10 @@
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
+            if self.is_relayed():
+                self._away_since, self._failed = None, False
+                await self._sleep(RELAY_CHECK_S)
+                continue
             began = self._clock()
             res = await (self._watch() if self._listed else self._list())
             if isinstance(res, Err):
@@ -93,6 +104,15 @@
         self._listed = False
         return True
 
+    def take_relayed(self, update: FeedUpdate) -> bool:
+        """Take changes that a peer passes on; return False where some before them are missing."""
+        if update.base > self.version:
+            return False
+        self.fresh_at = self._clock()
+        if update.version > self.version:
+            self._merge(update)
+        return True
+
     async def _list(self) -> Result[None, ObjectError]:
         res = await self._store.snapshot(self.prefix)
         if isinstance(res, Err):
@@ -149,23 +169,53 @@
     def _replace(self, snapshot: Snapshot, after_outage: bool) -> None:
         found = {obj.key: obj for obj in snapshot.objects}
         removed = tuple(key for key in self.objects if key not in found)
+        base, self.version = self.version, snapshot.version
         self.objects = found
-        self.version = snapshot.version
-        self._on_update(FeedUpdate(True, snapshot.version, snapshot.objects, removed, after_outage))
+        update = FeedUpdate(True, snapshot.version, snapshot.objects, removed, after_outage, base)
+        self._on_update(update)
+        self.on_step(update)
 
     def _apply(self, watched: WatchResult, after_outage: bool) -> None:
         latest: dict[str, Change] = {change.key: change for change in watched.changes}
         written, removed = [], []
         for key, change in latest.items():
             if change.deleted or change.value is None:
-                self.objects.pop(key, None)
                 removed.append(key)
             else:
-                stored = StoredObject(key, change.version, change.value)
-                self.objects[key] = stored
-                written.append(stored)
-        self.version = max(self.version, watched.version)
-        if written or removed or after_outage:
+                written.append(StoredObject(key, change.version, change.value))
+        if watched.version < self.version:
+            # A peer has passed on newer changes while the watch was waiting.
+            return
+        self._merge(
+            FeedUpdate(
+                False,
+                watched.version,
+                tuple(written),
+                tuple(removed),
+                after_outage,
+                self.version,
+            )
+        )
+
+    def _merge(self, update: FeedUpdate) -> None:
+        """Apply changes, some of which may be known already."""
+        written = tuple(
+            stored
+            for stored in update.written
+            if stored.key not in self.objects or self.objects[stored.key].version < stored.version
+        )
+        for stored in written:
+            self.objects[stored.key] = stored
+        kept = {stored.key for stored in update.written}
+        missing = update.removed
+        if update.complete:
+            missing = tuple(key for key in self.objects if key not in kept)
+        removed = tuple(key for key in missing if self.objects.pop(key, None) is not None)
+        self.version = update.version
+        if written or removed or update.after_outage:
             self._on_update(
-                FeedUpdate(False, self.version, tuple(written), tuple(removed), after_outage)
+                FeedUpdate(
+                    False, update.version, written, removed, update.after_outage, update.base
+                )
             )
+        self.on_step(update)
--- a/eelgrassferry/ordering/engine_book.py
+++ b/eelgrassferry/ordering/engine_book.py
@@ -211,9 +211,9 @@
             copy = self.copies.get(model)
             if copy is None:
                 continue
-            if copy.state is CopyState.LOADING and model in entry.residents:
-                if model not in before.residents:
-                    self.copies[model] = ModelCopy(CopyState.LIVE, now)
+            loaded = model in entry.residents and model not in before.residents
+            if copy.state is CopyState.LOADING and loaded:
+                self.copies[model] = ModelCopy(CopyState.LIVE, now)
             # An entry may be older than the load of the copy; only a change proves the unload.
             unloaded = model in before.residents and model not in entry.residents
             if copy.state is CopyState.UNLOADING and unloaded:
