Refuse what waits on a node that stops, for another node

Change: once the balancer has had its two checks, waiting and new requests are refused with a short Retry-After.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -49,6 +49,8 @@
 PLAIN_WEIGHT = 0.05
 # Share of the time left after which a silent upstream is given up for a repeatable request.
 SILENCE_SHARE = 0.4
+# Retry-After where another node can serve the request, in seconds; callers come back to another.
+OTHER_NODE_RETRY_S = 0.05
 # Retry-After where nothing better is known, in seconds.
 RETRY_AFTER_S = 1.0
 
@@ -82,6 +84,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._plain_s: dict[str, float] = {}
         self._nodes = 1
+        self._stopping = False
 
     # Requests
 
@@ -91,6 +94,8 @@
         refusal = self._unservable(job)
         if refusal is not None:
             return [self._refuse(job, refusal, now, final=True)]
+        if self._stopping:
+            return [self._refuse(job, RefuseReason.STOPPING, now)]
         if job.model:
             self._note_arrival(job)
         return self._place_or_wait(job, now)
@@ -179,6 +184,19 @@
         self._close(job)
         return [last, *self.pump(now)]
 
+    def stop(self, now: float) -> list[Action]:
+        """Refuse what waits and all that comes from now on: other nodes can still serve it."""
+        self._stopping = True
+        waiting, self._waiting = self._waiting, []
+        actions: list[Action] = []
+        for job in waiting:
+            job.waiting = False
+            if job.may_have_run:
+                actions.append(self._end_waiting(job, now))
+            else:
+                actions.append(self._refuse(job, RefuseReason.STOPPING, now))
+        return actions
+
     def silence_limit_s(self, job: Job, now: float) -> float | None:
         """Return after how long without an answer a run is given up, None for never."""
         flight = job.flight
@@ -283,6 +301,8 @@
             if job.may_have_run:
                 return [self._last_answer(job, end, now)]
             return [self._refuse(job, RefuseReason.NOT_RUN_UPSTREAM, now)]
+        if self._stopping and not job.may_have_run:
+            return [self._refuse(job, RefuseReason.STOPPING, now)]
         if end is not FlightEnd.UNSENT and not self._budget(job.service).take(now):
             if job.may_have_run:
                 return [self._last_answer(job, end, now)]
@@ -311,6 +331,8 @@
         if job.may_have_run:
             return Fail(job, FailReason.CONNECTION_LOST)
         retry_after_s: float | None = None if final else RETRY_AFTER_S
+        if reason is RefuseReason.STOPPING:
+            retry_after_s = OTHER_NODE_RETRY_S
         if not final and reason is RefuseReason.NOT_RESIDENT:
             due = self._residency.loading_until(job.service, job.model)
             if due is not None:
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -30,10 +30,10 @@
 # Idle connections are looked at this often, in seconds.
 SWEEP_S = 0.5
 # After a stop was asked for, the balancer needs two of its checks, one a second, to send no more
-# callers here. Until then new connections are served.
-LEAVE_ROTATION_S = 3.0
+# callers here. Until then requests are served, after that they are refused for another node.
+LEAVE_ROTATION_S = 2.3
 # Part of the stop's grace that is left for the process to end, in seconds.
-EXIT_MARGIN_S = 0.7
+EXIT_MARGIN_S = 0.6
 
 
 class EntryNode:
@@ -141,8 +141,8 @@
         log.info("node stopping", step="stop", in_flight=self._desk.in_flight, grace_s=grace_s)
         resigning = asyncio.ensure_future(self._leadership.resign())
         while boot_clock() - began < grace_s:
-            left_rotation = boot_clock() - began >= LEAVE_ROTATION_S
-            if left_rotation:
+            if boot_clock() - began >= LEAVE_ROTATION_S:
+                self._desk.perform(self._dispatcher.stop(boot_clock()))
                 self._callers.close_idle()
                 if resigning.done() and not self._desk.in_flight and not self._callers.conns:
                     break
