Send callers to other domains while a failure domain is cut off

Change: a node that reaches neither nodes nor upstreams of other domains reports itself not ready, ends connections with each answer, uses only its domain's upstreams and refuses the rest at once.

--- a/eelgrassferry/coordination/__init__.py
+++ b/eelgrassferry/coordination/__init__.py
@@ -1,6 +1,7 @@
 """Coordination between nodes: the lease, the orders to engines, and what nodes tell each other."""
 
 from .engine_wire import EngineWire
+from .isolation_watch import IsolationWatch
 from .leadership import Leadership
 from .messages import FleetView, ObjectsCopy
 from .order_runner import OrderRunner
@@ -10,6 +11,7 @@
 __all__ = [
     "EngineWire",
     "FleetView",
+    "IsolationWatch",
     "Leadership",
     "ObjectsCopy",
     "OrderRunner",
--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -36,8 +36,8 @@
 class Leadership:
     """Competes for the lease, and while it holds it, plans and gives orders.
 
-    ``publish`` is called with each new view for the nodes. ``has_leader`` says that the node has a
-    live link to another coordinator, so that the lease need not be looked at.
+    ``publish`` is called with each new view for the nodes. ``may_compete`` says whether the node
+    may take the lease: not while it hears another coordinator or is cut off.
     """
 
     def __init__(
@@ -50,7 +50,7 @@
         metrics: Metrics,
         publish: Callable[[FleetView], None],
         announce_end: Callable[[str], None],
-        has_leader: Callable[[], bool],
+        may_compete: Callable[[], bool],
     ) -> None:
         handover_s = settings.bounds.order_handover_s + TRANSIT_S
         self._handover_s = handover_s
@@ -66,7 +66,7 @@
         self._metrics = metrics
         self._publish = publish
         self._announce_end = announce_end
-        self._has_leader = has_leader
+        self._may_compete = may_compete
         self._runner = runner(self.term)
         self._config: FleetConfig | None = None
         self._epoch = 0
@@ -149,7 +149,7 @@
             self._follow_term()
             term = self.term()
             if term is not None and term.valid_until - self._clock() < TERM_S - GIVE_UP_S:
-                self._give_up_term()
+                self.give_up_term()
             self.step()
             await asyncio.sleep(STEP_S)
 
@@ -164,8 +164,12 @@
         for action in self.machine.release(self._clock()):
             await self._perform(action)
 
-    def _give_up_term(self) -> None:
-        """End the term because the store does not answer, so that another node can go on now."""
+    def give_up_term(self) -> None:
+        """End the term, because the store does not answer or this node is cut off, so that another
+        node can go on now.
+        """
+        if self.term() is None:
+            return
         given_up = self.machine.instance
         self.machine = self._make_machine(f"{self._settings.name}:{secrets.token_hex(4)}")
         log.warning("lease given up", step="lease", epoch=self._epoch, instance=given_up)
@@ -226,7 +230,7 @@
     # Steps
 
     async def _keep_lease(self) -> None:
-        if self._stopping or (self.term() is None and self._has_leader()):
+        if self._stopping or (self.term() is None and not self._may_compete()):
             return
         machine = self.machine
         for action in machine.tick(self._clock()):
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -50,6 +50,9 @@
 # A coordinator that was not heard for this long is looked for again, in seconds.
 SILENT_S = 1.2
 CONNECT_TIMEOUT_S = 0.4
+# A coordinator that was not heard for this long is a reason to look whether this node is cut off,
+# in seconds. Views come every ``EXCHANGE_S``.
+SUSPECT_AFTER_S = 0.5
 # Views come every ``EXCHANGE_S``, and before each order. A link whose last view is older than this
 # may have missed one, in seconds.
 RECENT_VIEW_S = 0.35
@@ -83,6 +86,7 @@
         self._make_status = make_status
         self._on_view = on_view
         self._nodes: dict[str, str] = {}
+        self._domains: dict[str, str] = {}
         self._node_feed = ObjectFeed(store, NODES_PREFIX, self._take_nodes, clock)
         self._feeds[NODES_PREFIX] = self._node_feed
         for feed in self._feeds.values():
@@ -109,10 +113,25 @@
         """Whether another node is heard as the coordinator."""
         return self._leader is not None and self._clock() - self._heard_at < SILENT_S
 
+    def peers(self) -> dict[str, str]:
+        """Return the failure domain of each other registered node by its address."""
+        own = self._settings.peer_listen
+        return {
+            address: self._domains.get(address, "")
+            for address in self._nodes.values()
+            if address != own
+        }
+
     @property
-    def registered(self) -> int:
-        """The number of nodes that have registered."""
-        return len(self._nodes)
+    def misses_peers(self) -> bool:
+        """Whether contact with other nodes was lost: the coordinator is silent, or more than half
+        of the coordinator's nodes are.
+        """
+        if self.leadership is None or not self._nodes:
+            return False
+        if self.leadership.term() is None:
+            return self._clock() - self._heard_at > SUSPECT_AFTER_S
+        return 2 * len(self._members) < len(self._nodes) - 1
 
     async def listen(self) -> None:
         """Accept links from other nodes."""
@@ -197,7 +216,7 @@
     async def _register(self) -> None:
         """Write this node's address to the store, where others find it."""
         key = NODES_PREFIX + self._settings.name
-        value = json.dumps({"address": self._settings.peer_listen})
+        value = json.dumps({"address": self._settings.peer_listen, "domain": self._settings.domain})
         while True:
             read = await self._store.get(key)
             if not isinstance(read, Err):
@@ -216,11 +235,13 @@
             self._nodes.pop(key.removeprefix(NODES_PREFIX), None)
         for stored in update.written:
             try:
-                address = json.loads(stored.value)["address"]
+                entry = json.loads(stored.value)
+                address, domain = str(entry["address"]), str(entry["domain"])
             except (ValueError, KeyError, TypeError) as exc:
                 log.warning("node entry not used", step="decode_node", detail=repr(exc))
                 continue
-            self._nodes[stored.key.removeprefix(NODES_PREFIX)] = str(address)
+            self._nodes[stored.key.removeprefix(NODES_PREFIX)] = address
+            self._domains[address] = domain
 
     # Coordinator's side
 
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -51,6 +51,9 @@
 SILENCE_SHARE = 0.4
 # Retry-After where another node can serve the request, in seconds; callers come back to another.
 OTHER_NODE_RETRY_S = 0.05
+# Retry-After where nodes of another domain can, in seconds: the balancer needs two checks, one a
+# second, to send callers there.
+OTHER_DOMAIN_RETRY_S = 1.0
 # Retry-After where nothing better is known, in seconds.
 RETRY_AFTER_S = 1.0
 
@@ -85,6 +88,7 @@
         self._plain_s: dict[str, float] = {}
         self._nodes = 1
         self._stopping = False
+        self._isolated = False
 
     # Requests
 
@@ -197,6 +201,13 @@
                 actions.append(self._refuse(job, RefuseReason.STOPPING, now))
         return actions
 
+    def set_isolated(self, isolated: bool, now: float) -> list[Action]:
+        """Take whether this node's domain is cut off. While it is, only upstreams of the domain
+        are used, and what they cannot take is refused for nodes elsewhere.
+        """
+        self._isolated = isolated
+        return self.pump(now)
+
     def silence_limit_s(self, job: Job, now: float) -> float | None:
         """Return after how long without an answer a run is given up, None for never."""
         flight = job.flight
@@ -333,6 +344,8 @@
         retry_after_s: float | None = None if final else RETRY_AFTER_S
         if reason is RefuseReason.STOPPING:
             retry_after_s = OTHER_NODE_RETRY_S
+        elif self._isolated:
+            retry_after_s = OTHER_DOMAIN_RETRY_S
         if not final and reason is RefuseReason.NOT_RESIDENT:
             due = self._residency.loading_until(job.service, job.model)
             if due is not None:
@@ -426,6 +439,7 @@
             entry
             for entry in self._directory.of_service(job.service)
             if entry.state is UpstreamState.LIVE
+            and (not self._isolated or entry.domain == self._domain)
             and (
                 not job.model or self._residency.holds(entry.instance, job.model, job.adapter, now)
             )
@@ -454,7 +468,9 @@
         return None
 
     def _is_hopeless(self, job: Job, now: float) -> bool:
-        """Whether a job that is sent at once would miss its deadline."""
+        """Whether a job that is sent at once would miss its deadline, or cannot be sent here."""
+        if self._isolated and not self._holders(job, now):
+            return True
         if job.model:
             least_s = self.pace.expected_s("", job.model, job.prompt_tokens) / 2.0
         else:
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -8,7 +8,7 @@
 import structlog
 from result import Err, Result
 
-from ..coordination import FleetView, Leadership, OrderRunner, PeerMesh
+from ..coordination import FleetView, IsolationWatch, Leadership, OrderRunner, PeerMesh
 from ..dispatch import Dispatcher, FleetResidency, UpstreamLoad
 from ..fleet import DirectoryChange, EntrySettings, FleetConfig, UpstreamDirectory
 from ..forwarding import CallerServer, UpstreamPool
@@ -51,6 +51,7 @@
         self._reread = reread
         self._metrics = Metrics()
         self._stop = asyncio.Event()
+        self._isolated_at = 0.0
         self._directory = UpstreamDirectory()
         self._residency = FleetResidency(self._directory)
         self._dispatcher = Dispatcher(
@@ -96,7 +97,15 @@
             self._metrics,
             self._mesh.publish,
             self._mesh.announce_end,
-            lambda: self._mesh.has_leader,
+            lambda: not self._mesh.has_leader and not self._isolation.isolated,
+        )
+        self._isolation = IsolationWatch(
+            settings.domain,
+            self._directory,
+            self._mesh.peers,
+            lambda: self._mesh.misses_peers,
+            boot_clock,
+            self._use_isolation,
         )
         self._mesh.leadership = self._leadership
 
@@ -115,6 +124,7 @@
                 self._upstreams.run(),
                 self._mesh.run(),
                 self._leadership.run(),
+                self._isolation.run(),
                 self._tick(),
             )
         ]
@@ -135,7 +145,7 @@
 
     async def _drain(self) -> None:
         """Leave the balancer's rotation, then wait for the requests in flight."""
-        self._callers.stopping = True
+        self._callers.closing = True
         grace_s = self._settings.bounds.stop_grace_s - EXIT_MARGIN_S
         began = boot_clock()
         log.info("node stopping", step="stop", in_flight=self._desk.in_flight, grace_s=grace_s)
@@ -158,15 +168,23 @@
             if boot_clock() - swept_at >= SWEEP_S:
                 swept_at = boot_clock()
                 self._callers.sweep()
+                if self._isolation.isolated:
+                    self._leave_callers()
                 self._pool.sweep()
 
+    def _leave_callers(self) -> None:
+        """Close idle connections once the balancer sends callers elsewhere."""
+        if boot_clock() - self._isolated_at >= LEAVE_ROTATION_S:
+            self._callers.close_idle()
+
     async def _answer_ready(self, req: HttpRequest, out: Responder) -> None:
         ready = self._is_ready and req.path == self._wire.ready_path
         await out.send(HttpResponse(200 if ready else 503))
 
     @property
     def _is_ready(self) -> bool:
-        return self._view.config is not None and not self._stop.is_set()
+        known = self._view.config is not None
+        return known and not self._isolation.isolated and not self._stop.is_set()
 
     def _use_config(self, config: FleetConfig) -> None:
         self._callers.limits = config.limits
@@ -221,6 +239,14 @@
         self._settings = read.ok_value
         log.info("settings reloaded", step="reload", node=self._settings.name)
 
+    def _use_isolation(self, isolated: bool) -> None:
+        """Send callers to other domains while this one is cut off."""
+        self._callers.closing = isolated
+        self._isolated_at = boot_clock()
+        if isolated:
+            self._leadership.give_up_term()
+        self._desk.perform(self._dispatcher.set_isolated(isolated, boot_clock()))
+
     def _note_waiting(self) -> None:
         self._mesh.status_soon()
 
--- a/eelgrassferry/forwarding/caller_conn.py
+++ b/eelgrassferry/forwarding/caller_conn.py
@@ -119,7 +119,7 @@
         """Send the head of an answer."""
         if not self.is_open:
             return
-        close = close or self._server.stopping
+        close = close or self._server.closing
         extra = [(b"Connection", b"close")] if close else []
         data = self._h11.send(h11.Response(status_code=status, headers=[*headers, *extra]))
         self._write(data)
--- a/eelgrassferry/forwarding/caller_server.py
+++ b/eelgrassferry/forwarding/caller_server.py
@@ -16,7 +16,10 @@
 
 
 class CallerServer:
-    """Accepts callers and hands each complete request to ``handler``."""
+    """Accepts callers and hands each complete request to ``handler``.
+
+    While ``closing`` is set, each answer ends its connection, so that callers come elsewhere.
+    """
 
     def __init__(
         self,
@@ -25,7 +28,7 @@
         clock: Callable[[], float],
     ) -> None:
         self.limits = CallerLimits()
-        self.stopping = False
+        self.closing = False
         self.conns: set[CallerConn] = set()
         self.clock = clock
         self._handler = handler
