--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -92,7 +92,7 @@
                 arrivals={(service, model): (n, s) for service, model, n, s in body["arrivals"]},
                 wants=tuple(Want(*want) for want in body["wants"]),
                 loads=_decode_loads(body["loads"]),
-                running={(instance, model): n for instance, model, n in body["running"]},
+                running={(i, model, adapter): n for i, model, adapter, n in body["running"]},
                 used=tuple((i, m, a) for i, m, a in body["used"]),
                 declined=tuple(body["declined"]),
             )
--- a/eelgrassferry/dispatch/load_view.py
+++ b/eelgrassferry/dispatch/load_view.py
@@ -47,7 +47,7 @@
 
     def __init__(self) -> None:
         self._own: dict[str, UpstreamLoad] = {}
-        self._by_model: dict[tuple[str, str], int] = {}
+        self._running: dict[tuple[str, str, str], int] = {}
         self._others: Mapping[str, UpstreamLoad] = {}
         self._others_at = float("-inf")
 
@@ -60,8 +60,8 @@
         level = job.route.priority
         load.backlog[level] = load.backlog.get(level, 0.0) + flight.prefill_s
         load.cache_tokens += flight.cache_tokens
-        key = (flight.instance, job.model)
-        self._by_model[key] = self._by_model.get(key, 0) + 1
+        key = (flight.instance, job.model, job.adapter)
+        self._running[key] = self._running.get(key, 0) + 1
 
     def note_first_event(self, job: Job) -> None:
         """Take that the prompt of a job's flight has been read."""
@@ -78,10 +78,10 @@
         if flight.first_event_at is None:
             load.backlog[job.route.priority] -= flight.prefill_s
         load.cache_tokens -= flight.cache_tokens
-        key = (flight.instance, job.model)
-        self._by_model[key] -= 1
-        if not self._by_model[key]:
-            del self._by_model[key]
+        key = (flight.instance, job.model, job.adapter)
+        self._running[key] -= 1
+        if not self._running[key]:
+            del self._running[key]
         if load.requests <= 0:
             del self._own[flight.instance]
 
@@ -102,6 +102,6 @@
         """Return this node's own flights by upstream."""
         return self._own
 
-    def own_by_model(self) -> Mapping[tuple[str, str], int]:
-        """Return this node's own flights by upstream and model."""
-        return self._by_model
+    def own_running(self) -> Mapping[tuple[str, str, str], int]:
+        """Return this node's own flights by upstream, model and adapter."""
+        return self._running
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -214,7 +214,7 @@
                 instance: UpstreamLoad(load.requests, load.cache_tokens, dict(load.backlog))
                 for instance, load in dispatcher.load.own().items()
             },
-            running=dict(dispatcher.load.own_by_model()),
+            running=dict(dispatcher.load.own_running()),
             used=tuple(dispatcher.adapters_used),
             declined=tuple(dispatcher.declined),
         )
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -15,7 +15,7 @@
 from .fleet_order import FleetOrder, OrderAnswer
 from .inheritance import Inheritance
 from .node_status import NodeStatus
-from .planner import LoadStep, Planner, UnloadStep, WithdrawStep
+from .planner import LoadStep, Planner, RestoreStep, Step, UnloadStep, WithdrawStep
 
 __all__ = ["AskReport", "Coordinator", "GiveOrder"]
 
@@ -93,7 +93,8 @@
             self._demand_since = now
         for (service, model), (count, work_s) in status.arrivals.items():
             self._demand.note_arrivals(service, model, count, work_s, now)
-        for instance, model, adapter in status.used:
+        in_use = (key for key in status.running if key[2])
+        for instance, model, adapter in (*status.used, *in_use):
             book = self.books.get(instance)
             if book is not None:
                 book.used_at[model, adapter] = now
@@ -250,18 +251,19 @@
                 self.changes += 1
                 yield GiveOrder(book.entry, order, f"requests wait for {model}/{adapter}")
 
-    def _take_step(
-        self, step: LoadStep | UnloadStep | WithdrawStep, now: float
-    ) -> GiveOrder | None:
+    def _take_step(self, step: Step, now: float) -> GiveOrder | None:
         book = self.books[step.instance]
         self.changes += 1
         match step:
-            case WithdrawStep(_, model, _):
-                book.withdraw(model, now)
+            case WithdrawStep(_, model, room_for):
+                book.withdraw(model, room_for, now)
                 return None
             case LoadStep(_, model):
                 order = FleetOrder(OrderKind.LOAD_MODEL, model, book.count)
                 reason = "demand"
+            case RestoreStep(_, model):
+                book.restore(model, now)
+                return None
             case UnloadStep(_, model):
                 order = FleetOrder(OrderKind.UNLOAD_MODEL, model, book.count)
                 reason = "makes room"
@@ -299,8 +301,8 @@
     def _running(self) -> dict[tuple[str, str], int]:
         total: dict[tuple[str, str], int] = {}
         for _, status in self._statuses.values():
-            for key, count in status.running.items():
-                total[key] = total.get(key, 0) + count
+            for (instance, model, _), count in status.running.items():
+                total[instance, model] = total.get((instance, model), 0) + count
         return total
 
     def _expire_nodes(self, now: float) -> None:
--- a/eelgrassferry/ordering/engine_book.py
+++ b/eelgrassferry/ordering/engine_book.py
@@ -19,6 +19,8 @@
 MAX_REPEATS = 2
 # Once a load or unload is overdue by this time, in seconds, the report is read.
 OVERDUE_S = 0.25
+# An adapter used within this time is likely to be followed by others of its model, in seconds.
+RECENT_S = 1.5
 # Time after which an unload is expected to be done once its runs have ended, in seconds.
 UNLOAD_S = 0.1
 
@@ -35,12 +37,14 @@
 @dataclass
 class ModelCopy:
     """A copy of a model. ``since`` is the time of its last change of state, ``due`` the expected
-    time of completion of a load or unload.
+    time of completion of a load or unload. ``room_for`` is the model that a withdrawn copy makes
+    room for.
     """
 
     state: CopyState
     since: float
     due: float = 0.0
+    room_for: str = ""
 
 
 class EngineBook:
@@ -84,13 +88,13 @@
         return self.synced and self.pending is None and now >= self._open_at
 
     @property
-    def is_moving(self) -> bool:
+    def is_changing(self) -> bool:
         """Whether a model is being loaded or unloaded, or is about to be unloaded."""
         return any(copy.state is not CopyState.LIVE for copy in self.copies.values())
 
     @property
-    def _moves_model(self) -> bool:
-        """Whether an order of this book explains that the engine is loading or unloading."""
+    def is_moving(self) -> bool:
+        """Whether a model is being loaded or unloaded. The engine takes no other order then."""
         moving = (CopyState.LOADING, CopyState.UNLOADING)
         return any(copy.state in moving for copy in self.copies.values())
 
@@ -117,6 +121,10 @@
         """Places for another adapter."""
         return self.spec.adapter_slots - len(self.adapters)
 
+    def recent_adapters(self, now: float) -> int:
+        """Return how many adapters were used a short time ago."""
+        return sum(now - self.used_at.get(pair, -RECENT_S) < RECENT_S for pair in self.adapters)
+
     def load_s(self, model: str) -> float:
         """Return how long a load of a model takes here."""
         spec = self.spec.models[model]
@@ -170,15 +178,15 @@
             case OrderKind.UNLOAD_ADAPTER if answer is OrderAnswer.HOLDS:
                 self.adapters.pop((order.model, order.adapter), None)
             case OrderKind.UNLOAD_ADAPTER:
-                # Its runs have to end first, so the slot is taken until a report shows otherwise.
-                self._lose_track(now)
+                # Its runs have to end first. The place counts as taken until the next report.
+                self.adapters[order.model, order.adapter] = float("inf")
             case OrderKind.LOAD_MODEL if answer is OrderAnswer.HOLDS:
                 self.copies[order.model] = ModelCopy(CopyState.LIVE, now)
         return None
 
-    def withdraw(self, model: str, now: float) -> None:
+    def withdraw(self, model: str, room_for: str, now: float) -> None:
         """Stop sending requests to a copy that is to be unloaded."""
-        self.copies[model] = ModelCopy(CopyState.WITHDRAWN, now)
+        self.copies[model] = ModelCopy(CopyState.WITHDRAWN, now, room_for=room_for)
 
     def restore(self, model: str, now: float) -> None:
         """Take back the withdrawal of a copy."""
@@ -223,7 +231,7 @@
         """Take a report that was asked for at ``asked_at``; return whether it was used."""
         if self.pending is not None or asked_at < self._quiet_since + REPORT_LAG_S:
             return False
-        if report.order_in_progress and not self._moves_model:
+        if report.order_in_progress and not self.is_moving:
             # An earlier coordinator's load is not among the residents yet, but takes its memory.
             return False
         self.count = report.accepted_orders
--- a/eelgrassferry/ordering/node_status.py
+++ b/eelgrassferry/ordering/node_status.py
@@ -23,7 +23,7 @@
 class NodeStatus:
     """``arrivals`` counts requests by service and model since the last status, with the time to
     read their prompts in seconds, ``running`` those
-    in flight by instance and model. ``used`` are adapters that requests were sent to, and
+    in flight by instance, model and adapter. ``used`` are adapters that requests were sent to, and
     ``declined`` instances that did not hold what they should.
     """
 
@@ -31,6 +31,6 @@
     arrivals: Mapping[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
     wants: tuple[Want, ...] = ()
     loads: Mapping[str, UpstreamLoad] = field(default_factory=dict)
-    running: Mapping[tuple[str, str], int] = field(default_factory=dict)
+    running: Mapping[tuple[str, str, str], int] = field(default_factory=dict)
     used: tuple[tuple[str, str, str], ...] = ()
     declined: tuple[str, ...] = ()
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -10,7 +10,7 @@
 from .demand_book import DemandBook
 from .engine_book import CopyState, EngineBook
 
-__all__ = ["LoadStep", "ModelNeed", "Planner", "UnloadStep", "WithdrawStep"]
+__all__ = ["LoadStep", "ModelNeed", "Planner", "RestoreStep", "Step", "UnloadStep", "WithdrawStep"]
 
 # Share of an engine's time that prompts may take before a model on it gets a copy elsewhere. Beyond
 # it, the wait for other prompts grows quickly.
@@ -36,6 +36,9 @@
 HYSTERESIS = 1.6
 # Cost of a copy on an engine that is fully busy already, in seconds of a load.
 BUSY_COST_S = 2.0
+# Cost of a load on an engine for each adapter in use there, in seconds of a load: no adapter is
+# loaded meanwhile.
+ADAPTER_COST_S = 0.05
 # A copy is not evicted for this long after it was loaded, in seconds.
 MIN_RESIDENCE_S = 1.5
 # A model that was asked for within this time keeps its last copy, unless one that is waited for
@@ -43,9 +46,11 @@
 KEEP_LAST_S = 3.0
 # Nodes stop sending to a withdrawn copy within this time, in seconds.
 WITHDRAW_S = 0.06
-# Requests that run on a withdrawn copy delay its unload by at most this time, in seconds, after
-# which the engine waits for them itself.
-RUNS_WAIT_S = 1.0
+# A withdrawn copy whose requests do not end within this time is used again, in seconds. An engine
+# that is told to unload it would wait for them and take no other order meanwhile.
+RUNS_WAIT_S = 2.5
+# What a request that runs on a copy adds to the loss of evicting it, in requests a second.
+RUN_LOSS = 0.4
 # Engines that are loading or unloading take no adapters, so that at most this share of them does
 # so for models that nothing waits for.
 MOVING_SHARE = 0.2
@@ -91,9 +96,17 @@
     model: str
 
 
+@dataclass(frozen=True)
+class RestoreStep:
+    """Take back a withdrawal because the copy's runs do not end."""
+
+    instance: str
+    model: str
+
+
 NO_LOAD = UpstreamLoad()
 
-Step = LoadStep | WithdrawStep | UnloadStep
+Step = LoadStep | WithdrawStep | UnloadStep | RestoreStep
 
 
 class Planner:
@@ -121,12 +134,8 @@
         ``running`` requests by instance and model, ``loads`` all work by instance.
         """
         usable = [book for book in books if book.entry.state is UpstreamState.LIVE]
-        moving = sum(book.is_moving for book in usable)
-        steps: list[Step] = [
-            UnloadStep(book.instance, model)
-            for book in usable
-            for model in self._unloadable(book, running, now)
-        ]
+        moving = sum(book.is_changing for book in usable)
+        steps = [step for book in usable for step in self._go_on(book, running, now)]
         taken = {step.instance for step in steps}
         busy = {book.instance: self._busy(book, usable, now) for book in usable}
         for need in self._needs(usable, waiting, busy, loads, now):
@@ -223,17 +232,16 @@
         taken: set[str],
         now: float,
     ) -> Step | None:
-        # Room that is being made is for a load that follows.
-        under_way = len(taken) + sum(
-            copy.state is not CopyState.LIVE
-            and (copy.state is not CopyState.LOADING or book.is_cold(model))
+        under_way = sum(
+            book.is_cold(copy.room_for or model)
             for book in books
             for model, copy in book.copies.items()
+            if copy.state is CopyState.LOADING or copy.room_for
         )
         cold_allowed = self._gate.allowed(now, under_way)
         best: tuple[float, Step] | None = None
         for book in books:
-            if book.instance in taken or need.model in book.copies or book.is_moving:
+            if book.instance in taken or need.model in book.copies or book.is_changing:
                 continue
             if not book.is_ready(now):
                 continue
@@ -244,6 +252,7 @@
                 continue
             step, penalty = found
             cost = book.load_s(need.model) + penalty + BUSY_COST_S * busy[book.instance]
+            cost += ADAPTER_COST_S * book.recent_adapters(now)
             if best is None or cost < best[0]:
                 best = (cost, step)
         if best is None:
@@ -299,21 +308,22 @@
             loss += rate
             if now - self._demand.last_asked(self._service.name, model) < KEEP_LAST_S:
                 loss += 1.0
-        return loss + 0.05 * running.get((book.instance, model), 0)
+        return loss + RUN_LOSS * running.get((book.instance, model), 0)
 
-    def _unloadable(
+    def _go_on(
         self, book: EngineBook, running: Mapping[tuple[str, str], int], now: float
-    ) -> list[str]:
+    ) -> list[Step]:
+        """Return what follows a withdrawal on an engine."""
         if not book.is_ready(now):
             return []
-        found = []
         for model, copy in book.copies.items():
             if copy.state is not CopyState.WITHDRAWN or now - copy.since < WITHDRAW_S:
                 continue
-            runs = running.get((book.instance, model), 0)
-            if not runs or now - copy.since >= RUNS_WAIT_S:
-                found.append(model)
-        return found[:1]
+            if not running.get((book.instance, model), 0):
+                return [UnloadStep(book.instance, model)]
+            if now - copy.since >= RUNS_WAIT_S:
+                return [RestoreStep(book.instance, model)]
+        return []
 
     def learn_priors(self, books: list[EngineBook]) -> None:
         """Take the models that are on several engines at the start as the busy ones."""
