--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -80,6 +80,7 @@
         "running": [[*key, count] for key, count in status.running.items()],
         "used": [list(item) for item in status.used],
         "declined": list(status.declined),
+        "doubts": dict(status.doubts),
     }
 
 
@@ -95,6 +96,7 @@
                 running={(i, model, adapter): n for i, model, adapter, n in body["running"]},
                 used=tuple((i, m, a) for i, m, a in body["used"]),
                 declined=tuple(body["declined"]),
+                doubts=dict(body["doubts"]),
             )
         )
     except (KeyError, TypeError, ValueError) as exc:
--- a/eelgrassferry/dispatch/actions.py
+++ b/eelgrassferry/dispatch/actions.py
@@ -33,13 +33,15 @@
 class FlightEnd(Enum):
     """How a run ended that brought no complete success.
 
-    ``UNSENT``: no byte was sent. ``NOT_RUN``: the upstream's own statement. ``NOT_RESIDENT``: the
+    ``UNSENT``: no byte was sent. ``NO_LISTENER``: the same, because nothing listens at the address.
+    ``NOT_RUN``: the upstream's own statement. ``NOT_RESIDENT``: the
     same, because the model or adapter is not there. ``OTHER_INSTANCE``: another incarnation
     answered. ``ERROR``: a complete answer with a failure status. ``BROKEN``: the connection or
     the answer broke, so the request may have run. ``SILENT``: given up while no answer came.
     """
 
     UNSENT = "unsent"
+    NO_LISTENER = "no_listener"
     NOT_RUN = "not_run"
     NOT_RESIDENT = "not_resident"
     OTHER_INSTANCE = "other_instance"
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -57,6 +57,14 @@
 # Retry-After where nothing better is known, in seconds.
 RETRY_AFTER_S = 1.0
 
+# How much the end of a run speaks for the upstream being gone, although it is still registered.
+DOUBTS = {
+    FlightEnd.NO_LISTENER: 2,
+    FlightEnd.OTHER_INSTANCE: 2,
+    FlightEnd.UNSENT: 1,
+    FlightEnd.BROKEN: 1,
+}
+
 
 class Dispatcher:
     """The requests of one node. ``nodes`` is the number of live nodes."""
@@ -77,6 +85,7 @@
         self.arrivals: dict[tuple[str, str], tuple[int, float]] = {}
         self.adapters_used: set[tuple[str, str, str]] = set()
         self.declined: set[str] = set()
+        self.doubts: dict[str, int] = {}
         self._domain = domain
         self._directory = directory
         self._residency = residency
@@ -150,8 +159,11 @@
         instance = flight.instance
         if flight.on_wire and end not in (FlightEnd.ERROR, FlightEnd.BROKEN, FlightEnd.SILENT):
             job.ran_on.remove(instance)
+        doubt = DOUBTS.get(end, 0)
+        if doubt:
+            self.doubts[instance] = self.doubts.get(instance, 0) + doubt
         match end:
-            case FlightEnd.UNSENT:
+            case FlightEnd.UNSENT | FlightEnd.NO_LISTENER:
                 self.health.note(instance, True, now)
                 self.pauses.note_crash(instance, now)
                 job.avoid.add(instance)
@@ -314,7 +326,8 @@
             return [self._refuse(job, RefuseReason.NOT_RUN_UPSTREAM, now)]
         if self._stopping and not job.may_have_run:
             return [self._refuse(job, RefuseReason.STOPPING, now)]
-        if end is not FlightEnd.UNSENT and not self._budget(job.service).take(now):
+        sent = end not in (FlightEnd.UNSENT, FlightEnd.NO_LISTENER)
+        if sent and not self._budget(job.service).take(now):
             if job.may_have_run:
                 return [self._last_answer(job, end, now)]
             return [self._refuse(job, RefuseReason.NOT_RUN_UPSTREAM, now)]
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -217,10 +217,12 @@
             running=dict(dispatcher.load.own_running()),
             used=tuple(dispatcher.adapters_used),
             declined=tuple(dispatcher.declined),
+            doubts=dict(dispatcher.doubts),
         )
         dispatcher.arrivals.clear()
         dispatcher.adapters_used.clear()
         dispatcher.declined.clear()
+        dispatcher.doubts.clear()
         return status
 
     def _use_changes(self, changes: list[DirectoryChange]) -> None:
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -121,7 +121,9 @@
             return
         self._connecting = None
         if isinstance(opened, Err):
-            self._end_run(FlightEnd.UNSENT, opened.err_value.detail)
+            exc = opened.err_value
+            end = FlightEnd.NO_LISTENER if exc.step == "refused" else FlightEnd.UNSENT
+            self._end_run(end, exc.detail)
             return
         self._start(opened.ok_value, entry)
 
--- a/eelgrassferry/forwarding/upstream_pool.py
+++ b/eelgrassferry/forwarding/upstream_pool.py
@@ -46,7 +46,7 @@
         return None
 
     async def connect(self, key: str, address: str) -> Result[UpstreamConn, HttpError]:
-        """Open a connection."""
+        """Open a connection. The error's step is ``refused`` where nothing listens."""
         host, _, port = address.rpartition(":")
         conn = UpstreamConn(self._decode_head, self._keep)
         loop = asyncio.get_running_loop()
@@ -56,7 +56,8 @@
         except (OSError, ValueError) as exc:
             conn.abort()
             detail = str(exc) or type(exc).__name__
-            return Err(HttpError("connect", address, False, detail))
+            step = "refused" if isinstance(exc, ConnectionRefusedError) else "connect"
+            return Err(HttpError(step, address, False, detail))
         self.opened += 1
         self._keys[conn] = key
         return Ok(conn)
--- a/eelgrassferry/ordering/adapter_places.py
+++ b/eelgrassferry/ordering/adapter_places.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable, Mapping
 
 from ..placement import OrderKind
-from ..routing import UpstreamState
 from .engine_book import CopyState, EngineBook
 from .fleet_order import FleetOrder
 
@@ -32,9 +31,7 @@
     holders = [
         book
         for book in books
-        if book.entry.state is UpstreamState.LIVE
-        and model in book.copies
-        and book.copies[model].state is CopyState.LIVE
+        if model in book.copies and book.copies[model].state is CopyState.LIVE
     ]
     if any((model, adapter) in book.adapters for book in holders):
         return None
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -98,6 +98,9 @@
             book = self.books.get(instance)
             if book is not None:
                 book.used_at[model, adapter] = now
+        for instance, weight in status.doubts.items():
+            if instance in self.books:
+                self.books[instance].note_doubt(weight, now)
         for instance in status.declined:
             if instance in self.books:
                 self.books[instance].note_declined(now)
@@ -155,7 +158,8 @@
             return []
         actions: list[GiveOrder | AskReport] = []
         for book in self.books.values():
-            if book.entry.state is UpstreamState.LIVE and book.wants_report(now):
+            leaves = book.entry.state is not UpstreamState.LIVE
+            if not leaves and not book.is_doubtful(now) and book.wants_report(now):
                 book.note_asked(now)
                 actions.append(AskReport(book.entry))
         self._expire_nodes(now)
@@ -167,7 +171,13 @@
             service = self._config.services.get(name)
             if service is None or service.engine is None:
                 continue
-            books = [book for book in self.books.values() if book.entry.service == name]
+            books = [
+                book
+                for book in self.books.values()
+                if book.entry.service == name
+                and book.entry.state is UpstreamState.LIVE
+                and not book.is_doubtful(now)
+            ]
             self._learn_priors(name, planner, books)
             if self._demand_since is not None and now - self._demand_since > PRIOR_FOR_S:
                 planner.drop_priors()
--- a/eelgrassferry/ordering/engine_book.py
+++ b/eelgrassferry/ordering/engine_book.py
@@ -19,6 +19,10 @@
 MAX_REPEATS = 2
 # Once a load or unload is overdue by this time, in seconds, the report is read.
 OVERDUE_S = 0.25
+# A registration outlives its engine by up to three heartbeats. Signs of this weight from the nodes'
+# requests within this time, in seconds, are believed before.
+DOUBT_LIMIT = 2.0
+DOUBT_FOR_S = 2.5
 # An adapter used within this time is likely to be followed by others of its model, in seconds.
 RECENT_S = 1.5
 # Time after which an unload is expected to be done once its runs have ended, in seconds.
@@ -75,6 +79,8 @@
         # have been sent, by this coordinator or an earlier one.
         self._quiet_since = last_order_at
         self._asked_at = float("-inf")
+        self._doubt = 0.0
+        self._doubted_at = float("-inf")
 
     # Views
 
@@ -167,6 +173,8 @@
                 return order
             self._lose_track(now)
             return None
+        if answer is OrderAnswer.OTHER_INSTANCE:
+            self.note_doubt(DOUBT_LIMIT, now)
         if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.HOLDS):
             self._lose_track(now)
             return None
@@ -184,6 +192,17 @@
                 self.copies[order.model] = ModelCopy(CopyState.LIVE, now)
         return None
 
+    def note_doubt(self, weight: float, now: float) -> None:
+        """Take a sign that the engine is gone although it is still registered."""
+        if now - self._doubted_at > DOUBT_FOR_S:
+            self._doubt = 0.0
+        self._doubt += weight
+        self._doubted_at = now
+
+    def is_doubtful(self, now: float) -> bool:
+        """Whether the engine is taken for gone."""
+        return self._doubt >= DOUBT_LIMIT and now - self._doubted_at <= DOUBT_FOR_S
+
     def withdraw(self, model: str, room_for: str, now: float) -> None:
         """Stop sending requests to a copy that is to be unloaded."""
         self.copies[model] = ModelCopy(CopyState.WITHDRAWN, now, room_for=room_for)
--- a/eelgrassferry/ordering/node_status.py
+++ b/eelgrassferry/ordering/node_status.py
@@ -24,7 +24,8 @@
     """``arrivals`` counts requests by service and model since the last status, with the time to
     read their prompts in seconds, ``running`` those
     in flight by instance, model and adapter. ``used`` are adapters that requests were sent to, and
-    ``declined`` instances that did not hold what they should.
+    ``declined`` instances that did not hold what they should. ``doubts`` weighs by instance what
+    speaks for an upstream being gone.
     """
 
     node: str
@@ -34,3 +35,4 @@
     running: Mapping[tuple[str, str, str], int] = field(default_factory=dict)
     used: tuple[tuple[str, str, str], ...] = ()
     declined: tuple[str, ...] = ()
+    doubts: Mapping[str, int] = field(default_factory=dict)
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -5,7 +5,6 @@
 
 from ..dispatch import UpstreamLoad
 from ..fleet import Service
-from ..routing import UpstreamState
 from .cold_load_gate import ColdLoadGate
 from .demand_book import DemandBook
 from .engine_book import CopyState, EngineBook
@@ -130,18 +129,19 @@
         loads: Mapping[str, UpstreamLoad],
         now: float,
     ) -> list[Step]:
-        """Return the next steps. ``waiting`` counts requests by model that no engine can take,
-        ``running`` requests by instance and model, ``loads`` all work by instance.
+        """Return the next steps for the engines that can be used.
+
+        ``waiting`` counts requests by model that no engine can take, ``running`` requests by
+        instance and model, ``loads`` all work by instance.
         """
-        usable = [book for book in books if book.entry.state is UpstreamState.LIVE]
-        moving = sum(book.is_changing for book in usable)
-        steps = [step for book in usable for step in self._go_on(book, running, now)]
+        moving = sum(book.is_changing for book in books)
+        steps = [step for book in books for step in self._go_on(book, running, now)]
         taken = {step.instance for step in steps}
-        busy = {book.instance: self._busy(book, usable, now) for book in usable}
-        for need in self._needs(usable, waiting, busy, loads, now):
-            if need.spare and moving >= max(1, int(MOVING_SHARE * len(usable))):
+        busy = {book.instance: self._busy(book, books, now) for book in books}
+        for need in self._needs(books, waiting, busy, loads, now):
+            if need.spare and moving >= max(1, int(MOVING_SHARE * len(books))):
                 continue
-            step = self._serve(need, usable, running, busy, taken, now)
+            step = self._serve(need, books, running, busy, taken, now)
             if step is not None:
                 taken.add(step.instance)
                 steps.append(step)
