--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 
 import structlog
 from result import Err
 
+from ..dispatch import OrderedResidency
 from ..fleet import EntrySettings, FleetConfig, UpstreamDirectory, UpstreamEntry
 from ..leases import LeaseMachine, LeaseTerm, ReadLease, WriteLease
 from ..metrics import Metrics
@@ -22,11 +23,14 @@
 LEASE_AREA = "engine-orders"
 # How long a holder may act after it has sent its last renewal, in seconds: long enough for two
 # more tries, short enough that a successor takes over soon.
-TERM_S = 1.3
+TERM_S = 1.1
 RENEW_S = 0.4
 # A holder whose last renewal is this old gives the lease up and says so, in seconds: another node
 # then takes over at once, instead of after the lease's whole duration.
-GIVE_UP_S = 1.0
+GIVE_UP_S = 0.85
+# A successor waits this multiple of the lease's duration, which covers clocks that run at rates two
+# in a hundred apart.
+CLOCK_MARGIN = 1.02
 # An order that was sent in the last moment of a term arrives within this time, in seconds.
 TRANSIT_S = 0.4
 # The lease and the coordinator's plan are looked at this often, in seconds.
@@ -82,15 +86,18 @@
             stop_early_s=self._handover_s,
             renew_s=RENEW_S,
             one_per_host=True,
+            takeover_factor=CLOCK_MARGIN,
         )
 
     def term(self) -> LeaseTerm | None:
         """Return the term if this node may give orders at this moment."""
         return None if self._stopping else self.machine.term(self._clock())
 
-    def inherit(self, orders: Inheritance) -> None:
-        """Take what the present coordinator says of its orders."""
-        self._inherited = orders
+    def inherit(self, view: FleetView) -> None:
+        """Take what the present coordinator says of its lease and its orders."""
+        self.machine.note_version(view.lease_version, self._clock())
+        if view.orders is not None:
+            self._inherited = view.orders
 
     def note_gone(self, instance: str, up_to_date: bool) -> None:
         """Take that a coordinator has ended or gives no more orders. ``up_to_date`` says that this
@@ -208,8 +215,7 @@
         residency = coordinator.residency(now) if changed else None
         if residency is not None:
             orders = coordinator.inheritance(now)
-            loads = coordinator.loads()
-            self._publish(FleetView(term.epoch, coordinator.nodes, loads, residency, orders))
+            self._publish(self._make_view(coordinator, term, residency, orders))
 
     def current_view(self) -> FleetView | None:
         """Return a complete view for a node that has just connected."""
@@ -218,14 +224,30 @@
             return None
         now = self._clock()
         residency, orders = coordinator.residency(now), coordinator.inheritance(now)
-        return FleetView(term.epoch, coordinator.nodes, coordinator.loads(), residency, orders)
+        return self._make_view(coordinator, term, residency, orders)
 
     def load_view(self) -> FleetView | None:
         """Return a view with loads only."""
         term, coordinator = self.term(), self.coordinator
         if term is None or coordinator is None:
             return None
-        return FleetView(term.epoch, coordinator.nodes, coordinator.loads())
+        return self._make_view(coordinator, term)
+
+    def _make_view(
+        self,
+        coordinator: Coordinator,
+        term: LeaseTerm,
+        residency: Mapping[str, OrderedResidency] | None = None,
+        orders: Inheritance | None = None,
+    ) -> FleetView:
+        return FleetView(
+            term.epoch,
+            self.machine.version,
+            coordinator.nodes,
+            coordinator.loads(),
+            residency,
+            orders,
+        )
 
     # Steps
 
--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -52,6 +52,7 @@
     """
 
     epoch: int
+    lease_version: int
     nodes: int
     loads: Mapping[str, UpstreamLoad] = field(default_factory=dict)
     residency: Mapping[str, OrderedResidency] | None = None
@@ -107,6 +108,7 @@
     """Return the body of a view."""
     body: dict[str, Any] = {
         "epoch": view.epoch,
+        "lease": view.lease_version,
         "nodes": view.nodes,
         "loads": _encode_loads(view.loads),
     }
@@ -152,7 +154,8 @@
                 },
             )
         loads = _decode_loads(body["loads"])
-        return Ok(FleetView(int(body["epoch"]), int(body["nodes"]), loads, residency, orders))
+        numbers = (int(body["epoch"]), int(body["lease"]), int(body["nodes"]))
+        return Ok(FleetView(*numbers, loads, residency, orders))
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Err(MalformedMessage("decode_view", "", repr(exc)))
 
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -100,6 +100,7 @@
         self._leader_process = ""
         self._probes: set[asyncio.Task[None]] = set()
         self._heard_at = float("-inf")
+        self._linked_at = float("-inf")
         self._epoch = 0
         self._own_sent: dict[str, UpstreamLoad] = {}
         self._sent_body: object = None
@@ -303,7 +304,8 @@
                 self._send_loads(leadership)
                 self._send_status(False)
                 continue
-            if not self.has_leader:
+            waited_s = self._clock() - max(self._linked_at, self._heard_at)
+            if not self.has_leader and (self._leader is None or waited_s > SILENT_S):
                 await self._find_leader(leadership)
             self._send_status(False)
 
@@ -319,7 +321,7 @@
         if leadership is None:
             return
         leads = leadership.term() is not None
-        if not leads and not self.has_leader:
+        if not leads and self._leader is None:
             return
         status = self._make_status()
         self._own_sent = dict(status.loads)
@@ -346,8 +348,8 @@
         self._leader, self._leader_name = link, name
         self._leader_holder, self._leader_process = leadership.holder, ""
         link.send(WHO, None)
-        # The new link counts as heard until its first view is overdue.
-        self._heard_at = self._clock()
+        # A frozen process still accepts connections, so only a view shows that it coordinates.
+        self._linked_at = self._clock()
         self._sent_body = None
         for feed in self._feeds.values():
             self._ask_copy(feed)
@@ -430,8 +432,8 @@
             log.warning("view not used", step="decode_view", detail=decoded.err_value.detail)
             return
         self._heard_at = self._clock()
-        if decoded.ok_value.orders is not None and self.leadership is not None:
-            self.leadership.inherit(decoded.ok_value.orders)
+        if self.leadership is not None:
+            self.leadership.inherit(decoded.ok_value)
         self._apply(decoded.ok_value)
 
     def _apply(self, view: FleetView) -> None:
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -112,6 +112,7 @@
         stop_early_s: float = STOP_EARLY_S,
         renew_s: float | None = None,
         one_per_host: bool = False,
+        takeover_factor: float = TAKEOVER_FACTOR,
     ) -> None:
         self.key = f"leases/{area}"
         self.instance = instance
@@ -119,6 +120,8 @@
         self._renew_s = duration_s / 3 if renew_s is None else renew_s
         self._stop_early_s = stop_early_s
         self._one_per_host = one_per_host
+        self._takeover_factor = takeover_factor
+        self._heard: tuple[int, float] = (-1, 0.0)
         self._former = former
         self._acknowledged: frozenset[str] = frozenset()
         self._count = 0
@@ -181,6 +184,11 @@
                 state.writes.pop(state.sent.write_id, None)
                 state.next_s = now + RETRY_S
 
+    def note_version(self, version: int, now: float) -> None:
+        """Take that a holder has told of a version of the object, which counts as reading it."""
+        if version != self._heard[0]:
+            self._heard = (version, now)
+
     def note_gone(self, instance: str, now: float) -> None:
         """Take that a holder has ended, or has promised to send nothing more."""
         self._former |= {instance}
@@ -210,6 +218,11 @@
         """The lease as last read, None where there was none."""
         return self._state.seen.record if self._state.seen is not None else None
 
+    @property
+    def version(self) -> int:
+        """The version of the object as last read or written, 0 where there is none."""
+        return self._state.seen.version if self._state.seen is not None else 0
+
     def wake_at(self) -> float:
         """Return the time of the next tick that may have an action."""
         return self._state.next_s
@@ -253,7 +266,8 @@
         if state.seen is None or state.seen.version != version:
             # No write conditional on an earlier version can take effect any more.
             state.writes.clear()
-            state.seen = _Seen(version, record, now)
+            heard, heard_s = self._heard
+            state.seen = _Seen(version, record, heard_s if heard == version else now)
         # An unchanged version does not exclude that a lost write is still on its way. It stays in
         # ``writes``, and the next write on the same version conflicts if it arrives first.
         if not self._is_held():
@@ -285,7 +299,7 @@
         assert seen is not None
         if seen.record is None or seen.record.released or self._is_former(seen.record.holder):
             return True
-        return now >= seen.first_s + seen.record.duration_s * TAKEOVER_FACTOR
+        return now >= seen.first_s + seen.record.duration_s * self._takeover_factor
 
     def _is_former(self, holder: str) -> bool:
         if holder in self._former:
@@ -296,7 +310,9 @@
         seen = self._state.seen
         assert seen is not None
         assert seen.record is not None
-        return min(now + self._renew_s, seen.first_s + seen.record.duration_s * TAKEOVER_FACTOR)
+        return min(
+            now + self._renew_s, seen.first_s + seen.record.duration_s * self._takeover_factor
+        )
 
     def _term_end(self) -> float:
         term = self._state.term
