Tell callers to come back before their patience ends

Change: without a known load, a request waits for 0.55 of its caller's patience and is then refused with a Retry-After, so that its second attempt reaches further than one wait does.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -51,6 +51,9 @@
 SILENCE_SHARE = 0.4
 # Retry-After where another node can serve the request, in seconds; callers come back to another.
 OTHER_NODE_RETRY_S = 0.05
+# Share of its caller's patience that a request waits for a model or adapter of which no load is
+# known. After that its caller is told to come back, which reaches further than waiting does.
+HOLD_SHARE = 0.55
 # Retry-After where nodes of another domain can, in seconds: the balancer needs two checks, one a
 # second, to send callers there.
 OTHER_DOMAIN_RETRY_S = 1.0
@@ -482,8 +485,13 @@
 
     def _is_hopeless(self, job: Job, now: float) -> bool:
         """Whether a job that is sent at once would miss its deadline, or cannot be sent here."""
-        if self._isolated and not self._holders(job, now):
-            return True
+        if job.model and not self._holders(job, now):
+            if self._isolated:
+                return True
+            due = self._residency.loading_until(job.service, job.model)
+            hold_s = HOLD_SHARE * (job.patience_at - job.arrived_at)
+            if (due is None or due >= job.patience_at) and now >= job.arrived_at + hold_s:
+                return True
         if job.model:
             least_s = self.pace.expected_s("", job.model, job.prompt_tokens) / 2.0
         else:
