--- a/eelgrassferry/fleet/upstream_directory.py
+++ b/eelgrassferry/fleet/upstream_directory.py
@@ -95,10 +95,11 @@
         if before == entry:
             return None
         change = DirectoryChange(before, entry)
-        if before is not None and not change.restarted:
+        if before is not None:
             if before.started_ms > entry.started_ms:
                 return None
-            if before.state is not UpstreamState.LIVE and entry.state is UpstreamState.LIVE:
+            returns = before.state is not UpstreamState.LIVE and entry.state is UpstreamState.LIVE
+            if returns and not change.restarted:
                 return None
         self._entries[instance] = entry
         return change
--- /dev/null
+++ b/eelgrassferry/objects/tests/test_feed.py
@@ -0,0 +1,115 @@
+"""Tests of following the objects under a prefix."""
+
+import asyncio
+import unittest
+
+from result import Err, Ok
+
+from .. import (
+    Change,
+    FeedUpdate,
+    HistoryGone,
+    ObjectFeed,
+    Snapshot,
+    StoredObject,
+    Unavailable,
+    WatchResult,
+)
+
+DOWN = Err(Unavailable("watch", "store", "reset", uncertain=False))
+
+
+class ScriptedStore:
+    """Answers listings and watches from a script; the feed ends with the script."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def snapshot(self, prefix):
+        return self._next("list")
+
+    async def watch(self, prefix, after, timeout_s):
+        return self._next(("watch", after))
+
+    def _next(self, call):
+        if not self.answers:
+            raise asyncio.CancelledError
+        self.asked.append(call)
+        return self.answers.pop(0)
+
+
+class ObjectFeedTest(unittest.IsolatedAsyncioTestCase):
+    """One feed against scripted answers, on a clock that its pauses move."""
+
+    async def follow(self, *answers):
+        self.now = 0.0
+        self.updates = []
+        store = ScriptedStore(*answers)
+        self.feed = ObjectFeed(store, "servers/", self.updates.append, lambda: self.now, self.pause)
+        with self.assertRaises(asyncio.CancelledError):
+            await self.feed.run()
+        return store
+
+    async def pause(self, seconds):
+        self.now += seconds
+
+    async def test_watch_goes_on_from_the_listing(self):
+        """Guards against a gap between a listing and the first watch."""
+        change = Change("servers/u2", 7, False, b"2")
+        store = await self.follow(
+            Ok(Snapshot(5, (StoredObject("servers/u1", 4, b"1"),))), Ok(WatchResult(7, (change,)))
+        )
+        self.assertEqual(store.asked, ["list", ("watch", 5)])
+        self.assertEqual(set(self.feed.objects), {"servers/u1", "servers/u2"})
+
+    async def test_dropped_history_leads_to_a_new_listing(self):
+        """Guards against missing what changed in history that the store has dropped."""
+        await self.follow(
+            Ok(Snapshot(5, (StoredObject("servers/u1", 4, b"1"),))),
+            Err(HistoryGone("watch", "store", "servers/")),
+            Ok(Snapshot(9, ())),
+        )
+        self.assertEqual(self.updates[-1].removed, ("servers/u1",))
+        self.assertFalse(self.updates[-1].after_outage)
+
+    async def test_outage_is_told_and_a_short_cut_is_not(self):
+        """Guards against treating a cut watch as an outage, in which entries may have lapsed."""
+        listed = Ok(Snapshot(5, ()))
+        await self.follow(listed, DOWN, Ok(WatchResult(6, ())))
+        self.assertFalse(any(update.after_outage for update in self.updates))
+        await self.follow(listed, DOWN, DOWN, DOWN, DOWN, DOWN, Ok(WatchResult(6, ())))
+        self.assertTrue(self.updates[-1].after_outage)
+
+    async def test_copy_of_a_peer_never_goes_back(self):
+        """Guards against an older copy that undoes what this node knows."""
+        await self.follow(Ok(Snapshot(5, (StoredObject("servers/u1", 4, b"1"),))))
+        self.assertFalse(self.feed.take_from_peer(5, ()))
+        self.assertTrue(self.feed.take_from_peer(6, ()))
+        self.assertEqual(self.feed.objects, {})
+
+    async def test_relayed_changes_need_what_came_before(self):
+        """Guards against changes that are applied over a gap."""
+        await self.follow(Ok(Snapshot(5, ())))
+        late = FeedUpdate(False, 9, (StoredObject("servers/u1", 9, b"1"),), (), base=7)
+        self.assertFalse(self.feed.take_relayed(late))
+        self.assertEqual(self.feed.version, 5)
+
+    async def test_relayed_changes_that_are_known_are_skipped(self):
+        """Guards against an older value over a newer one when two sources overlap."""
+        await self.follow(Ok(Snapshot(8, (StoredObject("servers/u1", 8, b"new"),))))
+        old = FeedUpdate(False, 9, (StoredObject("servers/u1", 6, b"old"),), (), base=5)
+        self.assertTrue(self.feed.take_relayed(old))
+        self.assertEqual(self.feed.objects["servers/u1"].value, b"new")
+        self.assertEqual(self.feed.version, 9)
+
+    async def test_store_is_not_asked_while_changes_are_relayed(self):
+        """Guards against every node watching the store."""
+        self.now = 0.0
+        store = ScriptedStore(Ok(Snapshot(5, ())))
+        feed = ObjectFeed(store, "servers/", lambda _update: None, lambda: self.now, self.pause)
+        feed.is_relayed = lambda: self.now < 1.0
+        with self.assertRaises(asyncio.CancelledError):
+            await feed.run()
+        self.assertGreaterEqual(self.now, 1.0)
+        self.assertEqual(store.asked, ["list"])
--- /dev/null
+++ b/eelgrassferry/ordering/tests/engine_model.py
@@ -0,0 +1,96 @@
+"""A model of an engine's side of the order protocol, on virtual time."""
+
+from dataclasses import dataclass, field, replace
+
+from ...fleet import Engine, UpstreamEntry
+from ...placement import OrderKind
+from .. import EngineReport, FleetOrder, OrderAnswer
+
+__all__ = ["EngineModel", "Overcommitted"]
+
+UNLOAD_S = 0.1
+
+
+class Overcommitted(AssertionError):
+    """An engine was ordered to hold more than its memory or its adapter places."""
+
+
+@dataclass
+class EngineModel:
+    """Obeys orders one at a time. ``work`` is the change of a model that is under way."""
+
+    spec: Engine
+    entry: UpstreamEntry
+    count: int = 0
+    models: set[str] = field(default_factory=set)
+    adapters: set[tuple[str, str]] = field(default_factory=set)
+    work: tuple[OrderKind, str, float] | None = None
+
+    def __post_init__(self) -> None:
+        self.models = set(self.entry.residents)
+
+    def advance(self, now: float) -> bool:
+        """Complete what is due; return whether the registry entry changed."""
+        if self.work is None or now < self.work[2]:
+            return False
+        kind, model, _ = self.work
+        self.work = None
+        if kind is OrderKind.LOAD_MODEL:
+            self.models.add(model)
+        else:
+            self.models.discard(model)
+            self.adapters = {pair for pair in self.adapters if pair[0] != model}
+        residents = {
+            name: frozenset(a for m, a in self.adapters if m == name) for name in self.models
+        }
+        on_disk = self.entry.on_disk | self.models
+        self.entry = replace(self.entry, residents=residents, on_disk=frozenset(on_disk))
+        return True
+
+    def obey(self, order: FleetOrder, now: float) -> OrderAnswer:
+        """Take an order that has arrived."""
+        self.advance(now)
+        if self.work is not None or order.expected_count != self.count:
+            return OrderAnswer.CONFLICT
+        pair = (order.model, order.adapter)
+        match order.kind:
+            case OrderKind.LOAD_MODEL:
+                if order.model in self.models:
+                    return OrderAnswer.HOLDS
+                self._check_memory(order.model)
+                spec = self.spec.models[order.model]
+                known = order.model in self.entry.on_disk
+                took_s = spec.disk_load_s if known else spec.load_s
+                self.work = (order.kind, order.model, now + took_s)
+            case OrderKind.UNLOAD_MODEL:
+                self.work = (order.kind, order.model, now + UNLOAD_S)
+            case OrderKind.LOAD_ADAPTER:
+                if order.model not in self.models:
+                    return OrderAnswer.REJECTED
+                if pair in self.adapters:
+                    return OrderAnswer.HOLDS
+                if len(self.adapters) >= self.spec.adapter_slots:
+                    raise Overcommitted(f"adapter places of {self.entry.instance}")
+                self.adapters.add(pair)
+            case OrderKind.UNLOAD_ADAPTER:
+                self.adapters.discard(pair)
+                self.count += 1
+                return OrderAnswer.HOLDS
+        self.count += 1
+        return OrderAnswer.ACCEPTED
+
+    def report(self) -> EngineReport:
+        """Return the engine's report of this moment."""
+        residents = {
+            name: frozenset(a for m, a in self.adapters if m == name) for name in self.models
+        }
+        return EngineReport(
+            residents, self.work is not None, self.count, on_disk=self.entry.on_disk
+        )
+
+    def _check_memory(self, model: str) -> None:
+        models = self.spec.models
+        held = sum(models[name].weights_mb for name in self.models)
+        held += sum(models[name].adapter_mb for name, _ in self.adapters)
+        if held + models[model].weights_mb > self.spec.weights_mb:
+            raise Overcommitted(f"memory of {self.entry.instance}")
