--- a/eelgrassferry/ordering/tests/test_engine_book.py
+++ b/eelgrassferry/ordering/tests/test_engine_book.py
@@ -110,3 +110,19 @@
         self.assertTrue(book.take_report(EngineReport({}, False, 3), 9.0, 9.0))
         self.assertFalse(book.is_ready(10.9))
         self.assertTrue(book.is_ready(11.0))
+
+
+class MemoryTest(unittest.TestCase):
+    """What counts as used memory."""
+
+    def test_adapter_places_are_set_aside(self):
+        """Guards against LIMIT: adapters that are loaded later need memory too."""
+        book = make_book("m0")
+        self.assertEqual(book.free_mb, 210.0 - 100.0 - 4 * 1.0)
+
+    def test_withdrawn_copy_keeps_its_memory(self):
+        """Guards against LIMIT: a load before the unload is done."""
+        book = make_book("m0", "m1")
+        book.withdraw("m1", "m2", 2.0)
+        self.assertLess(book.free_mb, 100.0)
+        self.assertFalse(book.live("m1"))
