--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -119,6 +119,8 @@
 class HttpClient:
     """Sends requests to peers named ``host:port`` and keeps idle connections.
 
+    The Host header names the peer, unless the headers of a request have one.
+
     ``fresh=True`` opens a new connection, so that a request that may not be repeated never fails
     on a connection the peer had closed while it was idle.
 
@@ -183,8 +185,9 @@
         if guard is not None and not guard():
             self._release_unused(peer, conn)
             return Err(HttpError("guard", peer, False, "not sent: the guard said no"))
-        host = (("host", peer), ("content-length", str(len(body))))
-        head = h11.Request(method=method, target=target, headers=[*host, *headers])
+        length = ("content-length", str(len(body)))
+        host = () if find_header(headers, "host") else (("host", peer),)
+        head = h11.Request(method=method, target=target, headers=[*host, length, *headers])
         step = "send"
         try:
             data = conn.h11.send(head)
--- /dev/null
+++ b/eelgrassferry/platform/tests/documents.py
@@ -0,0 +1,60 @@
+"""Settings and configurations in the platform's format."""
+
+from typing import Any
+
+__all__ = ["make_config", "make_settings"]
+
+HOST = "calls.example"
+
+
+def make_settings(store: str, front: int, ready: int, control: int, name: str = "front-1") -> str:
+    """Return a settings file for a node on loopback."""
+    lines = {
+        "node_name": name,
+        "zone": "zone-a",
+        "listen.front": f"127.0.0.1:{front}",
+        "listen.ready": f"127.0.0.1:{ready}",
+        "listen.control": f"127.0.0.1:{control}",
+        "platform.address": store,
+        "bootstrap": "true",
+        "bounds.drain_ms": "2000",
+        "bounds.grace_s": "8",
+        "bounds.lease_ms": "3000",
+        "bounds.budget_ratio": "0.2",
+        "bounds.require_fence": "false",
+        "something.new": "1",
+    }
+    return "".join(f"{key}={value}\n" for key, value in lines.items())
+
+
+def make_config(version: int = 1) -> dict[str, Any]:
+    """Return a configuration with a stream, a resumable stream, an order and a safe call."""
+
+    def route(prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+        fields = {"name": f"r{prefix}", "host": HOST, "path_prefix": prefix, "kind": kind}
+        times = {"timeout_ms": 4000, "target_latency_ms": 500, "priority": 1, "max_attempts": 1}
+        return {**fields, **times, "service": service, **more}
+
+    model = {"weights_mb": 100.0, "load_s": 0.1, "adapters": 4, "adapter_mb": 1.0}
+    engine = {
+        "slots": 8,
+        "kv_capacity_tokens": 20000,
+        "weights_mb": 210.0,
+        "adapter_slots": 4,
+        "loads_per_s": 5.0,
+        "models": [{"name": f"m{i}", **model} for i in range(4)],
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("/chat/", "stream", "chat", gap_aim_ms=300),
+            route("/batch/", "stream", "chat", resumable=True, max_attempts=2, gap_aim_ms=300),
+            route("/book/", "non_idempotent", "desk"),
+            route("/look/", "idempotent", "desk", max_attempts=2),
+        ],
+        "services": [
+            {"name": "chat", "health_path": "/health", "max_conns": 50, "engine": engine},
+            {"name": "desk", "health_path": "/health", "max_conns": 50},
+        ],
+        "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+    }
--- /dev/null
+++ b/eelgrassferry/platform/tests/standin_store.py
@@ -0,0 +1,116 @@
+"""A stand-in of the platform's store, for tests on loopback."""
+
+import asyncio
+import json
+from typing import Any
+
+from ...http import HttpRequest, HttpResponse, HttpServer, Responder
+
+__all__ = ["StandinStore"]
+
+OBJECTS = "/eelgrassferry/objects/"
+
+
+class StandinStore:
+    """Objects by kind and name with revisions, conditional writes and watches.
+
+    ``down`` makes every call fail with 503. ``lose_answers`` counts writes that are carried out and
+    whose connection is closed without an answer. ``oldest`` is the revision before which history
+    is gone.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lose_answers = 0
+        self.oldest = 0
+        self.calls: list[tuple[str, str]] = []
+        self.revision = 1
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._changed = asyncio.Condition()
+        self._server = HttpServer(self._answer, host="127.0.0.1", port=0)
+
+    async def start(self) -> str:
+        """Listen and return the address."""
+        await self._server.start()
+        return self._server.address
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        await self._server.close(grace_s=0)
+
+    async def write(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object, as the operator or a server would; return its revision."""
+        self.revision += 1
+        meta = {"name": name, "revision": self.revision, "created": 1, "finalizers": []}
+        stored = {"meta": {**meta, "deleting": False}, "spec": spec, "status": None}
+        self._objects[kind, name] = stored
+        await self._note(kind, stored, removed=False)
+        return self.revision
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.revision += 1
+        await self._note(kind, self._objects.pop((kind, name)), removed=True)
+
+    def spec(self, kind: str, name: str) -> Any:
+        """Return the spec of an object, None where there is none."""
+        stored = self._objects.get((kind, name))
+        return stored["spec"] if stored else None
+
+    async def _note(self, kind: str, stored: dict[str, Any], removed: bool) -> None:
+        async with self._changed:
+            self._events.append((self.revision, kind, stored, removed))
+            self._changed.notify_all()
+
+    async def _answer(self, req: HttpRequest, out: Responder) -> None:
+        self.calls.append((req.method, req.target))
+        if self.down:
+            await out.send(HttpResponse(503))
+            return
+        kind, _, name = req.path.removeprefix(OBJECTS).partition("/")
+        match req.method:
+            case "GET" if "watch" in req.query:
+                res = await self._watch(kind, int(req.query["watch"]), int(req.query["wait_ms"]))
+            case "GET" if name:
+                stored = self._objects.get((kind, name))
+                res = HttpResponse.of_json(stored) if stored else HttpResponse(404)
+            case "GET":
+                items = [stored for (k, _), stored in sorted(self._objects.items()) if k == kind]
+                page = {"items": items, "truncated": False, "as_of": self.revision}
+                res = HttpResponse.of_json(page)
+            case "POST" | "PUT":
+                res = await self._write(req, kind, name)
+            case _:
+                res = HttpResponse(405)
+        if self.lose_answers and req.method != "GET":
+            self.lose_answers -= 1
+            raise ConnectionResetError("the answer is lost")
+        await out.send(res)
+
+    async def _write(self, req: HttpRequest, kind: str, name: str) -> HttpResponse:
+        body = json.loads(req.body)
+        name = name or body["meta"]["name"]
+        stored = self._objects.get((kind, name))
+        expected = body["meta"].get("revision", 0) if req.method == "PUT" else 0
+        if (stored["meta"]["revision"] if stored else 0) != expected:
+            return HttpResponse.of_json(stored, status=409)
+        await self.write(kind, name, body["spec"])
+        return HttpResponse.of_json(self._objects[kind, name])
+
+    async def _watch(self, kind: str, after: int, wait_ms: int) -> HttpResponse:
+        if after < self.oldest:
+            return HttpResponse(410)
+        try:
+            async with asyncio.timeout(wait_ms / 1000), self._changed:
+                await self._changed.wait_for(lambda: self._since(kind, after))
+        except TimeoutError:
+            pass
+        return HttpResponse.of_json({"events": self._since(kind, after), "as_of": self.revision})
+
+    def _since(self, kind: str, after: int) -> list[dict[str, Any]]:
+        return [
+            {"object": stored, "removed": removed}
+            for revision, k, stored, removed in self._events
+            if k == kind and revision > after
+        ]
--- /dev/null
+++ b/eelgrassferry/platform/tests/test_whole_path.py
@@ -0,0 +1,268 @@
+"""The whole path with a real process, against stand-ins of the store and of servers."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from result import Err
+
+from ...http import HttpClient, HttpResponse
+from .documents import HOST, make_config, make_settings
+from .standin_server import StandinServer
+from .standin_store import StandinStore
+
+ROOT = Path(__file__).resolve().parents[3]
+WAIT_S = 15.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that the kernel picked."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class WholePathTest(unittest.IsolatedAsyncioTestCase):
+    """One node, one model server, two plain servers and the store."""
+
+    async def asyncSetUp(self):
+        self.store = StandinStore()
+        address = await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        await self.store.write("config", "main", make_config())
+        self.engine = StandinServer(self.store, "chat", "i-engine", ("m0",))
+        self.spare = StandinServer(self.store, "chat", "i-spare", ("m0",))
+        self.desks = [StandinServer(self.store, "desk", f"i-desk{i}") for i in range(2)]
+        for server in (self.engine, *self.desks):
+            await server.start()
+            self.addAsyncCleanup(server.stop)
+        self.addAsyncCleanup(self.spare.stop)
+        self.front, self.ready, control = free_ports(3)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.settings = Path(folder.name) / "node.conf"
+        self.settings.write_text(make_settings(address, self.front, self.ready, control))
+        self.log = Path(folder.name) / "log"
+        self.client = HttpClient()
+        self.addCleanup(self.client.close)
+        await self.start_node()
+
+    async def start_node(self):
+        with self.log.open("ab") as log:
+            self.node = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "eelgrassferry",
+                "entry",
+                cwd=ROOT,
+                env={**os.environ, "EELGRASSFERRY_SETTINGS": str(self.settings)},
+                stdout=log,
+            )
+        self.addAsyncCleanup(self.end_node)
+        await self.eventually(self.is_ready)
+
+    async def end_node(self):
+        if self.node.returncode is None:
+            self.node.kill()
+        await self.node.wait()
+
+    async def is_ready(self) -> bool:
+        asked = await self.client.request(
+            f"127.0.0.1:{self.ready}", "GET", "/eelgrassferry/ready", fresh=True
+        )
+        return asked.is_ok() and asked.ok_value.status == 200
+
+    async def eventually(self, condition):
+        async with asyncio.timeout(WAIT_S):
+            while not await condition():
+                await asyncio.sleep(0.02)
+
+    async def call(self, path: str, number: int, **headers: str) -> HttpResponse:
+        """Send one caller's request."""
+        names = {key.replace("_", "-"): value for key, value in headers.items()}
+        all_headers = (
+            ("Eelgrassferry-Request-Id", f"id-{number}"),
+            ("Eelgrassferry-Deadline-Ms", "4000"),
+            *names.items(),
+        )
+        sent = await self.client.request(
+            f"127.0.0.1:{self.front}",
+            "POST",
+            path,
+            headers=(("Host", HOST), *all_headers),
+            body=b"text",
+        )
+        self.assertFalse(isinstance(sent, Err), sent)
+        return sent.ok_value
+
+    def lines(self, event: str) -> list[dict]:
+        """Return the node's log lines of one event."""
+        found = [json.loads(line) for line in self.log.read_text().splitlines()]
+        return [line for line in found if line["event"] == event]
+
+    async def test_plain_request_and_its_bytes(self):
+        """Guards against a body, seal or status that is not the server's own."""
+        res = await self.call("/look/x?q=1", 1)
+        self.assertEqual((res.status, res.body), (200, b"done by text"))
+        self.assertEqual(res.header("eelgrassferry-server-seal"), "3e1b.07")
+        (seen,) = [req for desk in self.desks for req in desk.seen]
+        self.assertEqual((seen.method, seen.target), ("POST", "/look/x?q=1"))
+        self.assertLessEqual(int(seen.header("eelgrassferry-deadline-ms")), 4000)
+
+    async def test_headers_of_the_system_are_not_the_callers_to_set(self):
+        """Guards against forged holds, pins, backups and instances (UNASKED)."""
+        res = await self.call(
+            "/look/x", 2, Eelgrassferry_Hold="h", Kv_From="1.2.3.4:5/x", Eelgrassferry_Pin_Ms="9"
+        )
+        self.assertEqual(res.status, 200)
+        (seen,) = [req for desk in self.desks for req in desk.seen]
+        names = {name.lower() for name, _ in seen.headers}
+        self.assertFalse(names & {"eelgrassferry-hold", "kv-from", "eelgrassferry-pin-ms"})
+
+    async def test_stream_of_a_model_and_an_adapter_loaded_on_demand(self):
+        """Guards against an adapter that is asked for and never served."""
+        res = await self.call("/chat/x", 3, Eelgrassferry_Model="m0/a2")
+        self.assertEqual(res.status, 200)
+        self.assertEqual(res.body.count(b"data: i-engine"), 3)
+        self.assertIn("a2", self.engine.models["m0"])
+
+    async def test_model_that_nobody_holds_is_loaded(self):
+        """Guards against a model that is asked for and never served."""
+        res = await self.call("/chat/x", 4, Eelgrassferry_Model="m3")
+        self.assertEqual(res.status, 200)
+        (load,) = [o for o in self.engine.orders if o["operation"] == "load" and o["model"] == "m3"]
+        self.assertEqual(load["holder"], "front-1")
+        self.assertGreaterEqual(load["fencing_token"], 1)
+
+    async def test_order_that_failed_runs_once(self):
+        """Guards against TWICE: a booking is not repeated after the server's own failure."""
+        for desk in self.desks:
+            desk.status = 500
+        res = await self.call("/book/x", 5)
+        self.assertEqual((res.status, res.body), (500, b"done by text"))
+        self.assertEqual(sum(len(desk.runs) for desk in self.desks), 1)
+
+    async def test_safe_call_is_repeated_elsewhere(self):
+        """Guards against a failure that another server would not have had."""
+        self.desks[0].status = 500
+        for number in range(6, 10):
+            self.assertEqual((await self.call("/look/x", number)).status, 200)
+
+    async def test_declined_order_is_offered_to_another_server(self):
+        """Guards against refusing a booking that no server has run."""
+        self.desks[0].decline = self.desks[1].decline = 1
+        self.assertEqual((await self.call("/book/x", 11)).status, 200)
+        self.assertEqual(sum(len(desk.runs) for desk in self.desks), 1)
+
+    async def test_broken_stream_goes_on_at_another_server(self):
+        """Guards against ORDER: an event missing, twice or torn after a resumption."""
+        await self.spare.start()
+        self.engine.break_after = self.spare.break_after = 2
+        self.engine.events = self.spare.events = 4
+        asked = asyncio.ensure_future(self.call("/batch/x", 12, Eelgrassferry_Model="m0"))
+
+        async def one_has_run() -> bool:
+            return bool(self.engine.runs or self.spare.runs)
+
+        await self.eventually(one_has_run)
+        self.engine.break_after = self.spare.break_after = None
+        res = await asked
+        ids = [line for line in res.body.split(b"\n") if line.startswith(b"id:")]
+        self.assertEqual(ids, [b"id: 1", b"id: 2", b"id: 3", b"id: 4"])
+
+    async def test_unknown_route_and_missing_id(self):
+        """Guards against passing on what no configuration allows."""
+        self.assertEqual((await self.call("/other/x", 13)).status, 404)
+        self.assertEqual(self.lines("request refused")[0]["reason"], "no_route")
+
+    async def test_new_configuration_is_in_force_soon(self):
+        """Guards against CONFIG: a route that was added is served, one that was removed is not."""
+        config = make_config(version=7)
+        config["routes"][0]["path_prefix"] = "/talk/"
+        await self.store.write("config", "main", config)
+
+        async def moved() -> bool:
+            res = await self.call("/talk/x", 14, Eelgrassferry_Model="m0")
+            return res.status == 200
+
+        await self.eventually(moved)
+        self.assertEqual((await self.call("/chat/x", 15)).status, 404)
+
+    async def test_leaving_server_gets_no_new_work(self):
+        """Guards against DRAIN."""
+        await self.desks[0].register(state="draining")
+        await asyncio.sleep(0.3)
+        for number in range(20, 26):
+            await self.call("/look/x", number)
+        self.assertEqual(self.desks[0].runs, [])
+
+    async def test_requests_are_served_while_the_store_is_down(self):
+        """Guards against a node that needs the store to serve."""
+        self.store.down = True
+        await asyncio.sleep(0.3)
+        self.assertEqual((await self.call("/look/x", 30)).status, 200)
+        self.store.down = False
+
+    async def test_stop_answers_what_is_in_flight(self):
+        """Guards against LOST: a request in flight at SIGTERM is answered."""
+        self.desks[0].pause_s = self.desks[1].pause_s = 0.6
+        asked = asyncio.ensure_future(self.call("/book/x", 40))
+
+        async def runs() -> bool:
+            return any(desk.runs for desk in self.desks)
+
+        await self.eventually(runs)
+        self.node.send_signal(signal.SIGTERM)
+        self.assertEqual((await asked).status, 200)
+        self.assertFalse(await self.is_ready())
+        self.assertEqual(await asyncio.wait_for(self.node.wait(), WAIT_S), 0)
+        self.assertEqual(len(self.lines("node stopped")), 1)
+
+    async def test_restarted_node_coordinates_at_once(self):
+        """Guards against a lease of the process before that keeps the node from its orders."""
+        self.node.kill()
+        await self.node.wait()
+        await self.start_node()
+        res = await self.call("/chat/x", 50, Eelgrassferry_Model="m2")
+        self.assertEqual(res.status, 200)
+
+    async def test_lines_lead_from_a_request_to_its_cause(self):
+        """Guards against a failure that the log cannot explain."""
+        for desk in self.desks:
+            desk.status = 500
+        await self.call("/book/x", 60)
+        ids = [line["request_id"] for line in self.lines("run failed")]
+        self.assertEqual(ids, ["id-60"])
+        (sent,) = [x for x in self.lines("request sent") if x["request_id"] == "id-60"]
+        self.assertIn("directory_age_ms", sent)
+        self.assertEqual(sent["config_version"], 1)
+
+
+class SettingsTest(unittest.IsolatedAsyncioTestCase):
+    """A process with settings that cannot be used."""
+
+    async def test_missing_settings_are_one_line_and_exit_code_2(self):
+        """Guards against a traceback in place of a clear error."""
+        env = {k: v for k, v in os.environ.items() if k != "EELGRASSFERRY_SETTINGS"}
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "eelgrassferry",
+            "entry",
+            cwd=ROOT,
+            env=env,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, err = await proc.communicate()
+        self.assertEqual(proc.returncode, 2)
+        self.assertEqual(len(err.decode().strip().splitlines()), 1)
