--- /dev/null
+++ b/eelgrassferry/dispatch/tests/test_patterns_of_load.py
@@ -0,0 +1,158 @@
+"""Where requests go under loads of a known pattern. No network, virtual time."""
+
+import unittest
+from dataclasses import replace
+
+from ...fleet import RequestKind
+from ...routing import UpstreamState
+from .. import FlightEnd, Refuse, RefuseReason, Send, UpstreamLoad
+from .fixtures import DispatchWorld
+
+
+class OneBusyCopyOfManyTest(unittest.TestCase):
+    """One upstream has work of other nodes, the others idle."""
+
+    def test_new_requests_go_elsewhere(self):
+        """Guards against nodes that each see only their own requests."""
+        world = DispatchWorld()
+        busy = UpstreamLoad(requests=4, backlog={1: 0.8})
+        world.dispatcher.set_other_loads({"e0": busy}, 0.0)
+        chosen = {world.send(world.make_job()) for _ in range(2)}
+        self.assertNotIn("e0", chosen)
+
+    def test_urgent_request_does_not_wait_for_patient_prompts(self):
+        """Guards against an urgent request that avoids its upstream for less urgent work."""
+        world = DispatchWorld()
+        patient = UpstreamLoad(requests=1, backlog={2: 5.0})
+        others = UpstreamLoad(requests=1, backlog={0: 0.5})
+        world.dispatcher.set_other_loads({"e0": patient, "e1": others, "e2": others}, 0.0)
+        self.assertEqual(world.send(world.make_job(priority=0)), "e0")
+
+    def test_slow_copy_is_used_less(self):
+        """Guards against equal shares for upstreams of unequal speed."""
+        world = DispatchWorld()
+        now = 0.0
+        sent = []
+        for _ in range(60):
+            now += 1.0
+            job = world.make_job(now=now, tokens=8000)
+            instance = world.send(job, now)
+            sent.append(instance)
+            took_s = 2.0 if instance == "e0" else 0.15
+            world.dispatcher.note_first_event(job, now + took_s)
+            world.dispatcher.succeed(job, now + took_s)
+        self.assertLessEqual(sent[20:].count("e0"), 4)
+
+
+class SharedPromptsTest(unittest.TestCase):
+    """Requests that share the beginning of their prompts."""
+
+    def test_all_nodes_choose_the_same_upstream(self):
+        """Guards against shared parts that every upstream reads again."""
+        chosen = set()
+        for _ in range(5):
+            world = DispatchWorld(domain="z")
+            chosen.add(world.send(world.make_job(parts=(("p1", 600), ("own", 400)))))
+        self.assertEqual(len(chosen), 1)
+
+    def test_kept_prompt_outweighs_a_little_load(self):
+        """Guards against reading a long shared part again beside an idle upstream."""
+        world = DispatchWorld()
+        parts = (("p1", 6000), ("own", 500))
+        first = world.make_job(tokens=6500, parts=parts)
+        home = world.send(first)
+        world.dispatcher.note_first_event(first, 0.2)
+        world.dispatcher.succeed(first, 0.3)
+        world.dispatcher.set_other_loads({home: UpstreamLoad(1, backlog={1: 0.03})}, 0.3)
+        again = world.make_job(now=0.3, tokens=6500, parts=parts)
+        self.assertEqual(world.send(again, 0.3), home)
+
+
+class FailingUpstreamTest(unittest.TestCase):
+    """One upstream fails part of its requests while its registration is good."""
+
+    def test_it_gets_fewer_requests_and_is_tried_again(self):
+        """Guards against a grey upstream that takes its full share."""
+        world = DispatchWorld()
+        now, sent = 0.0, []
+        for _ in range(60):
+            now += 0.1
+            job = world.make_job(RequestKind.NON_IDEMPOTENT, now)
+            instance = world.send(job, now)
+            sent.append(instance)
+            if instance == "d0":
+                job.stored_answer = ("head", b"")
+                world.dispatcher.fail(job, FlightEnd.ERROR, now + 0.02)
+            else:
+                world.dispatcher.succeed(job, now + 0.03)
+        self.assertLess(sent.count("d0"), 15)
+        late = world.make_job(RequestKind.NON_IDEMPOTENT, now + 60.0)
+        self.assertIn(world.send(late, now + 60.0), ("d0", "d1", "d2"))
+
+
+class NothingCanServeTest(unittest.TestCase):
+    """Requests that no upstream can take."""
+
+    def test_unknown_model_and_oversized_request_are_refused_at_once(self):
+        """Guards against holding what can never be served."""
+        world = DispatchWorld()
+        (refusal,) = world.dispatcher.submit(world.make_job(model="nobody"), 0.0)
+        self.assertEqual(
+            (refusal.reason, refusal.retry_after_s), (RefuseReason.UNKNOWN_MODEL, None)
+        )
+        (refusal,) = world.dispatcher.submit(world.make_job(tokens=30_000), 0.0)
+        self.assertIs(refusal.reason, RefuseReason.TOO_LARGE)
+
+    def test_missing_model_is_told_to_come_back_before_the_caller_leaves(self):
+        """Guards against callers that leave after 2.4 s without an answer (trouble-2)."""
+        world = DispatchWorld()
+        job = world.make_job(model="m1")
+        self.assertEqual(world.dispatcher.submit(job, 0.0), [])
+        self.assertEqual(world.dispatcher.pump(1.0), [])
+        (refusal,) = world.dispatcher.pump(1.4)
+        self.assertIs(refusal.reason, RefuseReason.NOT_RESIDENT)
+        self.assertGreater(refusal.retry_after_s, 0.0)
+
+    def test_cut_off_domain_refuses_what_others_can_serve(self):
+        """Guards against tries of upstreams that cannot be reached (zone cuts)."""
+        world = DispatchWorld(domain="a")
+        world.dispatcher.set_isolated(True, 0.0)
+        self.assertEqual(world.send(world.make_job()), "e0")
+        entry = replace(world.entries["e0"], state=UpstreamState.LEAVING)
+        world.directory.update("e0", entry)
+        (refusal,) = world.dispatcher.submit(world.make_job(), 0.1)
+        self.assertIsInstance(refusal, Refuse)
+        self.assertEqual(refusal.retry_after_s, 1.0)
+
+    def test_stopping_node_sends_waiting_requests_to_others(self):
+        """Guards against LOST: requests that wait when the process ends (hunt fa2e)."""
+        world = DispatchWorld()
+        job = world.make_job(model="m1")
+        world.dispatcher.submit(job, 0.0)
+        (refusal,) = world.dispatcher.stop(0.1)
+        self.assertIs(refusal.reason, RefuseReason.STOPPING)
+        (refusal,) = world.dispatcher.submit(world.make_job(), 0.2)
+        self.assertIs(refusal.reason, RefuseReason.STOPPING)
+
+
+class FullUpstreamsTest(unittest.TestCase):
+    """More requests than places."""
+
+    def test_waiting_requests_go_by_urgency(self):
+        """Guards against patient work before urgent work in the node's own queue."""
+        world = DispatchWorld()
+        flying = [world.make_job() for _ in range(24)]
+        for job in flying:
+            world.dispatcher.submit(job, 0.0)
+        patient, urgent = world.make_job(priority=2), world.make_job(priority=0)
+        self.assertEqual(world.dispatcher.submit(patient, 0.1), [])
+        self.assertEqual(world.dispatcher.submit(urgent, 0.2), [])
+        actions = world.dispatcher.succeed(flying[0], 0.3)
+        sent = [action.job for action in actions if isinstance(action, Send)]
+        self.assertEqual(sent[:1], [urgent])
+
+    def test_memory_of_an_engine_bounds_its_requests(self):
+        """Guards against preemption: requests whose tokens do not fit together."""
+        world = DispatchWorld()
+        sent = [world.dispatcher.submit(world.make_job(tokens=9000), 0.0) for _ in range(8)]
+        self.assertEqual(sum(len(actions) for actions in sent), 6)
--- a/eelgrassferry/fleet/route.py
+++ b/eelgrassferry/fleet/route.py
@@ -45,4 +45,6 @@
     @property
     def repeatable(self) -> bool:
         """Whether a request that may have run may be sent again."""
-        return self.kind is RequestKind.IDEMPOTENT or self.resumable
+        if self.kind is RequestKind.STREAM:
+            return self.resumable
+        return self.kind is RequestKind.IDEMPOTENT
--- /dev/null
+++ b/eelgrassferry/forwarding/tests/test_caller_conn.py
@@ -0,0 +1,100 @@
+"""Tests of callers' connections, on bytes."""
+
+import unittest
+
+from ...fleet import CallerLimits
+from ..caller_conn import CallerConn
+from ..caller_server import CallerServer
+from .fake_transport import FakeTransport
+
+GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class CallerConnTest(unittest.TestCase):
+    """One connection, whose requests are kept for the test to answer."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.requests = []
+        self.rejected = []
+        self.server = CallerServer(
+            self.accept, lambda *what: self.rejected.append(what), lambda: self.now
+        )
+        self.conn = CallerConn(self.server)
+        self.transport = FakeTransport()
+        self.conn._transport = self.transport
+        self.server.conns.add(self.conn)
+
+    def accept(self, _conn, request):
+        self.requests.append(request)
+
+    def test_request_is_handed_over_when_it_is_complete(self):
+        """Guards against forwarding a part of a body."""
+        head = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.conn.data_received(head + b"3\r\nabc\r\n")
+        self.assertEqual(self.requests, [])
+        self.conn.data_received(b"2\r\nde\r\n0\r\n\r\n")
+        self.assertEqual(self.requests[0].body, b"abcde")
+
+    def test_requests_are_answered_in_turn(self):
+        """Guards against an answer that belongs to another request."""
+        self.conn.data_received(GET + GET.replace(b"/x", b"/y"))
+        self.assertEqual([r.path for r in self.requests], ["/x"])
+        self.conn.send(200, [], b"one")
+        self.assertEqual([r.path for r in self.requests], ["/x", "/y"])
+        self.conn.send(200, [], b"two")
+        self.assertLess(self.transport.written.index(b"one"), self.transport.written.index(b"two"))
+
+    def test_broken_stream_does_not_look_complete(self):
+        """Guards against MIXED: an answer that ends early."""
+        self.conn.data_received(GET)
+        self.conn.start(200, [])
+        self.conn.write(b"part")
+        self.conn.abort()
+        self.assertTrue(self.transport.aborted)
+        self.assertNotIn(b"0\r\n\r\n", self.transport.written)
+
+    def test_oversized_body_and_headers(self):
+        """Guards against memory that a caller can take."""
+        self.server.limits = CallerLimits(max_header_bytes=200, max_body_bytes=10)
+        self.conn.data_received(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n" + b"x" * 11
+        )
+        self.assertIn(b" 413 ", self.transport.written)
+        self.setUp()
+        self.server.limits = CallerLimits(max_header_bytes=200)
+        self.conn.data_received(b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 300 + b"\r\n\r\n")
+        self.assertIn(b" 431 ", self.transport.written)
+
+    def test_two_lengths_are_refused(self):
+        """Guards against UNASKED: a request that is smuggled inside another."""
+        self.conn.data_received(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 0\r\n\r\nGET /"
+        )
+        self.assertEqual(self.requests, [])
+        self.assertIn(b" 400 ", self.transport.written)
+
+    def test_idle_connection_is_kept_for_the_limit(self):
+        """Guards against closing a connection that the caller may still use."""
+        self.server.limits = CallerLimits(idle_timeout_s=15.0)
+        self.now = 15.5
+        self.server.sweep()
+        self.assertFalse(self.transport.closed)
+        self.now = 16.5
+        self.server.sweep()
+        self.assertTrue(self.transport.closed)
+
+    def test_slow_request_gets_408(self):
+        """Guards against connections that are held open by half a request."""
+        self.conn.data_received(b"GET /x HTTP/1.1\r\n")
+        self.now = 11.0
+        self.server.sweep()
+        self.assertIn(b" 408 ", self.transport.written)
+
+    def test_answers_end_connections_while_the_node_leaves(self):
+        """Guards against callers that stay on a node that stops or is cut off."""
+        self.server.closing = True
+        self.conn.data_received(GET)
+        self.conn.send(200, [], b"one")
+        self.assertIn(b"Connection: close", self.transport.written)
+        self.assertTrue(self.transport.closed)
--- /dev/null
+++ b/eelgrassferry/platform/tests/test_codecs.py
@@ -0,0 +1,201 @@
+"""Tests of the platform's formats."""
+
+import json
+import unittest
+
+from result import Err
+
+from ...fleet import RequestKind
+from ...http import HttpResponse
+from ...ordering import FleetOrder, OrderAnswer
+from ...placement import OrderKind
+from ...routing import UpstreamState
+from ..config_codec import decode_config
+from ..order_codec import decode_order_answer, encode_order
+from ..request_codec import decode_answer, decode_request, encode_request
+from ..settings_file import parse_settings
+from ..upstream_codec import decode_entry, decode_report
+from .documents import make_config, make_settings
+
+ENTRY = {
+    "service": "chat",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "slots": 8,
+    "state": "ready",
+    "born": 7,
+    "models": [{"name": "m0", "version": 1, "adapters": ["a1", "m0/a2@3"]}],
+    "at_hand": {"in_memory": ["m1"], "on_disk": ["m2"]},
+}
+
+
+class SettingsFileTest(unittest.TestCase):
+    """Lines of the form a.b=value."""
+
+    def test_units_and_unknown_keys(self):
+        """Guards against milliseconds that are taken for seconds."""
+        cfg = parse_settings(make_settings("10.0.0.9:1", 1, 2, 3), "f").unwrap()
+        self.assertEqual(cfg.bounds.drain_s, 2.0)
+        self.assertEqual(cfg.bounds.stop_grace_s, 8.0)
+        self.assertTrue(cfg.first_start)
+        self.assertFalse(cfg.engines_check_fence)
+
+    def test_each_fault_is_named_with_its_key(self):
+        """Guards against an error that does not say what to mend."""
+        text = "node_name=n\nzone=z\nlisten.front=nonsense\nbounds.drain_ms=soon\n"
+        faults = parse_settings(text, "node.conf").unwrap_err()
+        keys = {fault.key for fault in faults}
+        wanted = {"listen.ready", "listen.control", "platform.address", "listen.front"}
+        self.assertEqual(keys, wanted | {"bounds.drain_ms"})
+
+
+class ConfigTest(unittest.TestCase):
+    """The operators' configuration."""
+
+    def test_routes_services_and_limits(self):
+        """Guards against wrong units, kinds or services of a route."""
+        cfg = decode_config(json.dumps(make_config(9)).encode()).unwrap()
+        route = cfg.match("calls.example", "/batch/1")
+        self.assertEqual((cfg.version, route.timeout_s, route.resumable), (9, 4.0, True))
+        self.assertIs(route.kind, RequestKind.STREAM)
+        self.assertEqual(cfg.limits.idle_timeout_s, 15.0)
+        self.assertIsNone(cfg.services["desk"].engine)
+
+    def test_split_route(self):
+        """Guards against requests that all go to one side of a split."""
+        spec = make_config()
+        del spec["routes"][0]["service"]
+        spec["routes"][0]["backends"] = [
+            {"service": "chat", "weight": 90},
+            {"service": "desk", "weight": 10},
+        ]
+        cfg = decode_config(json.dumps(spec).encode()).unwrap()
+        self.assertEqual([b.weight for b in cfg.routes[0].backends], [90.0, 10.0])
+
+    def test_bytes_that_are_no_configuration(self):
+        """Guards against a crash on a broken object."""
+        for value in (b"", b"[]", b"{}", b'{"version":"x","routes":[],"services":[]}'):
+            self.assertIsInstance(decode_config(value), Err)
+
+
+class EntryTest(unittest.TestCase):
+    """Registry entries, some of which other writers make."""
+
+    def test_fields(self):
+        """Guards against a heartbeat number that is taken for a number of orders."""
+        entry = decode_entry("i-1", json.dumps(ENTRY).encode()).unwrap()
+        self.assertEqual(entry.residents, {"m0": frozenset({"a1", "a2"})})
+        self.assertEqual((entry.started_ms, entry.on_disk), (7, frozenset({"m2"})))
+        self.assertIs(entry.state, UpstreamState.LIVE)
+
+    def test_entries_that_cannot_be_read(self):
+        """Guards against using, or crashing on, an entry of another writer."""
+        broken = [{"state": "odd"}, {"service": 3}, {"address": "x"}, {"born": 1.5}, {"slots": "8"}]
+        for change in broken:
+            value = json.dumps({**ENTRY, **change}).encode()
+            self.assertIsInstance(decode_entry("i-1", value), Err, change)
+        for value in (b"\xff", b"null", b"[]", b"{}"):
+            self.assertIsInstance(decode_entry("i-1", value), Err)
+
+    def test_report_with_adapters_in_transit(self):
+        """Guards against adapters under way that do not count."""
+        report = decode_report(b'{"models":[],"busy":true,"sequence":4,"coming":["m0/a1@2"]}')
+        self.assertEqual(report.unwrap().adapters_in_transit, frozenset({("m0", "a1")}))
+
+
+class RequestTest(unittest.TestCase):
+    """Headers of requests and answers."""
+
+    def test_facts(self):
+        """Guards against a wrong model, adapter or prompt."""
+        facts = decode_request(
+            [
+                (b"Eelgrassferry-Request-Id", b"r1"),
+                (b"Eelgrassferry-Model", b"m0/a3"),
+                (b"Eelgrassferry-Token-Counts", b"1460,80"),
+                (b"Eelgrassferry-Prompt-Prefix", b"5c:800,91:410"),
+                (b"Eelgrassferry-Deadline-Ms", b"4000"),
+            ]
+        ).unwrap()
+        self.assertEqual((facts.model, facts.adapter), ("m0", "a3"))
+        self.assertEqual((facts.prompt_tokens, facts.max_output_tokens), (1460, 80))
+        self.assertEqual(facts.prompt_parts, (("5c", 800), ("91", 410)))
+        self.assertEqual(facts.deadline_s, 4.0)
+
+    def test_bad_numbers_are_an_error(self):
+        """Guards against a traceback for a caller's mistake."""
+        for header in (
+            (b"Eelgrassferry-Deadline-Ms", b"soon"),
+            (b"Eelgrassferry-Token-Counts", b"x"),
+        ):
+            self.assertIsInstance(decode_request([header]), Err)
+
+    def test_passed_headers(self):
+        """Guards against headers of one connection, forged ones and a longer deadline."""
+        passed = encode_request(
+            [
+                (b"Host", b"h"),
+                (b"Connection", b"close, X-Own"),
+                (b"X-Own", b"1"),
+                (b"X-Kept", b"2"),
+                (b"EELGRASSFERRY-HOLD", b"3"),
+                (b"Transfer-Encoding", b"chunked"),
+                (b"Eelgrassferry-Deadline-Ms", b"9000"),
+            ],
+            "i-1",
+            1.5,
+            2,
+            "",
+        )
+        self.assertEqual(
+            passed,
+            [
+                (b"Host", b"h"),
+                (b"X-Kept", b"2"),
+                (b"Eelgrassferry-Deadline-Ms", b"1500"),
+                (b"Eelgrassferry-Expect-Instance", b"i-1"),
+                (b"Eelgrassferry-Request-Urgency", b"2"),
+            ],
+        )
+
+    def test_connection_header_cannot_remove_the_model(self):
+        """Guards against UNASKED: a caller that lists the model among its connection headers."""
+        headers = [(b"Connection", b"Eelgrassferry-Model"), (b"Eelgrassferry-Model", b"m0")]
+        names = [name for name, _ in encode_request(headers, "i", 1.0, 0, "")]
+        self.assertIn(b"Eelgrassferry-Model", names)
+
+    def test_answer(self):
+        """Guards against a refusal that is taken for a run, and the reverse."""
+        head = decode_answer(
+            503, [(b"Eelgrassferry-Not-Executed", b"1"), (b"Keep-Alive", b"timeout=5, max=9")]
+        )
+        self.assertTrue(head.not_run)
+        self.assertEqual(head.idle_limit_s, 5.0)
+        self.assertFalse(decode_answer(503, []).not_run)
+        self.assertTrue(decode_answer(200, [(b"Content-Encoding", b"gzip")]).encoded)
+
+
+class OrderTest(unittest.TestCase):
+    """Orders and their answers."""
+
+    def test_body(self):
+        """Guards against orders without their guard against late arrival."""
+        order = FleetOrder(OrderKind.LOAD_ADAPTER, "m0", 4, "a3")
+        self.assertEqual(
+            json.loads(encode_order(order, "node-7", 41)),
+            {
+                "operation": "load",
+                "model": "m0",
+                "adapter": "a3",
+                "expect": 4,
+                "holder": "node-7",
+                "fencing_token": 41,
+            },
+        )
+
+    def test_answers(self):
+        """Guards against an answer without meaning that counts as a refusal."""
+        meanings = {202: "accepted", 200: "holds", 409: "conflict", 412: "fenced", 400: "rejected"}
+        for status, meaning in meanings.items():
+            self.assertIs(decode_order_answer(HttpResponse(status)), OrderAnswer(meaning))
+        self.assertIs(decode_order_answer(HttpResponse(500)), OrderAnswer.UNKNOWN)
