Test coordination over real links; a lost coordinator is not heard any more

Cause: a node that reconnected to a coordinator which had resigned took its last view for a sign of life and did not compete for the lease for up to 1.2 s (seen in the new test). Change: leaving a coordinator forgets when it was heard; a holder known to be gone is not looked for; isolation probes try upstreams only when no node answers.

--- a/eelgrassferry/coordination/isolation_watch.py
+++ b/eelgrassferry/coordination/isolation_watch.py
@@ -17,8 +17,8 @@
 STEP_S = 0.2
 # A connection within a region takes a few ms; the rest is for a busy machine.
 CONNECT_TIMEOUT_S = 0.3
-# Nodes and upstreams of other domains that are tried at once.
-MAX_TARGETS = 6
+# Nodes, or upstreams, of other domains that are tried at once.
+MAX_TARGETS = 3
 # After this time a node counts itself as connected again, in seconds: if every domain were cut off
 # from every other, no node would be ready otherwise.
 MAX_ISOLATED_S = 20.0
@@ -56,8 +56,12 @@
             await asyncio.sleep(STEP_S)
             if not self.isolated and not self._is_suspicious():
                 continue
-            targets = self._targets()
-            reached = not targets or await self._reaches_any(targets)
+            nodes, upstreams = self._targets()
+            # Upstreams count new connections, so they are tried only if no node answers.
+            reached = not nodes and not upstreams
+            reached = (
+                reached or await self._reaches_any(nodes) or await self._reaches_any(upstreams)
+            )
             if not reached and not self.isolated:
                 self._since = self._clock()
             expired = self.isolated and self._clock() - self._since > MAX_ISOLATED_S
@@ -68,12 +72,12 @@
                     "isolation changed",
                     step="probe_domains",
                     isolated=isolated,
-                    tried=len(targets),
+                    tried=len(nodes) + len(upstreams),
                     expired=expired,
                 )
                 self._on_change(isolated)
 
-    def _targets(self) -> list[str]:
+    def _targets(self) -> tuple[list[str], list[str]]:
         """Return addresses in other domains: nodes, and upstreams that should accept."""
         nodes = [address for address, domain in self._peers().items() if domain != self._domain]
         upstreams = [
@@ -83,8 +87,7 @@
         ]
         self._rng.shuffle(nodes)
         self._rng.shuffle(upstreams)
-        half = MAX_TARGETS // 2
-        return nodes[:half] + upstreams[:half]
+        return nodes[:MAX_TARGETS], upstreams[:MAX_TARGETS]
 
     async def _reaches_any(self, targets: list[str]) -> bool:
         return any(await asyncio.gather(*(self._reaches(address) for address in targets)))
--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -61,6 +61,7 @@
         self.machine = self._make_machine(f"{settings.name}:{secrets.token_hex(4)}")
         self.coordinator: Coordinator | None = None
         self._inherited: Inheritance | None = None
+        self._gone: set[str] = set()
         self._certain: set[str] = set()
         self._not_before = float("-inf")
         self._settings = settings
@@ -104,6 +105,7 @@
         node has heard of all its orders.
         """
         now = self._clock()
+        self._gone.add(instance)
         if up_to_date and self._inherited is not None:
             self._certain.add(instance)
         else:
@@ -116,6 +118,11 @@
         record = self.machine.last_record
         return "" if record is None or record.released else record.holder
 
+    @property
+    def holder_is_gone(self) -> bool:
+        """Whether the holder as last read is known to have ended or resigned."""
+        return self.holder in self._gone
+
     def set_config(self, config: FleetConfig) -> None:
         """Use another version of the configuration."""
         self._config = config
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -94,6 +94,8 @@
             feed.on_step = partial(self._relay, feed)
         self._relayed: set[str] = set()
         self._members: set[PeerLink] = set()
+        self._links: set[PeerLink] = set()
+        self._server: asyncio.Server | None = None
         self._leader: PeerLink | None = None
         self._leader_name = ""
         self._leader_holder = ""
@@ -138,10 +140,19 @@
         """Accept links from other nodes."""
         host, _, port = self._settings.peer_listen.rpartition(":")
         loop = asyncio.get_running_loop()
-        await loop.create_server(
-            lambda: PeerLink(self._take_frame, self._drop_member), host, int(port)
+        self._server = await loop.create_server(
+            lambda: PeerLink(self._take_frame, self._drop_member, self._links.add),
+            host,
+            int(port),
         )
 
+    def close(self) -> None:
+        """Close all links and accept no more."""
+        if self._server is not None:
+            self._server.close()
+        for link in (*self._links, *filter(None, [self._leader])):
+            link.close()
+
     async def run(self) -> None:
         """Register, follow the other nodes and exchange status, until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -248,6 +259,7 @@
 
     def _drop_member(self, link: PeerLink) -> None:
         self._members.discard(link)
+        self._links.discard(link)
         if link.peer and self.leadership is not None and self.leadership.coordinator is not None:
             self.leadership.coordinator.forget_node(link.peer)
             log.info("node lost", step="peer_link", peer=link.peer)
@@ -340,7 +352,7 @@
         self._leave_leader()
         name = leadership.holder.partition(":")[0]
         address = self._nodes.get(name)
-        if not address or name == self._settings.name:
+        if not address or name == self._settings.name or leadership.holder_is_gone:
             return
         link = PeerLink(self._take_view, self._note_leader_lost)
         if not await self._connect(link, address):
@@ -369,6 +381,7 @@
 
     def _leave_leader(self) -> None:
         self._relayed.clear()
+        self._heard_at = float("-inf")
         if self._leader is not None:
             link, self._leader = self._leader, None
             link.close()
@@ -377,8 +390,9 @@
         if link is not self._leader:
             return
         log.warning("coordinator lost", step="peer_link", peer=self._leader_name)
-        self._leader = None
         up_to_date = self._clock() - self._heard_at < RECENT_VIEW_S
+        self._leader = None
+        self._leave_leader()
         probe = asyncio.ensure_future(
             self._probe(self._leader_name, self._leader_holder, self._leader_process, up_to_date)
         )
--- /dev/null
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -0,0 +1,213 @@
+"""Tests of nodes that coordinate over one store and real links on loopback."""
+
+import asyncio
+import socket
+import time
+import unittest
+
+from result import Ok
+
+from ...fleet import EntrySettings, FleetConfig, ServiceBounds, UpstreamDirectory
+from ...metrics import Metrics
+from ...objects import MemoryObjectStore, ObjectFeed
+from ...ordering import EngineReport, NodeStatus, OrderAnswer, Want
+from ...ordering.tests.fixtures import make_entry, make_service
+from .. import Leadership, PeerMesh
+
+WAIT_S = 12.0
+HANDOVER_S = 0.6
+
+
+def free_port() -> int:
+    """Return a port that the kernel picked."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class FakeRunner:
+    """Keeps the orders and answers each with a conflict, so that reports are asked for."""
+
+    def __init__(self, term, orders, name):
+        self.term, self.orders, self.name = term, orders, name
+
+    async def give(self, action):
+        if self.term() is None:
+            return None
+        self.orders.append((time.monotonic(), self.name, action.entry.instance))
+        return OrderAnswer.CONFLICT
+
+    async def read_report(self, entry):
+        return Ok(EngineReport({model: frozenset() for model in entry.residents}, False, 0))
+
+
+class Node:
+    """One node's mesh and leadership over the shared store."""
+
+    def __init__(self, name: str, store: MemoryObjectStore, orders: list) -> None:
+        self.name = name
+        self.settings = EntrySettings(
+            name=name,
+            domain="a",
+            caller_listen="",
+            ready_listen="",
+            peer_listen=f"127.0.0.1:{free_port()}",
+            object_store="",
+            first_start=True,
+            bounds=ServiceBounds(order_handover_s=HANDOVER_S),
+        )
+        self.directory = UpstreamDirectory()
+        self.directory.replace({"u0": make_entry("u0", "m0"), "u1": make_entry("u1")}, 0.0)
+        self.views = []
+        self.updates = []
+        self.wants = True
+        self.feed = ObjectFeed(store, "things/", self.updates.append, time.monotonic)
+        self.mesh = PeerMesh(
+            self.settings,
+            store,
+            [self.feed],
+            time.monotonic,
+            self.make_status,
+            lambda view, _others: self.views.append(view),
+        )
+        self.leadership = Leadership(
+            self.settings,
+            store,
+            self.directory,
+            lambda term: FakeRunner(term, orders, name),
+            time.monotonic,
+            Metrics(),
+            self.mesh.publish,
+            self.mesh.announce_end,
+            lambda: not self.mesh.has_leader,
+        )
+        self.mesh.leadership = self.leadership
+        service = make_service()
+        self.leadership.set_config(FleetConfig(1, (), {service.name: service}))
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def make_status(self) -> NodeStatus:
+        wants = (Want("chat", "m5", "", 1, 2.0),) if self.wants else ()
+        return NodeStatus(self.name, wants=wants)
+
+    async def start(self) -> None:
+        await self.mesh.listen()
+        parts = (self.mesh.run(), self.leadership.run(), self.feed.run())
+        self.tasks = [asyncio.ensure_future(part) for part in parts]
+
+    def freeze(self) -> None:
+        """Stop all work without a word to anybody; the sockets stay open."""
+        for task in self.tasks:
+            task.cancel()
+
+    async def stop(self) -> None:
+        """End as a process does."""
+        self.freeze()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.mesh.close()
+
+    @property
+    def leads(self) -> bool:
+        return self.leadership.term() is not None
+
+
+class CoordinationTest(unittest.IsolatedAsyncioTestCase):
+    """Three nodes."""
+
+    async def asyncSetUp(self):
+        self.store = MemoryObjectStore()
+        self.orders = []
+        self.nodes = [Node(f"n{i}", self.store, self.orders) for i in range(3)]
+        for node in self.nodes:
+            await node.start()
+            self.addAsyncCleanup(node.stop)
+        await self.eventually(lambda: self.leader() and all(n.views for n in self.nodes))
+
+    async def eventually(self, condition):
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def leader(self):
+        return next((node for node in self.nodes if node.leads), None)
+
+    def check_turns(self):
+        """Orders of two nodes to one engine are at least the handover apart."""
+        last = {}
+        for at, name, instance in self.orders:
+            before = last.get(instance)
+            if before is not None and before[1] != name:
+                self.assertGreaterEqual(at - before[0], HANDOVER_S)
+            last[instance] = (at, name)
+
+    async def test_one_node_leads_and_orders(self):
+        """Guards against ONE: two nodes that give orders."""
+        await self.eventually(lambda: len(self.orders) >= 3)
+        self.assertEqual(len({name for _, name, _ in self.orders}), 1)
+        self.assertEqual(sum(node.leads for node in self.nodes), 1)
+
+    async def test_resigned_leader_is_followed_at_once(self):
+        """Guards against waiting out the lease after a planned stop."""
+        old = self.leader()
+        await self.eventually(lambda: self.orders)
+        began = time.monotonic()
+        await old.leadership.resign()
+        await self.eventually(lambda: self.leader() is not None)
+        self.assertIsNot(self.leader(), old)
+        self.assertLess(time.monotonic() - began, 1.0)
+        count = len(self.orders)
+        await self.eventually(lambda: len(self.orders) > count)
+        self.check_turns()
+
+    async def test_leader_that_loses_the_store_resigns(self):
+        """Guards against requests that wait for loads while the leader is cut off."""
+        old = self.leader()
+        machine_key = old.leadership.machine.key
+        await self.eventually(lambda: self.orders)
+        old.leadership._store = DownStore()
+        await self.eventually(lambda: self.leader() not in (old, None))
+        count = len(self.orders)
+        await self.eventually(lambda: len(self.orders) > count)
+        self.check_turns()
+        self.assertTrue(machine_key.startswith("leases/"))
+
+    async def test_frozen_leader_is_followed_after_its_lease(self):
+        """Guards against a frozen process that counts as live because it accepts connections."""
+        old = self.leader()
+        await self.eventually(lambda: self.orders)
+        old.freeze()
+        began = time.monotonic()
+        others = [node for node in self.nodes if node is not old]
+        await self.eventually(lambda: any(node.leads for node in others))
+        self.assertLess(time.monotonic() - began, 6.0)
+        self.assertIsNone(old.leadership.term())
+        count = len(self.orders)
+        await self.eventually(lambda: len(self.orders) > count)
+        self.check_turns()
+
+    async def test_changes_are_relayed_and_the_store_is_asked_by_one_node(self):
+        """Guards against calls to the store that grow with the nodes."""
+        await self.eventually(lambda: all(n.leads or n.feed.is_relayed() for n in self.nodes))
+        await self.store.put("things/x", b"{}", 0)
+        await self.eventually(lambda: all("things/x" in n.feed.objects for n in self.nodes))
+        await asyncio.sleep(0.3)
+        reads = self.store.reads
+        await self.store.put("things/y", b"{}", 0)
+        await self.eventually(lambda: all("things/y" in n.feed.objects for n in self.nodes))
+        self.assertLessEqual(self.store.reads - reads, 4)
+
+    async def test_view_tells_what_was_ordered(self):
+        """Guards against ONE: a successor that does not know its predecessor's orders."""
+        await self.eventually(lambda: len(self.orders) >= 2)
+        follower = next(node for node in self.nodes if not node.leads)
+        await self.eventually(
+            lambda: any(view.orders and view.orders.last_orders for view in follower.views)
+        )
+
+
+class DownStore(MemoryObjectStore):
+    """A store that never answers well."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.faults.down = True
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -134,6 +134,7 @@
         await self._drain()
         for task in tasks:
             task.cancel()
+        self._mesh.close()
         log.info("node stopped", step="stop", node=self._settings.name, left=self._desk.in_flight)
         return 0
 
