Make the coordinator's work grow little with the fleet

Cause: on the grown site (70 machines) a coordinator on 0.39 cores could not renew its lease: nine terms ended in 50 s. It planned over all models and engines at every status and encoded each view 70 times. Change: sums of statuses change by differences, a plan looks at models that are asked for, frames to many nodes are encoded once, exchanges slow down with the number of nodes, and weak nodes leave the lease to strong ones for a moment.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -33,8 +33,16 @@
 CLOCK_MARGIN = 1.02
 # An order that was sent in the last moment of a term arrives within this time, in seconds.
 TRANSIT_S = 0.4
+# Nodes with this many cores compete for the lease at once; each core less delays by this time, in
+# seconds. A strong node takes a free lease within 0.1 s.
+ENOUGH_CORES = 1.0
+WEAK_DELAY_S = 1.0
 # The lease and the coordinator's plan are looked at this often, in seconds.
 STEP_S = 0.02
+# Least time between two plans for six engines, and for any number, in seconds. A plan for six
+# engines takes about a third of a millisecond.
+PLAN_EVERY_S = 0.005
+MAX_PLAN_EVERY_S = 0.05
 
 
 class Leadership:
@@ -76,6 +84,9 @@
         self._config: FleetConfig | None = None
         self._epoch = 0
         self._published = -1
+        self._leaderless_since: float | None = None
+        self._planned_at = float("-inf")
+        self._planned_soon: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = False
 
@@ -192,12 +203,19 @@
         self._announce_end(given_up)
 
     def step(self) -> None:
-        """Plan once and start what is due."""
+        """Plan once and start what is due, or soon where the last plan was just made."""
         coordinator = self.coordinator
         term = self.term()
         if coordinator is None or term is None:
             return
         now = self._clock()
+        wait_s = self._planned_at + self._plan_every_s(coordinator) - now
+        if wait_s > 0:
+            if self._planned_soon is None:
+                loop = asyncio.get_running_loop()
+                self._planned_soon = loop.call_later(wait_s, self._step_soon)
+            return
+        self._planned_at = now
         for action in coordinator.decide(now):
             match action:
                 case GiveOrder():
@@ -209,6 +227,16 @@
             asyncio.get_running_loop().call_later(ready_at - now + 0.0005, self._note_ready)
         self._publish_view(coordinator, term, now)
 
+    def _step_soon(self) -> None:
+        self._planned_soon = None
+        self.step()
+
+    def _plan_every_s(self, coordinator: Coordinator) -> float:
+        """Return the least time between two plans, in seconds, which grows with what a plan
+        costs, so that planning takes at most a small share of the node's time.
+        """
+        return min(MAX_PLAN_EVERY_S, PLAN_EVERY_S * max(1.0, len(coordinator.books) / 6.0))
+
     def _note_ready(self) -> None:
         if self.coordinator is not None:
             self.coordinator.changes += 1
@@ -251,7 +279,7 @@
             term.epoch,
             self.machine.version,
             coordinator.nodes,
-            coordinator.loads(),
+            coordinator.loads,
             residency,
             orders,
         )
@@ -259,12 +287,25 @@
     # Steps
 
     async def _keep_lease(self) -> None:
-        if self._stopping or (self.term() is None and not self._may_compete()):
+        if self._stopping or (self.term() is None and not self._competes()):
             return
         machine = self.machine
         for action in machine.tick(self._clock()):
             await self._perform(action)
 
+    def _competes(self) -> bool:
+        """Whether this node tries to take the lease now. Weak nodes leave it to strong ones for a
+        moment, because the coordinator's work grows with the fleet.
+        """
+        now = self._clock()
+        if not self._may_compete():
+            self._leaderless_since = None
+            return False
+        if self._leaderless_since is None:
+            self._leaderless_since = now
+        weakness = max(0.0, ENOUGH_CORES - self._settings.cores)
+        return now - self._leaderless_since >= WEAK_DELAY_S * weakness
+
     async def _perform(self, action: ReadLease | WriteLease) -> None:
         machine = self.machine
         match action:
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -14,7 +14,7 @@
 from ..fleet import EntrySettings
 from ..objects import FeedUpdate, ObjectFeed, SnapshotStore
 from ..ordering import NodeStatus
-from ..peers.frame import Frame
+from ..peers.frame import Frame, encode_frame
 from .leadership import Leadership
 from .messages import (
     CHANGES,
@@ -45,6 +45,10 @@
 # Status and loads are exchanged this often, in seconds. An engine's queue changes little in that
 # time: a prompt takes 20 to 200 ms to read.
 EXCHANGE_S = 0.1
+# Statuses that a coordinator is to handle a second; one takes about 0.1 ms.
+STATUSES_PER_S = 250.0
+# Longer pauses would let a live coordinator look silent.
+MAX_EXCHANGE_S = 0.3
 # Without news, a frame is sent this often, in seconds, so that a silent link is noticed.
 HEARTBEAT_S = 0.5
 # A coordinator that was not heard for this long is looked for again, in seconds.
@@ -169,11 +173,15 @@
     def publish(self, view: FleetView) -> None:
         """Send a view to all nodes, this one included."""
         now = self._clock()
-        body = encode_view(view, now)
-        for link in list(self._members):
-            link.send(VIEW, body)
+        self._send_members(VIEW, encode_view(view, now))
         self._apply(view)
 
+    def _send_members(self, kind: str, body: object) -> None:
+        """Send one frame to all nodes on this coordinator's links, encoded once."""
+        data = encode_frame(Frame(kind, body))
+        for link in list(self._members):
+            link.send_bytes(data)
+
     def announce_end(self, instance: str) -> None:
         """Tell all nodes that a lease of this node's has ended and it gives no more orders."""
         for link in list(self._members):
@@ -190,9 +198,7 @@
     def _relay(self, feed: ObjectFeed, update: FeedUpdate) -> None:
         """Pass on changes to the nodes that follow this coordinator."""
         if self._members:
-            body = encode_changes(feed.prefix, update)
-            for link in list(self._members):
-                link.send(CHANGES, body)
+            self._send_members(CHANGES, encode_changes(feed.prefix, update))
 
     def _ask_copy(self, feed: ObjectFeed) -> None:
         """Ask the coordinator for what this node lacks, after which it follows the changes."""
@@ -305,9 +311,16 @@
 
     # Node's side
 
+    @property
+    def _exchange_s(self) -> float:
+        """Time between two exchanges, in seconds: the coordinator handles a bounded number of
+        statuses a second, however many nodes there are.
+        """
+        return min(MAX_EXCHANGE_S, max(EXCHANGE_S, len(self._nodes) / STATUSES_PER_S))
+
     async def _exchange(self) -> None:
         while True:
-            await asyncio.sleep(EXCHANGE_S)
+            await asyncio.sleep(self._exchange_s)
             leadership = self.leadership
             if leadership is None:
                 continue
--- a/eelgrassferry/fleet/entry_settings.py
+++ b/eelgrassferry/fleet/entry_settings.py
@@ -32,7 +32,8 @@
 class EntrySettings:
     """Addresses are ``ip:port``. ``seeds`` are peer addresses that may be stale.
 
-    ``first_start`` is true only when the whole system starts for the first time.
+    ``first_start`` is true only when the whole system starts for the first time. ``cores`` is the
+    processor time that this node has, in cores.
     """
 
     name: str
@@ -45,5 +46,6 @@
     first_start: bool = False
     engines_check_fence: bool = False
     max_descriptors: int = 1024
+    cores: float = 1.0
     bounds: ServiceBounds = field(default_factory=ServiceBounds)
     domains: Mapping[str, str] = field(default_factory=dict)
--- a/eelgrassferry/fleet/service.py
+++ b/eelgrassferry/fleet/service.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 
 __all__ = ["Engine", "ModelSpec", "Service"]
 
@@ -43,6 +44,12 @@
     disk_cache_mb: float = 0.0
     models: Mapping[str, ModelSpec] = field(default_factory=dict)
 
+    @cached_property
+    def adapter_reserve_mb(self) -> float:
+        """Memory that all adapter places may take."""
+        largest = max((model.adapter_mb for model in self.models.values()), default=0.0)
+        return largest * self.adapter_slots
+
 
 @dataclass(frozen=True)
 class Service:
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -15,15 +15,15 @@
 from .fleet_order import FleetOrder, OrderAnswer
 from .inheritance import Inheritance
 from .node_status import NodeStatus
+from .plan_state import PlanState
 from .planner import LoadStep, Planner, RestoreStep, Step, UnloadStep, WithdrawStep
+from .status_book import StatusBook
 
 __all__ = ["AskReport", "Coordinator", "GiveOrder"]
 
 # Once demand has been seen for this long, it replaces the first assumption of what is busy, in
 # seconds.
 PRIOR_FOR_S = 5.0
-# A node that has sent no status for this long counts as gone, in seconds.
-NODE_GONE_S = 2.5
 
 
 @dataclass(frozen=True)
@@ -63,7 +63,7 @@
         self._config: FleetConfig | None = None
         self._demand = DemandBook()
         self._planners: dict[str, Planner] = {}
-        self._statuses: dict[str, tuple[float, NodeStatus]] = {}
+        self._statuses = StatusBook()
         self._learned: set[str] = set()
         self._demand_since: float | None = None
 
@@ -88,7 +88,7 @@
 
     def take_status(self, status: NodeStatus, now: float) -> None:
         """Take a node's status."""
-        self._statuses[status.node] = (now, status)
+        self._statuses.take(status, now)
         if status.arrivals and self._demand_since is None:
             self._demand_since = now
         for (service, model), (count, work_s) in status.arrivals.items():
@@ -107,7 +107,7 @@
 
     def forget_node(self, node: str) -> None:
         """Drop the status of a node that is gone."""
-        self._statuses.pop(node, None)
+        self._statuses.forget(node)
 
     def take_directory(self, now: float) -> None:
         """Look at the registered upstreams again."""
@@ -162,11 +162,8 @@
             if not leaves and not book.is_doubtful(now) and book.wants_report(now):
                 book.note_asked(now)
                 actions.append(AskReport(book.entry))
-        self._expire_nodes(now)
-        waiting, adapters = self._wants()
-        loads = self.loads()
-        requests = {instance: load.requests for instance, load in loads.items()}
-        running = self._running()
+        self._statuses.expire(now)
+        waiting, adapters = self._statuses.wants()
         for name, planner in self._planners.items():
             service = self._config.services.get(name)
             if service is None or service.engine is None:
@@ -181,8 +178,17 @@
             self._learn_priors(name, planner, books)
             if self._demand_since is not None and now - self._demand_since > PRIOR_FOR_S:
                 planner.drop_priors()
-            actions += self._order_adapters(adapters.get(name, {}), books, requests, now)
-            for step in planner.plan(books, waiting.get(name, {}), running, loads, now):
+            actions += self._order_adapters(adapters.get(name, {}), books, now)
+            state = PlanState(
+                name,
+                books,
+                waiting.get(name, {}),
+                self._statuses.running,
+                self._statuses.loads,
+                self._demand,
+                now,
+            )
+            for step in planner.plan(state):
                 action = self._take_step(step, now)
                 if action is not None:
                     actions.append(action)
@@ -219,13 +225,10 @@
         ]
         return min(times, default=None)
 
+    @property
     def loads(self) -> dict[str, UpstreamLoad]:
-        """Return what all nodes have in flight by upstream."""
-        total: dict[str, UpstreamLoad] = {}
-        for _, status in self._statuses.values():
-            for instance, load in status.loads.items():
-                total[instance] = total.get(instance, UpstreamLoad()).plus(load)
-        return total
+        """What all nodes have in flight by upstream."""
+        return self._statuses.loads
 
     def inheritance(self, now: float) -> Inheritance:
         """Return what a successor has to know."""
@@ -250,9 +253,9 @@
         self,
         wanted: dict[tuple[str, str], float],
         books: list[EngineBook],
-        requests: dict[str, float],
         now: float,
     ) -> Iterable[GiveOrder]:
+        requests = {instance: load.requests for instance, load in self.loads.items()}
         for model, adapter in sorted(wanted, key=lambda pair: wanted[pair]):
             placed = place_adapter(model, adapter, books, wanted, requests, now)
             if placed is not None:
@@ -294,31 +297,6 @@
             self._learned.add(name)
             planner.learn_priors(books)
 
-    def _wants(self) -> tuple[dict[str, dict[str, int]], dict[str, dict[tuple[str, str], float]]]:
-        """Return the waiting requests by service and model, and the adapters waited for."""
-        waiting: dict[str, dict[str, int]] = {}
-        adapters: dict[str, dict[tuple[str, str], float]] = {}
-        for _, status in self._statuses.values():
-            for want in status.wants:
-                models = waiting.setdefault(want.service, {})
-                models[want.model] = models.get(want.model, 0) + want.count
-                if want.adapter:
-                    pairs = adapters.setdefault(want.service, {})
-                    pair = (want.model, want.adapter)
-                    pairs[pair] = min(want.left_s, pairs.get(pair, want.left_s))
-        return waiting, adapters
-
-    def _running(self) -> dict[tuple[str, str], int]:
-        total: dict[tuple[str, str], int] = {}
-        for _, status in self._statuses.values():
-            for (instance, model, _), count in status.running.items():
-                total[instance, model] = total.get((instance, model), 0) + count
-        return total
-
-    def _expire_nodes(self, now: float) -> None:
-        for node in [n for n, (at, _) in self._statuses.items() if now - at > NODE_GONE_S]:
-            del self._statuses[node]
-
     def _ready_adapters(self, book: EngineBook, now: float) -> dict[str, frozenset[str]]:
         found: dict[str, set[str]] = {}
         for (model, adapter), ready_at in book.adapters.items():
--- a/eelgrassferry/ordering/demand_book.py
+++ b/eelgrassferry/ordering/demand_book.py
@@ -5,6 +5,8 @@
 # Half-life of the arrival rate, in seconds. Demand moves from model to model within about 5 s at
 # the present sites.
 HALF_LIFE_S = 2.0
+# A model that was not asked for within this time has no demand, in seconds.
+ACTIVE_FOR_S = 10.0
 DECAY = 0.6931471805599453 / HALF_LIFE_S
 
 
@@ -37,6 +39,14 @@
         """Return the engines that the prompts of a model keep busy."""
         return self._current(service, model, now)[1]
 
+    def active(self, service: str, now: float) -> list[str]:
+        """Return the models of a service that are asked for at all."""
+        return [
+            model
+            for (name, model), at in self._last.items()
+            if name == service and now - at < ACTIVE_FOR_S
+        ]
+
     def last_asked(self, service: str, model: str) -> float:
         """Return when a model was last asked for, minus infinity for never."""
         return self._last.get((service, model), float("-inf"))
--- a/eelgrassferry/ordering/engine_book.py
+++ b/eelgrassferry/ordering/engine_book.py
@@ -114,8 +114,7 @@
         """Memory of all copies, those under way and withdrawn included, and all adapter slots."""
         models = self.spec.models
         used = sum(models[name].weights_mb for name in self.copies if name in models)
-        largest = max((model.adapter_mb for model in models.values()), default=0.0)
-        return used + largest * self.spec.adapter_slots
+        return used + self.spec.adapter_reserve_mb
 
     @property
     def free_mb(self) -> float:
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -1,13 +1,12 @@
 """Decides which model is loaded where, and what makes room for it."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 
-from ..dispatch import UpstreamLoad
 from ..fleet import Service
 from .cold_load_gate import ColdLoadGate
 from .demand_book import DemandBook
 from .engine_book import CopyState, EngineBook
+from .plan_state import PlanState
 
 __all__ = ["LoadStep", "ModelNeed", "Planner", "RestoreStep", "Step", "UnloadStep", "WithdrawStep"]
 
@@ -103,8 +102,6 @@
     model: str
 
 
-NO_LOAD = UpstreamLoad()
-
 Step = LoadStep | WithdrawStep | UnloadStep | RestoreStep
 
 
@@ -121,27 +118,15 @@
         """Use another configuration of the service."""
         self._service = service
 
-    def plan(
-        self,
-        books: list[EngineBook],
-        waiting: Mapping[str, int],
-        running: Mapping[tuple[str, str], int],
-        loads: Mapping[str, UpstreamLoad],
-        now: float,
-    ) -> list[Step]:
-        """Return the next steps for the engines that can be used.
-
-        ``waiting`` counts requests by model that no engine can take, ``running`` requests by
-        instance and model, ``loads`` all work by instance.
-        """
-        moving = sum(book.is_changing for book in books)
-        steps = [step for book in books for step in self._go_on(book, running, now)]
+    def plan(self, state: PlanState) -> list[Step]:
+        """Return the next steps for the engines that can be used."""
+        moving = sum(book.is_changing for book in state.books)
+        steps = [step for book in state.books for step in self._go_on(book, state)]
         taken = {step.instance for step in steps}
-        busy = {book.instance: self._busy(book, books, now) for book in books}
-        for need in self._needs(books, waiting, busy, loads, now):
-            if need.spare and moving >= max(1, int(MOVING_SHARE * len(books))):
+        for need in self._needs(state):
+            if need.spare and moving >= max(1, int(MOVING_SHARE * len(state.books))):
                 continue
-            step = self._serve(need, books, running, busy, taken, now)
+            step = self._serve(need, state, taken)
             if step is not None:
                 taken.add(step.instance)
                 steps.append(step)
@@ -155,133 +140,89 @@
 
     # Needs
 
-    def rate(self, model: str, now: float) -> float:
-        """Return the demand of a model in requests a second."""
-        prior = self._prior.get(model, 0.0)
-        return self._demand.rate(self._service.name, model, now) + prior
-
-    def _needs(
-        self,
-        books: list[EngineBook],
-        waiting: Mapping[str, int],
-        busy: Mapping[str, float],
-        loads: Mapping[str, UpstreamLoad],
-        now: float,
-    ) -> list[ModelNeed]:
+    def _needs(self, state: PlanState) -> list[ModelNeed]:
         """Return the models that should get another copy, the most important first."""
-        found = []
         engine = self._service.engine
         assert engine is not None
-        for model in engine.models:
-            holders = [book for book in books if self._has_copy(book, model)]
-            rate = self._demand.rate(self._service.name, model, now)
-            if not holders:
-                if waiting.get(model):
-                    worth = WAITING_WORTH + waiting[model] + rate
-                    found.append(ModelNeed(model, True, worth))
-                elif rate >= LIVELY_RATE:
-                    # Its last copy was lost or is leaving; the next requests are about to come.
-                    found.append(ModelNeed(model, True, rate))
-                elif self._prior and not any(not book.is_cold(model) for book in books):
-                    found.append(ModelNeed(model, False, AT_HAND_WORTH, spare=True))
-            elif len(holders) == len(books) or any(not book.live(model) for book in holders):
-                continue
-            elif rate > 0.0 and self._is_overloaded(holders, busy, loads):
-                found.append(ModelNeed(model, False, rate))
-            elif len(holders) == 1 and rate >= SPARE_COPY_RATE:
-                found.append(ModelNeed(model, False, rate / 10.0, spare=True))
-        return sorted(found, key=lambda need: -need.worth)
-
-    def _is_overloaded(
-        self,
-        holders: list[EngineBook],
-        busy: Mapping[str, float],
-        loads: Mapping[str, UpstreamLoad],
-    ) -> bool:
+        asked = {*state.waiting, *state.demand.active(state.service, state.now)}
+        found = [self._need(model, state) for model in asked if model in engine.models]
+        if self._prior:
+            found += [self._need_at_hand(model, state) for model in engine.models]
+        return sorted((need for need in found if need is not None), key=lambda n: -n.worth)
+
+    def _need(self, model: str, state: PlanState) -> ModelNeed | None:
+        holders = state.holders.get(model, [])
+        rate = state.rate(model)
+        if not holders:
+            if state.waiting.get(model):
+                return ModelNeed(model, True, WAITING_WORTH + state.waiting[model] + rate)
+            # Its last copy was lost or is leaving; the next requests are about to come.
+            return ModelNeed(model, True, rate) if rate >= LIVELY_RATE else None
+        if len(holders) == len(state.books) or any(not book.live(model) for book in holders):
+            return None
+        if rate > 0.0 and self._is_overloaded(holders, state):
+            return ModelNeed(model, False, rate)
+        if len(holders) == 1 and rate >= SPARE_COPY_RATE:
+            return ModelNeed(model, False, rate / 10.0, spare=True)
+        return None
+
+    def _need_at_hand(self, model: str, state: PlanState) -> ModelNeed | None:
+        if state.copies(model) or any(not book.is_cold(model) for book in state.books):
+            return None
+        return ModelNeed(model, False, AT_HAND_WORTH, spare=True)
+
+    def _is_overloaded(self, holders: list[EngineBook], state: PlanState) -> bool:
         """Whether every copy of a model is on an engine with too much work."""
         return all(
-            busy[book.instance] > BUSY_LIMIT
-            or sum(loads.get(book.instance, NO_LOAD).backlog.values()) > BACKLOG_LIMIT_S
+            state.busy[book.instance] > BUSY_LIMIT or state.backlog_s(book) > BACKLOG_LIMIT_S
             for book in holders
         )
 
-    def _busy(self, book: EngineBook, books: list[EngineBook], now: float) -> float:
-        """Return the share of an engine's time that prompts of its models take."""
-        name = self._service.name
-        return sum(
-            self._demand.busy(name, model, now) / max(1, self._copies(books, model))
-            for model, copy in book.copies.items()
-            if copy.state is CopyState.LIVE
-        )
-
-    def _has_copy(self, book: EngineBook, model: str) -> bool:
-        copy = book.copies.get(model)
-        return copy is not None and copy.state in (CopyState.LIVE, CopyState.LOADING)
-
-    def _copies(self, books: list[EngineBook], model: str) -> int:
-        return sum(self._has_copy(book, model) for book in books)
-
     # Places
 
-    def _serve(
-        self,
-        need: ModelNeed,
-        books: list[EngineBook],
-        running: Mapping[tuple[str, str], int],
-        busy: Mapping[str, float],
-        taken: set[str],
-        now: float,
-    ) -> Step | None:
+    def _serve(self, need: ModelNeed, state: PlanState, taken: set[str]) -> Step | None:
         under_way = sum(
             book.is_cold(copy.room_for or model)
-            for book in books
+            for book in state.books
             for model, copy in book.copies.items()
             if copy.state is CopyState.LOADING or copy.room_for
         )
-        cold_allowed = self._gate.allowed(now, under_way)
-        best: tuple[float, Step] | None = None
-        for book in books:
+        cold_allowed = self._gate.allowed(state.now, under_way)
+        best: tuple[float, EngineBook, Step] | None = None
+        for book in state.books:
             if book.instance in taken or need.model in book.copies or book.is_changing:
                 continue
-            if not book.is_ready(now):
-                continue
-            if book.is_cold(need.model) and not cold_allowed:
+            if not book.is_ready(state.now) or (book.is_cold(need.model) and not cold_allowed):
                 continue
-            found = self._step_at(need, book, books, running, now)
+            found = self._step_at(need, book, state)
             if found is None:
                 continue
             step, penalty = found
-            cost = book.load_s(need.model) + penalty + BUSY_COST_S * busy[book.instance]
-            cost += ADAPTER_COST_S * book.recent_adapters(now)
+            cost = book.load_s(need.model) + penalty + BUSY_COST_S * state.busy[book.instance]
+            cost += ADAPTER_COST_S * book.recent_adapters(state.now)
             if best is None or cost < best[0]:
-                best = (cost, step)
+                best = (cost, book, step)
         if best is None:
             return None
-        step = best[1]
-        if isinstance(step, LoadStep):
-            book = next(book for book in books if book.instance == step.instance)
-            if book.is_cold(step.model):
-                self._gate.note_begun(now)
+        _, book, step = best
+        if isinstance(step, LoadStep) and book.is_cold(step.model):
+            self._gate.note_begun(state.now)
         return step
 
     def _step_at(
-        self,
-        need: ModelNeed,
-        book: EngineBook,
-        books: list[EngineBook],
-        running: Mapping[tuple[str, str], int],
-        now: float,
+        self, need: ModelNeed, book: EngineBook, state: PlanState
     ) -> tuple[Step, float] | None:
         """Return the step towards a copy on one engine and its cost in seconds."""
         weights_mb = book.spec.models[need.model].weights_mb
-        if book.free_mb >= weights_mb:
+        free_mb = book.free_mb
+        if free_mb >= weights_mb:
             return LoadStep(book.instance, need.model), 0.0
         victims = [
-            (self._loss(book, model, books, running, now), model)
+            (self._loss(book, model, state), model)
             for model, copy in book.copies.items()
             if copy.state is CopyState.LIVE
-            and now - copy.since >= MIN_RESIDENCE_S
-            and book.free_mb + book.spec.models[model].weights_mb >= weights_mb
+            and state.now - copy.since >= MIN_RESIDENCE_S
+            and free_mb + book.spec.models[model].weights_mb >= weights_mb
         ]
         if not victims:
             return None
@@ -292,36 +233,27 @@
             return None
         return WithdrawStep(book.instance, victim, need.model), 0.15 + min(loss, 50.0) * 0.1
 
-    def _loss(
-        self,
-        book: EngineBook,
-        model: str,
-        books: list[EngineBook],
-        running: Mapping[tuple[str, str], int],
-        now: float,
-    ) -> float:
+    def _loss(self, book: EngineBook, model: str, state: PlanState) -> float:
         """Return how much the eviction of a copy costs, in requests a second."""
-        copies = self._copies(books, model)
-        rate = self.rate(model, now)
+        copies = state.copies(model)
+        rate = state.rate(model) + self._prior.get(model, 0.0)
         loss = rate / max(1, copies)
         if copies <= 1:
             loss += rate
-            if now - self._demand.last_asked(self._service.name, model) < KEEP_LAST_S:
+            if state.now - state.demand.last_asked(state.service, model) < KEEP_LAST_S:
                 loss += 1.0
-        return loss + RUN_LOSS * running.get((book.instance, model), 0)
+        return loss + RUN_LOSS * state.runs(book, model)
 
-    def _go_on(
-        self, book: EngineBook, running: Mapping[tuple[str, str], int], now: float
-    ) -> list[Step]:
+    def _go_on(self, book: EngineBook, state: PlanState) -> list[Step]:
         """Return what follows a withdrawal on an engine."""
-        if not book.is_ready(now):
+        if not book.is_ready(state.now):
             return []
         for model, copy in book.copies.items():
-            if copy.state is not CopyState.WITHDRAWN or now - copy.since < WITHDRAW_S:
+            if copy.state is not CopyState.WITHDRAWN or state.now - copy.since < WITHDRAW_S:
                 continue
-            if not running.get((book.instance, model), 0):
+            if not state.runs(book, model):
                 return [UnloadStep(book.instance, model)]
-            if now - copy.since >= RUNS_WAIT_S:
+            if state.now - copy.since >= RUNS_WAIT_S:
                 return [RestoreStep(book.instance, model)]
         return []
 
--- a/eelgrassferry/platform/settings_file.py
+++ b/eelgrassferry/platform/settings_file.py
@@ -59,6 +59,9 @@
         if values.get(key) and not _is_address(values[key]):
             faults.append(_fault(path, key, f"{values[key]!r} is not an address IP:PORT"))
     bounds = _read_bounds(values, path, faults)
+    # "cpu_share" is the part of a core that the node has, "cores" how many times as fast it is.
+    share = _read_number(values, "limits.cpu_share", 1.0, path, faults)
+    speed = _read_number(values, "limits.cores", 1.0, path, faults)
     descriptors = _read_number(values, "limits.max_fds", 1024.0, path, faults)
     if faults:
         return Err(tuple(faults))
@@ -74,6 +77,7 @@
             first_start=values.get("bootstrap", "") == "true",
             engines_check_fence=values.get("bounds.require_fence", "") == "true",
             max_descriptors=int(descriptors),
+            cores=share * speed,
             bounds=bounds,
             domains={
                 key.removeprefix("zones."): value
