--- a/eelgrassferry/cli/entry_command.py
+++ b/eelgrassferry/cli/entry_command.py
@@ -14,7 +14,7 @@
 __all__ = ["entry"]
 
 
-def entry(*, log_level: LogLevel = "info") -> int:
+def entry(*, metrics_port: int = 0, log_level: LogLevel = "info") -> int:
     """Run an entry node on the users' platform until it is told to stop.
 
     The settings file is the one that the platform names in the environment. Logs go to standard
@@ -22,6 +22,8 @@
 
     Parameters
     ----------
+    metrics_port
+        The port on which metrics are served as text, 0 for none.
     log_level
         The lowest level that is logged.
     """
@@ -31,15 +33,17 @@
     if isinstance(loaded, Err):
         return report_errors(loaded.err_value, as_json=False)
     configure_logs(log_level, BoundedLines(sys.stdout.fileno()))
-    return asyncio.run(_run(loaded.ok_value))
+    return asyncio.run(_run(loaded.ok_value, metrics_port))
 
 
-async def _run(settings: EntrySettings) -> int:
+async def _run(settings: EntrySettings, metrics_port: int) -> int:
     from ..entry import EntryNode
     from ..http import HttpClient
     from ..platform import load_entry_settings, make_wire
 
     client = HttpClient()
     wire = make_wire(client, settings.object_store)
-    code = await EntryNode(settings, wire, client, load_entry_settings).run()
+    host = settings.caller_listen.rpartition(":")[0]
+    metrics = f"{host}:{metrics_port}" if metrics_port else ""
+    code = await EntryNode(settings, wire, client, metrics, load_entry_settings).run()
     return ExitCode(code)
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -13,7 +13,7 @@
 from ..fleet import DirectoryChange, EntrySettings, FleetConfig, UpstreamDirectory
 from ..forwarding import CallerServer, UpstreamPool
 from ..http import HttpClient, HttpRequest, HttpResponse, HttpServer, Responder
-from ..metrics import Metrics
+from ..metrics import CONTENT_TYPE, Metrics, format_metrics
 from ..objects import ObjectFeed
 from ..ordering import NodeStatus, Want
 from .boot_clock import boot_clock
@@ -44,10 +44,12 @@
         settings: EntrySettings,
         wire: Wire,
         client: HttpClient,
+        metrics_listen: str,
         reread: Callable[[], Result[EntrySettings, object]],
     ) -> None:
         self._settings = settings
         self._wire = wire
+        self._metrics_listen = metrics_listen
         self._reread = reread
         self._metrics = Metrics()
         self._stop = asyncio.Event()
@@ -141,6 +143,9 @@
     async def _listen(self) -> None:
         ready_host, ready_port = _split(self._settings.ready_listen)
         await HttpServer(self._answer_ready, host=ready_host, port=ready_port).start()
+        if self._metrics_listen:
+            host, port = _split(self._metrics_listen)
+            await HttpServer(self._answer_metrics, host=host, port=port).start()
         await self._mesh.listen()
         await self._callers.start(*_split(self._settings.caller_listen))
 
@@ -182,6 +187,11 @@
         ready = self._is_ready and req.path == self._wire.ready_path
         await out.send(HttpResponse(200 if ready else 503))
 
+    async def _answer_metrics(self, req: HttpRequest, out: Responder) -> None:
+        """Answer with all counters and histograms of this process, whatever the path."""
+        headers = (("content-type", CONTENT_TYPE),)
+        await out.send(HttpResponse(200, headers, format_metrics(self._metrics)))
+
     @property
     def _is_ready(self) -> bool:
         known = self._view.config is not None
--- a/eelgrassferry/metrics/__init__.py
+++ b/eelgrassferry/metrics/__init__.py
@@ -1,5 +1,7 @@
-"""Counters, gauges and timings by statsd, with the counters also readable in the process."""
+"""Counters of refusals and retries, histograms and timings: by statsd and as text."""
 
+from .exposition import CONTENT_TYPE, format_metrics
+from .histogram import Histogram
 from .metrics import Metrics
 
-__all__ = ["Metrics"]
+__all__ = ["CONTENT_TYPE", "Histogram", "Metrics", "format_metrics"]
