--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -271,9 +271,10 @@
             case WithdrawStep(_, model, room_for):
                 book.withdraw(model, room_for, now)
                 return None
-            case LoadStep(_, model):
+            case LoadStep(_, model, reason):
                 order = FleetOrder(OrderKind.LOAD_MODEL, model, book.count)
-                reason = "demand"
+                if book.is_cold(model):
+                    reason = f"{reason}, from the weight store"
             case RestoreStep(_, model):
                 book.restore(model, now)
                 return None
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -59,22 +59,21 @@
 
 @dataclass(frozen=True)
 class ModelNeed:
-    """A model to load. ``waited_for`` says that requests cannot be served without it, ``spare``
-    that the copy is only kept against a crash.
-    """
+    """A model to load. ``spare`` says that the copy is only kept against a crash."""
 
     model: str
-    waited_for: bool
+    reason: str
     worth: float
     spare: bool = False
 
 
 @dataclass(frozen=True)
 class LoadStep:
-    """Load a model on an engine now."""
+    """Load a model on an engine now; ``reason`` is for the log."""
 
     instance: str
     model: str
+    reason: str
 
 
 @dataclass(frozen=True)
@@ -155,21 +154,23 @@
         rate = state.rate(model)
         if not holders:
             if state.waiting.get(model):
-                return ModelNeed(model, True, WAITING_WORTH + state.waiting[model] + rate)
+                return ModelNeed(
+                    model, "requests wait", WAITING_WORTH + state.waiting[model] + rate
+                )
             # Its last copy was lost or is leaving; the next requests are about to come.
-            return ModelNeed(model, True, rate) if rate >= LIVELY_RATE else None
+            return ModelNeed(model, "last copy lost", rate) if rate >= LIVELY_RATE else None
         if len(holders) == len(state.books) or any(not book.live(model) for book in holders):
             return None
         if rate > 0.0 and self._is_overloaded(holders, state):
-            return ModelNeed(model, False, rate)
+            return ModelNeed(model, "engines too busy", rate)
         if len(holders) == 1 and rate >= SPARE_COPY_RATE:
-            return ModelNeed(model, False, rate / 10.0, spare=True)
+            return ModelNeed(model, "spare copy", rate / 10.0, spare=True)
         return None
 
     def _need_at_hand(self, model: str, state: PlanState) -> ModelNeed | None:
         if state.copies(model) or any(not book.is_cold(model) for book in state.books):
             return None
-        return ModelNeed(model, False, AT_HAND_WORTH, spare=True)
+        return ModelNeed(model, "bring to a disk", AT_HAND_WORTH, spare=True)
 
     def _is_overloaded(self, holders: list[EngineBook], state: PlanState) -> bool:
         """Whether every copy of a model is on an engine with too much work."""
@@ -216,7 +217,7 @@
         weights_mb = book.spec.models[need.model].weights_mb
         free_mb = book.free_mb
         if free_mb >= weights_mb:
-            return LoadStep(book.instance, need.model), 0.0
+            return LoadStep(book.instance, need.model, need.reason), 0.0
         victims = [
             (self._loss(book, model, state), model)
             for model, copy in book.copies.items()
