--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -12,10 +12,10 @@
 
 # Share of an engine's time that prompts may take before a model on it gets a copy elsewhere. Beyond
 # it, the wait for other prompts grows quickly.
-BUSY_LIMIT = 0.45
+BUSY_LIMIT = 0.6
 # A copy behind this much unread prompt, in seconds, is overloaded whatever the rates say: the
 # latency targets of the present sites are 0.4 s and more.
-BACKLOG_LIMIT_S = 0.25
+BACKLOG_LIMIT_S = 0.5
 # A model that is asked for at this rate, in requests a second, gets a second copy where that costs
 # little, so that a crash leaves one.
 SPARE_COPY_RATE = 1.5
