Do not take a refused connection for the end of a coordinator

Change: only another process that answers at the address proves the end; a node that has heard no coordinator leaves the lease to one that has for 0.4 s.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -37,6 +37,9 @@
 # seconds. A strong node takes a free lease within 0.1 s.
 ENOUGH_CORES = 1.0
 WEAK_DELAY_S = 1.0
+# A node that has heard no coordinator since its start does not know its last orders, and leaves the
+# lease to one that does for this time, in seconds.
+UNINFORMED_DELAY_S = 0.4
 # The lease and the coordinator's plan are looked at this often, in seconds.
 STEP_S = 0.02
 # Least time between two plans for six engines, and for any number, in seconds. A plan for six
@@ -295,7 +298,7 @@
 
     def _competes(self) -> bool:
         """Whether this node tries to take the lease now. Weak nodes leave it to strong ones for a
-        moment, because the coordinator's work grows with the fleet.
+        moment, because the coordinator's work grows with the fleet, and uninformed ones to others.
         """
         now = self._clock()
         if not self._may_compete():
@@ -303,8 +306,10 @@
             return False
         if self._leaderless_since is None:
             self._leaderless_since = now
-        weakness = max(0.0, ENOUGH_CORES - self._settings.cores)
-        return now - self._leaderless_since >= WEAK_DELAY_S * weakness
+        delay_s = WEAK_DELAY_S * max(0.0, ENOUGH_CORES - self._settings.cores)
+        if not self._settings.first_start and self._inherited is None:
+            delay_s += UNINFORMED_DELAY_S
+        return now - self._leaderless_since >= delay_s
 
     async def _perform(self, action: ReadLease | WriteLease) -> None:
         machine = self.machine
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -57,6 +57,10 @@
 # A coordinator that was not heard for this long is a reason to look whether this node is cut off,
 # in seconds. Views come every ``EXCHANGE_S``.
 SUSPECT_AFTER_S = 0.5
+# How long and how often the address of a lost coordinator is asked which process answers there, in
+# seconds. A process that was killed is back within about two seconds.
+PROBE_FOR_S = 4.0
+PROBE_EVERY_S = 0.15
 # Views come every ``EXCHANGE_S``, and before each order. A link whose last view is older than this
 # may have missed one, in seconds.
 RECENT_VIEW_S = 0.35
@@ -413,28 +417,38 @@
         probe.add_done_callback(self._probes.discard)
 
     async def _probe(self, name: str, holder: str, process: str, up_to_date: bool) -> None:
-        """Find out whether a coordinator's process has ended: nothing listens at its address any
-        more, or another process does.
+        """Find out whether a coordinator's process has ended: another one answers in its place.
+
+        A refused connection proves nothing, because a partition may refuse connections to a
+        process that goes on giving orders.
         """
-        address = self._nodes.get(name, "")
+        until = self._clock() + PROBE_FOR_S
+        while process and self._clock() < until and not self.has_leader:
+            answer = await self._ask_who(self._nodes.get(name, ""))
+            if answer == process:
+                return
+            if answer and self.leadership is not None:
+                log.info("coordinator's process has ended", step="probe", peer=name, holder=holder)
+                self.leadership.note_gone(holder, up_to_date)
+                return
+            await asyncio.sleep(PROBE_EVERY_S)
+
+    async def _ask_who(self, address: str) -> str:
+        """Return which process answers at a peer's address, empty where none does."""
         answers: asyncio.Queue[object] = asyncio.Queue()
         link = PeerLink(lambda _link, frame: answers.put_nowait(frame.body), lambda _link: None)
         host, _, port = address.rpartition(":")
-        gone = False
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 loop = asyncio.get_running_loop()
                 await loop.create_connection(lambda: link, host, int(port))
                 link.send(WHO, None)
-                gone = bool(process) and await answers.get() != process
-        except ConnectionRefusedError:
-            gone = True
+                return str(await answers.get())
         except (OSError, ValueError) as exc:
-            log.info("coordinator not reached", step="probe", peer=name, detail=str(exc))
-        link.close()
-        if gone and self.leadership is not None:
-            log.info("coordinator's process has ended", step="probe", peer=name, holder=holder)
-            self.leadership.note_gone(holder, up_to_date)
+            log.debug("coordinator not reached", step="probe", peer=address, detail=str(exc))
+            return ""
+        finally:
+            link.close()
 
     def _take_view(self, link: PeerLink, frame: Frame) -> None:
         if link is not self._leader:
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -185,6 +185,37 @@
         await self.eventually(lambda: len(self.orders) > count)
         self.check_turns()
 
+    async def test_refused_connection_does_not_prove_the_end(self):
+        """Guards against ONE: a cut that refuses connections while the leader goes on ordering
+        (incident inc-6035).
+        """
+        old = self.leader()
+        await self.eventually(lambda: self.orders)
+        others = [node for node in self.nodes if node is not old]
+        for node in others:
+            # Every connection to the leader is refused; the leader keeps the store and engines.
+            node.mesh._nodes[old.name] = f"127.0.0.1:{free_port()}"
+        old.mesh.close()
+        old.mesh._members.clear()
+        await asyncio.sleep(2.0)
+        self.assertTrue(old.leads)
+        self.assertFalse(any(node.leads for node in others))
+
+    async def test_restarted_process_proves_the_end(self):
+        """Guards against waiting out the lease of a process that was killed."""
+        old = self.leader()
+        await self.eventually(lambda: self.orders)
+        others = [node for node in self.nodes if node is not old]
+        await old.stop()
+        old.mesh._process = "another"
+        await old.mesh.listen()
+        began = time.monotonic()
+        await self.eventually(lambda: any(node.leads for node in others))
+        self.assertLess(time.monotonic() - began, 1.5)
+        count = len(self.orders)
+        await self.eventually(lambda: len(self.orders) > count)
+        self.check_turns()
+
     async def test_changes_are_relayed_and_the_store_is_asked_by_one_node(self):
         """Guards against calls to the store that grow with the nodes."""
         await self.eventually(lambda: all(n.leads or n.feed.is_relayed() for n in self.nodes))
