Go on ordering while the store is down for all, on the nodes' promises

Change: each status promises not to take the lease for 1.6 s; a term goes on while every registered node has promised and none reaches the store; a coordinator that alone has lost the store resigns to one that reaches it; registrations of nodes that are gone are removed, so that they owe no promise.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import replace
 
 import structlog
 from result import Err
@@ -25,6 +26,11 @@
 # more tries, short enough that a successor takes over soon.
 TERM_S = 1.1
 RENEW_S = 0.4
+# A term that rests on promises ends this long before they do, in seconds, for an order that is just
+# being sent.
+MARGIN_S = 0.2
+# A holder whose last renewal is this old asks the nodes whether they reach the store, in seconds.
+STORE_LOST_S = 0.65
 # A holder whose last renewal is this old gives the lease up and says so, in seconds: another node
 # then takes over at once, instead of after the lease's whole duration.
 GIVE_UP_S = 0.85
@@ -52,7 +58,8 @@
     """Competes for the lease, and while it holds it, plans and gives orders.
 
     ``publish`` is called with each new view for the nodes. ``may_compete`` says whether the node
-    may take the lease: not while it hears another coordinator or is cut off.
+    may take the lease: not while it hears another coordinator or is cut off. ``promised_until`` is
+    the time until which no other node takes it.
     """
 
     def __init__(
@@ -66,6 +73,7 @@
         publish: Callable[[FleetView], None],
         announce_end: Callable[[str], None],
         may_compete: Callable[[], bool],
+        promised_until: Callable[[], float],
     ) -> None:
         handover_s = settings.bounds.order_handover_s + TRANSIT_S
         self._handover_s = handover_s
@@ -83,6 +91,8 @@
         self._publish = publish
         self._announce_end = announce_end
         self._may_compete = may_compete
+        self._promised_until = promised_until
+        self._last_term: LeaseTerm | None = None
         self._runner = runner(self.term)
         self._config: FleetConfig | None = None
         self._epoch = 0
@@ -105,8 +115,22 @@
         )
 
     def term(self) -> LeaseTerm | None:
-        """Return the term if this node may give orders at this moment."""
-        return None if self._stopping else self.machine.term(self._clock())
+        """Return the term if this node may give orders at this moment.
+
+        While the store does not answer, a term goes on as long as every other node has promised
+        not to take the lease.
+        """
+        if self._stopping:
+            return None
+        now = self._clock()
+        term = self.machine.term(now)
+        if term is not None:
+            self._last_term = term
+            return term
+        last = self._last_term
+        if last is None or not self.machine.is_held or now >= self._promised_until() - MARGIN_S:
+            return None
+        return replace(last, valid_until=self._promised_until() - MARGIN_S)
 
     def inherit(self, view: FleetView) -> None:
         """Take what the present coordinator says of its lease and its orders."""
@@ -177,7 +201,7 @@
             self._follow_term()
             term = self.term()
             if term is not None and term.valid_until - self._clock() < TERM_S - GIVE_UP_S:
-                self.give_up_term()
+                self._give_up_unless_promised()
             self.step()
             await asyncio.sleep(STEP_S)
 
@@ -192,6 +216,22 @@
         for action in self.machine.release(self._clock()):
             await self._perform(action)
 
+    @property
+    def _store_lost(self) -> bool:
+        """Whether the last renewals of the lease had no answer."""
+        term = self.machine.term(self._clock())
+        return term is None or term.valid_until - self._clock() < TERM_S - STORE_LOST_S
+
+    def note_store_reached(self) -> None:
+        """Take that another node reaches the store: it can coordinate better than this one."""
+        if self._store_lost:
+            self.give_up_term()
+
+    def _give_up_unless_promised(self) -> None:
+        """Give up a term that ends, unless the nodes' promises let it go on."""
+        if self._promised_until() - MARGIN_S - self._clock() < TERM_S - GIVE_UP_S:
+            self.give_up_term()
+
     def give_up_term(self) -> None:
         """End the term, because the store does not answer or this node is cut off, so that another
         node can go on now.
@@ -199,6 +239,7 @@
         if self.term() is None:
             return
         given_up = self.machine.instance
+        self._last_term = None
         self.machine = self._make_machine(f"{self._settings.name}:{secrets.token_hex(4)}")
         log.warning("lease given up", step="lease", epoch=self._epoch, instance=given_up)
         self._metrics.count("lease_given_up")
@@ -285,6 +326,7 @@
             coordinator.loads,
             residency,
             orders,
+            self._store_lost,
         )
 
     # Steps
--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -14,6 +14,7 @@
 __all__ = [
     "CHANGES",
     "COPY",
+    "PROMISE_S",
     "PULL",
     "RESIGN",
     "STATUS",
@@ -21,6 +22,7 @@
     "WHO",
     "FleetView",
     "ObjectsCopy",
+    "ViewReply",
     "decode_changes",
     "decode_copy",
     "decode_status",
@@ -43,12 +45,18 @@
 RESIGN = "resign"
 WHO = "who"
 
+# A node that replies to a view does not take the lease for this time from the view on, in seconds.
+# Nodes reply at least every half a second.
+PROMISE_S = 1.6
+
 
 @dataclass(frozen=True)
 class FleetView:
     """What the coordinator tells all nodes. ``loads`` are the sums over all nodes; ``residency``
     is None where it has not changed. ``orders`` tells a successor what was ordered, and comes with
-    the residency. On the wire, times are seconds before or after the moment of sending.
+    the residency. ``store_lost`` asks the nodes whether they reach the store. ``sent_at`` is the
+    coordinator's own time, which nodes send back. On the wire, the other times are seconds before
+    or after the moment of sending.
     """
 
     epoch: int
@@ -57,6 +65,19 @@
     loads: Mapping[str, UpstreamLoad] = field(default_factory=dict)
     residency: Mapping[str, OrderedResidency] | None = None
     orders: Inheritance | None = None
+    store_lost: bool = False
+    sent_at: float = 0.0
+
+
+@dataclass(frozen=True)
+class ViewReply:
+    """What a node replies with its status. ``seen_at`` is the ``sent_at`` of the last view, 0 for
+    none: the node promises not to take the lease for ``PROMISE_S`` from that view on.
+    ``store_reached`` says that it reached the store after a view said that the coordinator did not.
+    """
+
+    seen_at: float
+    store_reached: bool
 
 
 @dataclass(frozen=True)
@@ -71,9 +92,11 @@
     objects: tuple[StoredObject, ...]
 
 
-def encode_status(status: NodeStatus) -> Any:
-    """Return the body of a status."""
+def encode_status(status: NodeStatus, reply: ViewReply) -> Any:
+    """Return the body of a status and of the reply to the last view."""
     return {
+        "seen": reply.seen_at,
+        "reached": reply.store_reached,
         "node": status.node,
         "arrivals": [[*key, *work] for key, work in status.arrivals.items()],
         "wants": [[w.service, w.model, w.adapter, w.count, w.left_s] for w in status.wants],
@@ -85,19 +108,24 @@
     }
 
 
-def decode_status(body: Any) -> Result[NodeStatus, MalformedMessage]:
-    """Decode the body of a status."""
+def decode_status(body: Any) -> Result[tuple[NodeStatus, ViewReply], MalformedMessage]:
+    """Decode the body of a status and of the reply to the last view."""
     try:
         return Ok(
-            NodeStatus(
-                node=str(body["node"]),
-                arrivals={(service, model): (n, s) for service, model, n, s in body["arrivals"]},
-                wants=tuple(Want(*want) for want in body["wants"]),
-                loads=_decode_loads(body["loads"]),
-                running={(i, model, adapter): n for i, model, adapter, n in body["running"]},
-                used=tuple((i, m, a) for i, m, a in body["used"]),
-                declined=tuple(body["declined"]),
-                doubts=dict(body["doubts"]),
+            (
+                NodeStatus(
+                    node=str(body["node"]),
+                    arrivals={
+                        (service, model): (n, s) for service, model, n, s in body["arrivals"]
+                    },
+                    wants=tuple(Want(*want) for want in body["wants"]),
+                    loads=_decode_loads(body["loads"]),
+                    running={(i, model, adapter): n for i, model, adapter, n in body["running"]},
+                    used=tuple((i, m, a) for i, m, a in body["used"]),
+                    declined=tuple(body["declined"]),
+                    doubts=dict(body["doubts"]),
+                ),
+                ViewReply(float(body["seen"]), bool(body["reached"])),
             )
         )
     except (KeyError, TypeError, ValueError) as exc:
@@ -109,6 +137,8 @@
     body: dict[str, Any] = {
         "epoch": view.epoch,
         "lease": view.lease_version,
+        "at": now,
+        "store_lost": view.store_lost,
         "nodes": view.nodes,
         "loads": _encode_loads(view.loads),
     }
@@ -155,7 +185,8 @@
             )
         loads = _decode_loads(body["loads"])
         numbers = (int(body["epoch"]), int(body["lease"]), int(body["nodes"]))
-        return Ok(FleetView(*numbers, loads, residency, orders))
+        told = (bool(body["store_lost"]), float(body["at"]))
+        return Ok(FleetView(*numbers, loads, residency, orders, *told))
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Err(MalformedMessage("decode_view", "", repr(exc)))
 
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -4,7 +4,7 @@
 import json
 import random
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from functools import partial
 
 import structlog
@@ -19,6 +19,7 @@
 from .messages import (
     CHANGES,
     COPY,
+    PROMISE_S,
     PULL,
     RESIGN,
     STATUS,
@@ -26,6 +27,7 @@
     WHO,
     FleetView,
     ObjectsCopy,
+    ViewReply,
     decode_changes,
     decode_copy,
     decode_status,
@@ -61,6 +63,10 @@
 # seconds. A process that was killed is back within about two seconds.
 PROBE_FOR_S = 4.0
 PROBE_EVERY_S = 0.15
+# A node that was not on a link of the coordinator for this long is gone, in seconds, and how often
+# that is looked at. Partitions of the present sites last up to 12 s, and end sooner mostly.
+NODE_GONE_S = 8.0
+GONE_CHECK_S = 1.0
 # Views come every ``EXCHANGE_S``, and before each order. A link whose last view is older than this
 # may have missed one, in seconds.
 RECENT_VIEW_S = 0.35
@@ -108,12 +114,19 @@
         self._leader_name = ""
         self._leader_holder = ""
         self._leader_process = ""
-        self._probes: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._heard_at = float("-inf")
         self._linked_at = float("-inf")
         self._epoch = 0
         self._own_sent: dict[str, UpstreamLoad] = {}
-        self._sent_body: object = None
+        self._seen_at = 0.0
+        self._promise_ends = float("-inf")
+        self._promised: dict[str, float] = {}
+        self._member_heard: dict[str, float] = {}
+        self._registered = False
+        self._said: tuple[NodeStatus, bool] | None = None
+        self._store_lost = False
+        self._store_reached = False
         self._sent_at = float("-inf")
         self._views_at = float("-inf")
         self._soon: asyncio.TimerHandle | None = None
@@ -133,6 +146,17 @@
             if address != own
         }
 
+    @property
+    def may_take_lease(self) -> bool:
+        """Whether this node hears no coordinator and has promised nothing to one."""
+        return not self.has_leader and self._clock() >= self._promise_ends
+
+    @property
+    def promised_until(self) -> float:
+        """The time until which no other registered node takes the lease, by its own promise."""
+        others = [name for name in self._nodes if name != self._settings.name]
+        return min((self._promised.get(name, 0.0) for name in others), default=0.0)
+
     @property
     def misses_peers(self) -> bool:
         """Whether contact with other nodes was lost: the coordinator is silent, or more than half
@@ -160,6 +184,8 @@
             self._server.close()
         for link in (*self._links, *filter(None, [self._leader])):
             link.close()
+        for task in self._tasks:
+            task.cancel()
 
     async def run(self) -> None:
         """Register, follow the other nodes and exchange status, until cancelled."""
@@ -168,6 +194,7 @@
             group.create_task(self._node_feed.run())
             group.create_task(self._exchange())
             group.create_task(self._pull())
+            group.create_task(self._remove_gone())
 
     def status_soon(self) -> None:
         """Send the status in this loop step's end, because a request waits."""
@@ -220,6 +247,34 @@
         if feed is not None and not feed.take_relayed(update):
             self._ask_copy(feed)
 
+    def _follow_store(self, lost: bool) -> None:
+        """Watch the store itself while the coordinator does not reach it, and tell whether this
+        node does; follow the coordinator's changes again afterwards.
+        """
+        if lost == self._store_lost:
+            return
+        self._store_lost, self._store_reached = lost, False
+        if lost:
+            self._relayed.clear()
+            self._keep(self._try_store())
+            return
+        for feed in self._feeds.values():
+            self._ask_copy(feed)
+
+    async def _try_store(self) -> None:
+        while self._store_lost and not self._store_reached and self.has_leader:
+            read = await self._store.get(NODES_PREFIX + self._settings.name)
+            if not isinstance(read, Err):
+                self._store_reached = True
+                self._send_status(False)
+            await asyncio.sleep(PULL_EVERY_S)
+
+    def _keep(self, work: Coroutine[None, None, None]) -> None:
+        """Run some work beside and keep it until it is done."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _take_leader_copy(self, frame: Frame) -> None:
         decoded = decode_copy(frame.body)
         if isinstance(decoded, Err):
@@ -243,13 +298,43 @@
             read = await self._store.get(key)
             if not isinstance(read, Err):
                 held = read.ok_value
-                if held is not None and held.value == value.encode():
-                    return
-                wrote = await self._store.put(key, value.encode(), held.version if held else 0)
-                if not isinstance(wrote, Err):
+                known = held is not None and held.value == value.encode()
+                if known or not isinstance(
+                    await self._store.put(key, value.encode(), held.version if held else 0), Err
+                ):
+                    self._registered = True
                     return
             await asyncio.sleep(0.5)
 
+    async def _remove_gone(self) -> None:
+        """Remove the registrations of nodes that are gone for good, as the coordinator. A node that
+        lives and reaches the store registers again.
+        """
+        while True:
+            await asyncio.sleep(GONE_CHECK_S)
+            if self.leadership is None or self.leadership.term() is None:
+                self._member_heard.clear()
+                continue
+            now = self._clock()
+            joined = {link.peer for link in self._members}
+            for name in [n for n in self._nodes if n != self._settings.name]:
+                if name in joined:
+                    self._member_heard[name] = now
+                elif now - self._member_heard.setdefault(name, now) > NODE_GONE_S:
+                    await self._remove_node(name)
+
+    async def _remove_node(self, name: str) -> None:
+        stored = self._node_feed.objects.get(NODES_PREFIX + name)
+        if stored is None:
+            return
+        removed = await self._store.delete(stored.key, stored.version)
+        log.info(
+            "registration removed",
+            step="remove_node",
+            peer=name,
+            removed=not isinstance(removed, Err),
+        )
+
     def _take_nodes(self, update: FeedUpdate) -> None:
         if update.complete:
             self._nodes.clear()
@@ -264,6 +349,9 @@
                 continue
             self._nodes[stored.key.removeprefix(NODES_PREFIX)] = address
             self._domains[address] = domain
+        if self._registered and self._settings.name not in self._nodes:
+            self._registered = False
+            self._keep(self._register())
 
     # Coordinator's side
 
@@ -293,14 +381,19 @@
             # The sender takes this node for the coordinator; the end of the link tells it.
             link.close()
             return
-        link.peer = decoded.ok_value.node
+        status, reply = decoded.ok_value
+        link.peer = status.node
+        if reply.seen_at > 0.0:
+            self._promised[status.node] = reply.seen_at + PROMISE_S
+        if reply.store_reached:
+            leadership.note_store_reached()
         if link not in self._members:
             self._members.add(link)
             log.info("node joined", step="peer_link", peer=link.peer)
             view = leadership.current_view()
             if view is not None:
                 link.send(VIEW, encode_view(view, self._clock()))
-        leadership.take_status(decoded.ok_value)
+        leadership.take_status(status)
 
     def _answer_pull(self, link: PeerLink, frame: Frame) -> None:
         body = frame.body
@@ -358,12 +451,15 @@
             leadership.take_status(status)
             return
         assert self._leader is not None
-        body = encode_status(status)
         now = self._clock()
-        if body == self._sent_body and now - self._sent_at < HEARTBEAT_S:
+        said = (status, self._store_reached)
+        if said == self._said and now - self._sent_at < HEARTBEAT_S:
             return
-        self._sent_body, self._sent_at = body, now
-        self._leader.send(STATUS, body)
+        self._said, self._sent_at = said, now
+        if self._seen_at > 0.0:
+            self._promise_ends = self._heard_at + PROMISE_S
+        reply = ViewReply(self._seen_at, self._store_reached)
+        self._leader.send(STATUS, encode_status(status, reply))
 
     async def _find_leader(self, leadership: Leadership) -> None:
         self._leave_leader()
@@ -379,7 +475,9 @@
         link.send(WHO, None)
         # A frozen process still accepts connections, so only a view shows that it coordinates.
         self._linked_at = self._clock()
-        self._sent_body = None
+        self._said = None
+        self._store_lost = self._store_reached = False
+        self._seen_at = 0.0
         for feed in self._feeds.values():
             self._ask_copy(feed)
         log.info("coordinator found", step="peer_link", peer=name, address=address)
@@ -410,11 +508,9 @@
         up_to_date = self._clock() - self._heard_at < RECENT_VIEW_S
         self._leader = None
         self._leave_leader()
-        probe = asyncio.ensure_future(
+        self._keep(
             self._probe(self._leader_name, self._leader_holder, self._leader_process, up_to_date)
         )
-        self._probes.add(probe)
-        probe.add_done_callback(self._probes.discard)
 
     async def _probe(self, name: str, holder: str, process: str, up_to_date: bool) -> None:
         """Find out whether a coordinator's process has ended: another one answers in its place.
@@ -429,6 +525,7 @@
                 return
             if answer and self.leadership is not None:
                 log.info("coordinator's process has ended", step="probe", peer=name, holder=holder)
+                self._promise_ends = float("-inf")
                 self.leadership.note_gone(holder, up_to_date)
                 return
             await asyncio.sleep(PROBE_EVERY_S)
@@ -459,6 +556,7 @@
         if frame.kind == RESIGN:
             log.info("coordinator resigned", step="peer_link", peer=self._leader_name)
             self._leave_leader()
+            self._promise_ends = float("-inf")
             if self.leadership is not None:
                 self.leadership.note_gone(str(frame.body), up_to_date=True)
             return
@@ -473,6 +571,8 @@
             log.warning("view not used", step="decode_view", detail=decoded.err_value.detail)
             return
         self._heard_at = self._clock()
+        self._seen_at = decoded.ok_value.sent_at
+        self._follow_store(decoded.ok_value.store_lost)
         if self.leadership is not None:
             self.leadership.inherit(decoded.ok_value)
         self._apply(decoded.ok_value)
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -99,7 +99,8 @@
             self._metrics,
             self._mesh.publish,
             self._mesh.announce_end,
-            lambda: not self._mesh.has_leader and not self._isolation.isolated,
+            lambda: self._mesh.may_take_lease and not self._isolation.isolated,
+            lambda: self._mesh.promised_until,
         )
         self._isolation = IsolationWatch(
             settings.domain,
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -213,6 +213,11 @@
         state = self._state
         return state.releasing and not state.busy and not state.unread and not self._is_held()
 
+    @property
+    def is_held(self) -> bool:
+        """Whether the lease, as last read or written, is this candidate's."""
+        return self._is_held() and not self._state.releasing
+
     @property
     def last_record(self) -> LeaseRecord | None:
         """The lease as last read, None where there was none."""
