--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -199,7 +199,7 @@
         if job.may_have_run:
             last: Action = Fail(job, FailReason.DEADLINE)
         else:
-            last = self._refuse(job, self._why_waiting(job, now), now, final=True)
+            last = self._refuse(job, self.reason_to_wait(job, now), now, final=True)
         self._close(job)
         return [last, *self.pump(now)]
 
@@ -269,6 +269,14 @@
             found[key] = (count + 1, min(left_s, job.patience_at - now))
         return found
 
+    def reason_to_wait(self, job: Job, now: float) -> RefuseReason:
+        """Return what a request waits for, which is the reason if it is refused."""
+        if not self._directory.of_service(job.service):
+            return RefuseReason.NO_UPSTREAM
+        if job.model and not self._holders(job, now):
+            return RefuseReason.NOT_RESIDENT
+        return RefuseReason.NO_CAPACITY
+
     @property
     def waiting(self) -> int:
         """The number of requests that wait for an upstream."""
@@ -349,7 +357,7 @@
         if job.may_have_run:
             self._close(job)
             return Answer(job) if job.stored_answer else Fail(job, FailReason.DEADLINE)
-        return self._refuse(job, self._why_waiting(job, now), now)
+        return self._refuse(job, self.reason_to_wait(job, now), now)
 
     def _refuse(
         self, job: Job, reason: RefuseReason, now: float, final: bool = False
@@ -498,13 +506,6 @@
             least_s = PLAIN_START_S / 2.0
         return now + least_s >= job.patience_at
 
-    def _why_waiting(self, job: Job, now: float) -> RefuseReason:
-        if not self._directory.of_service(job.service):
-            return RefuseReason.NO_UPSTREAM
-        if job.model and not self._holders(job, now):
-            return RefuseReason.NOT_RESIDENT
-        return RefuseReason.NO_CAPACITY
-
     def _engine(self, service: str) -> Engine | None:
         found = self._config.services.get(service) if self._config else None
         return found.engine if found else None
--- a/eelgrassferry/entry/front_desk.py
+++ b/eelgrassferry/entry/front_desk.py
@@ -103,8 +103,8 @@
         conn.hold(exchange)
         self.in_flight += 1
         self.perform(self.dispatcher.submit(job, self.clock()))
-        if job.waiting and job.model:
-            self._on_waiting()
+        if job.waiting:
+            self._note_waiting(job)
         return None if exchange.done else exchange
 
     def perform(self, actions: list[Action]) -> None:
@@ -201,6 +201,23 @@
 
     # Records
 
+    def _note_waiting(self, job: Job) -> None:
+        """Record why a request waits, and tell the coordinator if it waits for a model."""
+        log.info(
+            "request waits",
+            routine=True,
+            request_id=job.request_id,
+            step="dispatch",
+            route=job.route.name,
+            model=job.model,
+            adapter=job.adapter,
+            reason=self.dispatcher.reason_to_wait(job, self.clock()).value,
+            waiting=self.dispatcher.waiting,
+            **self._ages(),
+        )
+        if job.model:
+            self._on_waiting()
+
     def note_send(self, exchange: Exchange, entry: UpstreamEntry, repeat: bool) -> None:
         """Record where a request goes, and on what estimate."""
         job, now = exchange.job, self.clock()
