Note outages of the store from all calls, not from the watch alone

Change: MonitoredStore notes failures of every call; watches wait 2 s instead of 8; short calls time out after 0.7 s; a coordinator on promises gets 0.9 s for its own renewal when the store returns.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -31,6 +31,9 @@
 MARGIN_S = 0.2
 # A holder whose last renewal is this old asks the nodes whether they reach the store, in seconds.
 STORE_LOST_S = 0.65
+# Time for a renewal after another node has reached the store again, in seconds: one that is pending
+# has to fail first.
+REGAIN_S = 0.9
 # A holder whose last renewal is this old gives the lease up and says so, in seconds: another node
 # then takes over at once, instead of after the lease's whole duration.
 GIVE_UP_S = 0.85
@@ -93,6 +96,7 @@
         self._may_compete = may_compete
         self._promised_until = promised_until
         self._last_term: LeaseTerm | None = None
+        self._give_up_at: float | None = None
         self._runner = runner(self.term)
         self._config: FleetConfig | None = None
         self._epoch = 0
@@ -202,6 +206,7 @@
             term = self.term()
             if term is not None and term.valid_until - self._clock() < TERM_S - GIVE_UP_S:
                 self._give_up_unless_promised()
+            self._give_up_if_passed_over()
             self.step()
             await asyncio.sleep(STEP_S)
 
@@ -223,9 +228,23 @@
         return term is None or term.valid_until - self._clock() < TERM_S - STORE_LOST_S
 
     def note_store_reached(self) -> None:
-        """Take that another node reaches the store: it can coordinate better than this one."""
-        if self._store_lost:
+        """Take that another node reaches the store: it can coordinate better than this one, unless
+        the store has just returned and this node's next renewal succeeds too.
+        """
+        if not self._store_lost:
+            return
+        now = self._clock()
+        if self.machine.term(now) is not None:
             self.give_up_term()
+        elif self._give_up_at is None:
+            self._give_up_at = now + REGAIN_S
+
+    def _give_up_if_passed_over(self) -> None:
+        """Give up a term on promises where other nodes reach the store and this one does not."""
+        if self._give_up_at is not None and self._clock() >= self._give_up_at:
+            self._give_up_at = None
+            if self._store_lost:
+                self.give_up_term()
 
     def _give_up_unless_promised(self) -> None:
         """Give up a term that ends, unless the nodes' promises let it go on."""
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -12,7 +12,7 @@
 
 from ..dispatch import UpstreamLoad
 from ..fleet import EntrySettings
-from ..objects import FeedUpdate, ObjectFeed, SnapshotStore
+from ..objects import FeedUpdate, MonitoredStore, ObjectFeed
 from ..ordering import NodeStatus
 from ..peers.frame import Frame, encode_frame
 from .leadership import Leadership
@@ -84,7 +84,7 @@
     def __init__(
         self,
         settings: EntrySettings,
-        store: SnapshotStore,
+        store: MonitoredStore,
         feeds: list[ObjectFeed],
         clock: Callable[[], float],
         make_status: Callable[[], NodeStatus],
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -9,7 +9,7 @@
 
 from ...fleet import EntrySettings, FleetConfig, ServiceBounds, UpstreamDirectory
 from ...metrics import Metrics
-from ...objects import MemoryObjectStore, ObjectFeed
+from ...objects import MemoryObjectStore, MonitoredStore, ObjectFeed
 from ...ordering import EngineReport, NodeStatus, OrderAnswer, Want
 from ...ordering.tests.fixtures import make_entry, make_service
 from .. import Leadership, PeerMesh
@@ -56,6 +56,7 @@
             first_start=True,
             bounds=ServiceBounds(order_handover_s=HANDOVER_S),
         )
+        store = MonitoredStore(store, time.monotonic)
         self.directory = UpstreamDirectory()
         self.directory.replace({"u0": make_entry("u0", "m0"), "u1": make_entry("u1")}, 0.0)
         self.views = []
--- a/eelgrassferry/entry/wire.py
+++ b/eelgrassferry/entry/wire.py
@@ -12,7 +12,7 @@
 from ..coordination import EngineWire
 from ..fleet import FleetConfig, UpstreamEntry
 from ..forwarding import AnswerHead, RawHeaders, RequestFacts
-from ..objects import SnapshotStore
+from ..objects import MonitoredStore
 
 __all__ = ["Wire"]
 
@@ -21,7 +21,7 @@
 class Wire:
     """Decoders and encoders, the paths of calls, and the keys of objects of the platform."""
 
-    object_store: SnapshotStore
+    object_store: MonitoredStore
     decode_request: Callable[[RawHeaders], Result[RequestFacts, Any]]
     encode_request: Callable[[RawHeaders, str, float, int, str], list[tuple[bytes, bytes]]]
     decode_answer: Callable[[int, RawHeaders], AnswerHead]
--- a/eelgrassferry/objects/__init__.py
+++ b/eelgrassferry/objects/__init__.py
@@ -5,6 +5,7 @@
 from .host_list import Host, HostList, HostState
 from .http_store import HttpObjectStore
 from .memory_store import MemoryObjectStore
+from .monitored_store import MonitoredStore
 from .object_store import Change, ObjectStore, Snapshot, SnapshotStore, StoredObject, WatchResult
 from .settle import put_settled
 
@@ -18,6 +19,7 @@
     "HostState",
     "HttpObjectStore",
     "MemoryObjectStore",
+    "MonitoredStore",
     "ObjectError",
     "ObjectFeed",
     "ObjectStore",
--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -8,14 +8,16 @@
 from result import Err, Ok, Result
 
 from .errors import HistoryGone, ObjectError
-from .object_store import Change, Snapshot, SnapshotStore, StoredObject, WatchResult
+from .monitored_store import MonitoredStore
+from .object_store import Change, Snapshot, StoredObject, WatchResult
 
 __all__ = ["FeedUpdate", "ObjectFeed"]
 
 log = structlog.get_logger()
 
-# A watch is asked again after this time without a change, in seconds.
-WATCH_S = 8.0
+# A watch is asked again after this time without a change, in seconds. A silent store is noticed
+# only when a watch is overdue, and changes are to be in force within 2 s.
+WATCH_S = 2.0
 # Least time between the starts of two watches, in seconds: changes that come in quick succession
 # are taken together, which saves calls of the store.
 WATCH_PAUSE_S = 0.05
@@ -23,9 +25,6 @@
 RELAY_CHECK_S = 0.05
 # Time between two tries while the store does not answer, in seconds.
 RETRY_S = 0.25
-# A gap between two answers of the store that is at least this long counts as an outage, in
-# seconds. A watch that is cut off and asked again at once is none.
-OUTAGE_S = 0.8
 
 
 @dataclass(frozen=True)
@@ -54,7 +53,7 @@
 
     def __init__(
         self,
-        store: SnapshotStore,
+        store: MonitoredStore,
         prefix: str,
         on_update: Callable[[FeedUpdate], None],
         clock: Callable[[], float],
@@ -133,7 +132,7 @@
     def _note_answer(self) -> bool:
         """Note that the store answers; return whether that ends an outage."""
         now = self._clock()
-        ended = self.away_s >= OUTAGE_S
+        ended = self._store.had_outage_since(self.fresh_at)
         if self._failed:
             log.info(
                 "store regained",
--- a/eelgrassferry/objects/tests/test_feed.py
+++ b/eelgrassferry/objects/tests/test_feed.py
@@ -9,6 +9,7 @@
     Change,
     FeedUpdate,
     HistoryGone,
+    MonitoredStore,
     ObjectFeed,
     Snapshot,
     StoredObject,
@@ -32,6 +33,9 @@
     async def watch(self, prefix, after, timeout_s):
         return self._next(("watch", after))
 
+    async def get(self, key):
+        return self._next(("get", key))
+
     def _next(self, call):
         if not self.answers:
             raise asyncio.CancelledError
@@ -46,7 +50,13 @@
         self.now = 0.0
         self.updates = []
         store = ScriptedStore(*answers)
-        self.feed = ObjectFeed(store, "servers/", self.updates.append, lambda: self.now, self.pause)
+        self.feed = ObjectFeed(
+            MonitoredStore(store, lambda: self.now),
+            "servers/",
+            self.updates.append,
+            lambda: self.now,
+            self.pause,
+        )
         with self.assertRaises(asyncio.CancelledError):
             await self.feed.run()
         return store
@@ -81,6 +91,24 @@
         await self.follow(listed, DOWN, DOWN, DOWN, DOWN, DOWN, Ok(WatchResult(6, ())))
         self.assertTrue(self.updates[-1].after_outage)
 
+    async def test_outage_that_only_other_calls_saw(self):
+        """Guards against dropping all upstreams when a watch outlives an outage and brings the
+        removals of lapsed registrations (day store-silent-and-lapsing).
+        """
+        self.now, self.updates = 0.0, []
+        gone = Change("servers/u1", 9, True)
+        script = ScriptedStore(
+            Ok(Snapshot(5, (StoredObject("servers/u1", 4, b"1"),))), Ok(WatchResult(9, (gone,)))
+        )
+        store = MonitoredStore(script, lambda: self.now)
+        feed = ObjectFeed(store, "servers/", self.updates.append, lambda: self.now, self.pause)
+        await feed._list()
+        script.answers.insert(0, DOWN)
+        await store.get("leases/x")
+        self.now = 5.0
+        await feed._watch()
+        self.assertTrue(self.updates[-1].after_outage)
+
     async def test_copy_of_a_peer_never_goes_back(self):
         """Guards against an older copy that undoes what this node knows."""
         await self.follow(Ok(Snapshot(5, (StoredObject("servers/u1", 4, b"1"),))))
@@ -107,7 +135,8 @@
         """Guards against every node watching the store."""
         self.now = 0.0
         store = ScriptedStore(Ok(Snapshot(5, ())))
-        feed = ObjectFeed(store, "servers/", lambda _update: None, lambda: self.now, self.pause)
+        monitored = MonitoredStore(store, lambda: self.now)
+        feed = ObjectFeed(monitored, "servers/", lambda _update: None, lambda: self.now, self.pause)
         feed.is_relayed = lambda: self.now < 1.0
         with self.assertRaises(asyncio.CancelledError):
             await feed.run()
--- a/eelgrassferry/platform/object_store.py
+++ b/eelgrassferry/platform/object_store.py
@@ -24,7 +24,7 @@
 __all__ = ["PlatformObjectStore"]
 
 # A call of a store that is up is answered within a few ms, and within 300 ms when it is slow.
-CALL_TIMEOUT_S = 1.2
+CALL_TIMEOUT_S = 0.7
 # Added to a watch's own timeout so that the store's empty answer arrives before this client
 # gives up.
 WATCH_MARGIN_S = 0.8
--- a/eelgrassferry/platform/tests/standin_server.py
+++ b/eelgrassferry/platform/tests/standin_server.py
@@ -16,7 +16,8 @@
 class StandinServer:
     """Registers itself, runs requests and obeys orders.
 
-    ``runs`` are the ids of the requests that it ran, ``orders`` the bodies of accepted orders.
+    ``runs`` are the ids of the requests that it ran, ``abandoned`` of those whose connection closed
+    before the answer, ``orders`` the bodies of accepted orders.
     ``status`` is what it answers to a plain request, ``decline`` the number of requests that it
     declines as not run, ``break_after`` the events after which it breaks off a stream.
     """
@@ -26,6 +27,7 @@
     ) -> None:
         self.instance = instance
         self.runs: list[str] = []
+        self.abandoned: list[str] = []
         self.seen: list[HttpRequest] = []
         self.orders: list[dict[str, Any]] = []
         self.status = 200
@@ -138,7 +140,11 @@
             await out.send(HttpResponse(503, (own, ("Eelgrassferry-Not-Executed", "1"))))
             return
         self.runs.append(request_id)
-        await asyncio.sleep(self.pause_s)
+        try:
+            await asyncio.sleep(self.pause_s)
+        except asyncio.CancelledError:
+            self.abandoned.append(request_id)
+            raise
         if not model:
             await out.send(HttpResponse(self.status, (own, SEAL), b"done by " + req.body))
             return
--- a/eelgrassferry/platform/tests/test_whole_path.py
+++ b/eelgrassferry/platform/tests/test_whole_path.py
@@ -228,6 +228,22 @@
         self.assertEqual(await asyncio.wait_for(self.node.wait(), WAIT_S), 0)
         self.assertEqual(len(self.lines("node stopped")), 1)
 
+    async def test_run_ends_with_its_caller(self):
+        """Guards against GONE: servers at work for callers that have left."""
+        self.desks[0].pause_s = self.desks[1].pause_s = 5.0
+        asked = asyncio.ensure_future(self.call("/book/x", 70))
+
+        async def runs() -> bool:
+            return any(desk.runs for desk in self.desks)
+
+        async def abandoned() -> bool:
+            return any(desk.abandoned for desk in self.desks)
+
+        await self.eventually(runs)
+        asked.cancel()
+        async with asyncio.timeout(0.5):
+            await self.eventually(abandoned)
+
     async def test_restarted_node_coordinates_at_once(self):
         """Guards against a lease of the process before that keeps the node from its orders."""
         self.node.kill()
--- a/eelgrassferry/platform/wire.py
+++ b/eelgrassferry/platform/wire.py
@@ -1,8 +1,9 @@
 """Puts the adapter's parts together."""
 
 from ..coordination import EngineWire
-from ..entry import Wire
+from ..entry import Wire, boot_clock
 from ..http import HttpClient
+from ..objects import MonitoredStore
 from .config_codec import decode_config
 from .names import CONFIG_KEY, CONFIG_PREFIX, ORDER_PATH, READY_PATH, REPORT_PATH, UPSTREAMS_PREFIX
 from .object_store import PlatformObjectStore
@@ -16,7 +17,7 @@
 def make_wire(client: HttpClient, object_store: str) -> Wire:
     """Return the platform's formats, with its store at an address ``ip:port``."""
     return Wire(
-        object_store=PlatformObjectStore(client, object_store),
+        object_store=MonitoredStore(PlatformObjectStore(client, object_store), boot_clock),
         decode_request=decode_request,
         encode_request=encode_request,
         decode_answer=decode_answer,
--- a/eelgrassferry/standins/platform.py
+++ b/eelgrassferry/standins/platform.py
@@ -208,7 +208,10 @@
             found = self.objects.changes(prefix, after)
             left_s = until_s - loop.time()
             if found or left_s <= 0 or self._closing:
-                changes = [dataclasses.asdict(change) for change in found]
+                changes = [
+                    {"key": change.key, "version": change.version, "deleted": change.deleted}
+                    for change in found
+                ]
                 return HttpResponse.of_json({"version": self.objects.version, "changes": changes})
             try:
                 async with asyncio.timeout(left_s):
