Count refused connections as not reached when a domain looks whether it is cut off

Change: only an accepted connection counts; upstreams still accept when the other nodes were killed.

--- a/eelgrassferry/coordination/isolation_watch.py
+++ b/eelgrassferry/coordination/isolation_watch.py
@@ -93,13 +93,13 @@
         return any(await asyncio.gather(*(self._reaches(address) for address in targets)))
 
     async def _reaches(self, address: str) -> bool:
-        """Whether something at an address answers; a refusal is an answer too."""
+        """Whether something at an address accepts. A refusal proves nothing, because a partition
+        may refuse connections.
+        """
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
         except (OSError, ValueError):
             return False
         writer.close()
