Split the mesh of nodes into registry, relay of objects and links

Change: NodeRegistry, ObjectRelay and connect_peer have files of their own; behaviour is meant to be unchanged.

--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -1,20 +1,18 @@
-"""Finds the other nodes, keeps the link to the coordinator, and copies objects from peers."""
+"""Links between nodes: status to the coordinator, views from it."""
 
 import asyncio
-import json
-import random
 import secrets
 from collections.abc import Callable, Coroutine
-from functools import partial
 
 import structlog
 from result import Err
 
 from ..dispatch import UpstreamLoad
 from ..fleet import EntrySettings
-from ..objects import FeedUpdate, MonitoredStore, ObjectFeed
+from ..objects import MonitoredStore, ObjectFeed
 from ..ordering import NodeStatus
 from ..peers.frame import Frame, encode_frame
+from .connect_peer import ask_process, connect_peer
 from .leadership import Leadership
 from .messages import (
     CHANGES,
@@ -26,24 +24,20 @@
     VIEW,
     WHO,
     FleetView,
-    ObjectsCopy,
     ViewReply,
-    decode_changes,
-    decode_copy,
     decode_status,
     decode_view,
-    encode_changes,
-    encode_copy,
     encode_status,
     encode_view,
 )
+from .node_registry import NodeRegistry
+from .object_relay import ObjectRelay
 from .peer_link import PeerLink
 
 __all__ = ["PeerMesh"]
 
 log = structlog.get_logger()
 
-NODES_PREFIX = "nodes/"
 # Status and loads are exchanged this often, in seconds. An engine's queue changes little in that
 # time: a prompt takes 20 to 200 ms to read.
 EXCHANGE_S = 0.1
@@ -55,7 +49,6 @@
 HEARTBEAT_S = 0.5
 # A coordinator that was not heard for this long is looked for again, in seconds.
 SILENT_S = 1.2
-CONNECT_TIMEOUT_S = 0.4
 # A coordinator that was not heard for this long is a reason to look whether this node is cut off,
 # in seconds. Views come every ``EXCHANGE_S``.
 SUSPECT_AFTER_S = 0.5
@@ -63,17 +56,11 @@
 # seconds. A process that was killed is back within about two seconds.
 PROBE_FOR_S = 4.0
 PROBE_EVERY_S = 0.15
-# A node that was not on a link of the coordinator for this long is gone, in seconds, and how often
-# that is looked at. Partitions of the present sites last up to 12 s, and end sooner mostly.
-NODE_GONE_S = 8.0
-GONE_CHECK_S = 1.0
 # Views come every ``EXCHANGE_S``, and before each order. A link whose last view is older than this
 # may have missed one, in seconds.
 RECENT_VIEW_S = 0.35
-# A node copies from a peer once the store has been away for this long, and again at this pace, in
-# seconds.
-PULL_AFTER_S = 0.4
-PULL_EVERY_S = 0.4
+# Pause between two tries of the store for a coordinator that does not reach it, in seconds.
+TRY_STORE_EVERY_S = 0.4
 
 
 class PeerMesh:
@@ -95,18 +82,17 @@
         # New for each process, so that a peer can tell a restarted node from the one before.
         self._process = secrets.token_hex(8)
         self._store = store
-        self._feeds = {feed.prefix: feed for feed in feeds}
         self._clock = clock
         self._make_status = make_status
         self._on_view = on_view
-        self._nodes: dict[str, str] = {}
-        self._domains: dict[str, str] = {}
-        self._node_feed = ObjectFeed(store, NODES_PREFIX, self._take_nodes, clock)
-        self._feeds[NODES_PREFIX] = self._node_feed
-        for feed in self._feeds.values():
-            feed.is_relayed = partial(self._is_relayed, feed)
-            feed.on_step = partial(self._relay, feed)
-        self._relayed: set[str] = set()
+        self.registry = NodeRegistry(settings, store, clock, self._member_names)
+        self._relay = ObjectRelay(
+            [*feeds, self.registry.feed],
+            clock,
+            self._send_members,
+            lambda: self._leader if self.has_leader else None,
+            self.registry.peer_addresses,
+        )
         self._members: set[PeerLink] = set()
         self._links: set[PeerLink] = set()
         self._server: asyncio.Server | None = None
@@ -122,30 +108,17 @@
         self._seen_at = 0.0
         self._promise_ends = float("-inf")
         self._promised: dict[str, float] = {}
-        self._member_heard: dict[str, float] = {}
-        self._registered = False
         self._said: tuple[NodeStatus, bool] | None = None
         self._store_lost = False
         self._store_reached = False
         self._sent_at = float("-inf")
-        self._views_at = float("-inf")
         self._soon: asyncio.TimerHandle | None = None
-        self._rng = random.Random()
 
     @property
     def has_leader(self) -> bool:
         """Whether another node is heard as the coordinator."""
         return self._leader is not None and self._clock() - self._heard_at < SILENT_S
 
-    def peers(self) -> dict[str, str]:
-        """Return the failure domain of each other registered node by its address."""
-        own = self._settings.peer_listen
-        return {
-            address: self._domains.get(address, "")
-            for address in self._nodes.values()
-            if address != own
-        }
-
     @property
     def may_take_lease(self) -> bool:
         """Whether this node hears no coordinator and has promised nothing to one."""
@@ -154,7 +127,7 @@
     @property
     def promised_until(self) -> float:
         """The time until which no other registered node takes the lease, by its own promise."""
-        others = [name for name in self._nodes if name != self._settings.name]
+        others = self.registry.others
         return min((self._promised.get(name, 0.0) for name in others), default=0.0)
 
     @property
@@ -162,11 +135,11 @@
         """Whether contact with other nodes was lost: the coordinator is silent, or more than half
         of the coordinator's nodes are.
         """
-        if self.leadership is None or not self._nodes:
+        if self.leadership is None or not self.registry.others:
             return False
         if self.leadership.term() is None:
             return self._clock() - self._heard_at > SUSPECT_AFTER_S
-        return 2 * len(self._members) < len(self._nodes) - 1
+        return 2 * len(self._members) < len(self.registry.others)
 
     async def listen(self) -> None:
         """Accept links from other nodes."""
@@ -190,11 +163,9 @@
     async def run(self) -> None:
         """Register, follow the other nodes and exchange status, until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._register())
-            group.create_task(self._node_feed.run())
+            group.create_task(self.registry.run())
+            group.create_task(self._relay.run())
             group.create_task(self._exchange())
-            group.create_task(self._pull())
-            group.create_task(self._remove_gone())
 
     def status_soon(self) -> None:
         """Send the status in this loop step's end, because a request waits."""
@@ -209,6 +180,8 @@
 
     def _send_members(self, kind: str, body: object) -> None:
         """Send one frame to all nodes on this coordinator's links, encoded once."""
+        if not self._members:
+            return
         data = encode_frame(Frame(kind, body))
         for link in list(self._members):
             link.send_bytes(data)
@@ -220,141 +193,13 @@
             link.close_gently()
         self._members.clear()
 
-    # Changes of the store's objects
-
-    def _is_relayed(self, feed: ObjectFeed) -> bool:
-        """Whether the coordinator passes on the changes that a feed follows."""
-        return self.has_leader and feed.prefix in self._relayed
-
-    def _relay(self, feed: ObjectFeed, update: FeedUpdate) -> None:
-        """Pass on changes to the nodes that follow this coordinator."""
-        if self._members:
-            self._send_members(CHANGES, encode_changes(feed.prefix, update))
-
-    def _ask_copy(self, feed: ObjectFeed) -> None:
-        """Ask the coordinator for what this node lacks, after which it follows the changes."""
-        self._relayed.discard(feed.prefix)
-        if self._leader is not None:
-            self._leader.send(PULL, {"prefix": feed.prefix, "version": feed.version})
-
-    def _take_changes(self, frame: Frame) -> None:
-        decoded = decode_changes(frame.body)
-        if isinstance(decoded, Err):
-            log.warning("changes not used", step="decode_changes", detail=decoded.err_value.detail)
-            return
-        prefix, update = decoded.ok_value
-        feed = self._feeds.get(prefix)
-        if feed is not None and not feed.take_relayed(update):
-            self._ask_copy(feed)
-
-    def _follow_store(self, lost: bool) -> None:
-        """Watch the store itself while the coordinator does not reach it, and tell whether this
-        node does; follow the coordinator's changes again afterwards.
-        """
-        if lost == self._store_lost:
-            return
-        self._store_lost, self._store_reached = lost, False
-        if lost:
-            self._relayed.clear()
-            self._keep(self._try_store())
-            return
-        for feed in self._feeds.values():
-            self._ask_copy(feed)
-
-    async def _try_store(self) -> None:
-        while self._store_lost and not self._store_reached and self.has_leader:
-            read = await self._store.get(NODES_PREFIX + self._settings.name)
-            if not isinstance(read, Err):
-                self._store_reached = True
-                self._send_status(False)
-            await asyncio.sleep(PULL_EVERY_S)
-
-    def _keep(self, work: Coroutine[None, None, None]) -> None:
-        """Run some work beside and keep it until it is done."""
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def _take_leader_copy(self, frame: Frame) -> None:
-        decoded = decode_copy(frame.body)
-        if isinstance(decoded, Err):
-            log.warning("copy not used", step="decode_copy", detail=decoded.err_value.detail)
-            return
-        copy = decoded.ok_value
-        feed = self._feeds.get(copy.prefix)
-        if feed is None:
-            return
-        if copy.version > feed.version:
-            feed.take_relayed(FeedUpdate(True, copy.version, copy.objects, ()))
-        self._relayed.add(copy.prefix)
-
-    # Registration
-
-    async def _register(self) -> None:
-        """Write this node's address to the store, where others find it."""
-        key = NODES_PREFIX + self._settings.name
-        value = json.dumps({"address": self._settings.peer_listen, "domain": self._settings.domain})
-        while True:
-            read = await self._store.get(key)
-            if not isinstance(read, Err):
-                held = read.ok_value
-                known = held is not None and held.value == value.encode()
-                if known or not isinstance(
-                    await self._store.put(key, value.encode(), held.version if held else 0), Err
-                ):
-                    self._registered = True
-                    return
-            await asyncio.sleep(0.5)
-
-    async def _remove_gone(self) -> None:
-        """Remove the registrations of nodes that are gone for good, as the coordinator. A node that
-        lives and reaches the store registers again.
-        """
-        while True:
-            await asyncio.sleep(GONE_CHECK_S)
-            if self.leadership is None or self.leadership.term() is None:
-                self._member_heard.clear()
-                continue
-            now = self._clock()
-            joined = {link.peer for link in self._members}
-            for name in [n for n in self._nodes if n != self._settings.name]:
-                if name in joined:
-                    self._member_heard[name] = now
-                elif now - self._member_heard.setdefault(name, now) > NODE_GONE_S:
-                    await self._remove_node(name)
-
-    async def _remove_node(self, name: str) -> None:
-        stored = self._node_feed.objects.get(NODES_PREFIX + name)
-        if stored is None:
-            return
-        removed = await self._store.delete(stored.key, stored.version)
-        log.info(
-            "registration removed",
-            step="remove_node",
-            peer=name,
-            removed=not isinstance(removed, Err),
-        )
-
-    def _take_nodes(self, update: FeedUpdate) -> None:
-        if update.complete:
-            self._nodes.clear()
-        for key in update.removed:
-            self._nodes.pop(key.removeprefix(NODES_PREFIX), None)
-        for stored in update.written:
-            try:
-                entry = json.loads(stored.value)
-                address, domain = str(entry["address"]), str(entry["domain"])
-            except (ValueError, KeyError, TypeError) as exc:
-                log.warning("node entry not used", step="decode_node", detail=repr(exc))
-                continue
-            self._nodes[stored.key.removeprefix(NODES_PREFIX)] = address
-            self._domains[address] = domain
-        if self._registered and self._settings.name not in self._nodes:
-            self._registered = False
-            self._keep(self._register())
-
     # Coordinator's side
 
+    def _member_names(self) -> set[str] | None:
+        if self.leadership is None or self.leadership.term() is None:
+            return None
+        return {link.peer for link in self._members}
+
     def _drop_member(self, link: PeerLink) -> None:
         self._members.discard(link)
         self._links.discard(link)
@@ -363,13 +208,12 @@
             log.info("node lost", step="peer_link", peer=link.peer)
 
     def _take_frame(self, link: PeerLink, frame: Frame) -> None:
-        match frame.kind:
-            case "status":
-                self._take_status(link, frame)
-            case "pull":
-                self._answer_pull(link, frame)
-            case "who":
-                link.send(WHO, self._process)
+        if frame.kind == STATUS:
+            self._take_status(link, frame)
+        elif frame.kind == PULL:
+            self._relay.answer_pull(link, frame.body)
+        elif frame.kind == WHO:
+            link.send(WHO, self._process)
 
     def _take_status(self, link: PeerLink, frame: Frame) -> None:
         decoded = decode_status(frame.body)
@@ -395,17 +239,6 @@
                 link.send(VIEW, encode_view(view, self._clock()))
         leadership.take_status(status)
 
-    def _answer_pull(self, link: PeerLink, frame: Frame) -> None:
-        body = frame.body
-        feed = self._feeds.get(body.get("prefix", "")) if isinstance(body, dict) else None
-        if feed is None:
-            link.send(COPY, None)
-            return
-        newer = feed.version > int(body.get("version", 0))
-        age_s = self._clock() - feed.fresh_at
-        objects = tuple(feed.objects.values()) if newer else ()
-        link.send(COPY, encode_copy(ObjectsCopy(feed.prefix, feed.version, age_s, objects)))
-
     # Node's side
 
     @property
@@ -413,7 +246,7 @@
         """Time between two exchanges, in seconds: the coordinator handles a bounded number of
         statuses a second, however many nodes there are.
         """
-        return min(MAX_EXCHANGE_S, max(EXCHANGE_S, len(self._nodes) / STATUSES_PER_S))
+        return min(MAX_EXCHANGE_S, max(EXCHANGE_S, len(self.registry) / STATUSES_PER_S))
 
     async def _exchange(self) -> None:
         while True:
@@ -464,11 +297,11 @@
     async def _find_leader(self, leadership: Leadership) -> None:
         self._leave_leader()
         name = leadership.holder.partition(":")[0]
-        address = self._nodes.get(name)
+        address = self.registry.address(name)
         if not address or name == self._settings.name or leadership.holder_is_gone:
             return
         link = PeerLink(self._take_view, self._note_leader_lost)
-        if not await self._connect(link, address):
+        if not await connect_peer(link, address):
             return
         self._leader, self._leader_name = link, name
         self._leader_holder, self._leader_process = leadership.holder, ""
@@ -478,24 +311,11 @@
         self._said = None
         self._store_lost = self._store_reached = False
         self._seen_at = 0.0
-        for feed in self._feeds.values():
-            self._ask_copy(feed)
+        self._relay.follow(link)
         log.info("coordinator found", step="peer_link", peer=name, address=address)
 
-    async def _connect(self, link: PeerLink, address: str) -> bool:
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                loop = asyncio.get_running_loop()
-                await loop.create_connection(lambda: link, host, int(port))
-        except (OSError, ValueError) as exc:
-            log.info("peer not reached", step="connect", peer=address, detail=str(exc))
-            link.close()
-            return False
-        return True
-
     def _leave_leader(self) -> None:
-        self._relayed.clear()
+        self._relay.stop_following()
         self._heard_at = float("-inf")
         if self._leader is not None:
             link, self._leader = self._leader, None
@@ -520,7 +340,7 @@
         """
         until = self._clock() + PROBE_FOR_S
         while process and self._clock() < until and not self.has_leader:
-            answer = await self._ask_who(self._nodes.get(name, ""))
+            answer = await ask_process(self.registry.address(name))
             if answer == process:
                 return
             if answer and self.leadership is not None:
@@ -530,22 +350,32 @@
                 return
             await asyncio.sleep(PROBE_EVERY_S)
 
-    async def _ask_who(self, address: str) -> str:
-        """Return which process answers at a peer's address, empty where none does."""
-        answers: asyncio.Queue[object] = asyncio.Queue()
-        link = PeerLink(lambda _link, frame: answers.put_nowait(frame.body), lambda _link: None)
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                loop = asyncio.get_running_loop()
-                await loop.create_connection(lambda: link, host, int(port))
-                link.send(WHO, None)
-                return str(await answers.get())
-        except (OSError, ValueError) as exc:
-            log.debug("coordinator not reached", step="probe", peer=address, detail=str(exc))
-            return ""
-        finally:
-            link.close()
+    def _follow_store(self, lost: bool) -> None:
+        """Watch the store itself while the coordinator does not reach it, and tell whether this
+        node does; follow the coordinator's changes again afterwards.
+        """
+        if lost == self._store_lost:
+            return
+        self._store_lost, self._store_reached = lost, False
+        if lost:
+            self._relay.stop_following()
+            self._keep(self._try_store())
+        elif self._leader is not None:
+            self._relay.follow(self._leader)
+
+    async def _try_store(self) -> None:
+        while self._store_lost and not self._store_reached and self.has_leader:
+            read = await self._store.get(self.registry.own_key)
+            if not isinstance(read, Err):
+                self._store_reached = True
+                self._send_status(False)
+            await asyncio.sleep(TRY_STORE_EVERY_S)
+
+    def _keep(self, work: Coroutine[None, None, None]) -> None:
+        """Run some work beside and keep it until it is done."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _take_view(self, link: PeerLink, frame: Frame) -> None:
         if link is not self._leader:
@@ -561,11 +391,13 @@
                 self.leadership.note_gone(str(frame.body), up_to_date=True)
             return
         if frame.kind == CHANGES:
-            self._take_changes(frame)
-        if frame.kind == COPY and frame.body is not None:
-            self._take_leader_copy(frame)
-        if frame.kind != VIEW:
-            return
+            self._relay.take_changes(link, frame)
+        if frame.kind == COPY:
+            self._relay.take_leader_copy(frame)
+        if frame.kind == VIEW:
+            self._use_view(frame)
+
+    def _use_view(self, frame: Frame) -> None:
         decoded = decode_view(frame.body, self._clock())
         if isinstance(decoded, Err):
             log.warning("view not used", step="decode_view", detail=decoded.err_value.detail)
@@ -586,55 +418,3 @@
             for instance, load in view.loads.items()
         }
         self._on_view(view, others)
-
-    # Copies of objects while the store is away
-
-    async def _pull(self) -> None:
-        while True:
-            await asyncio.sleep(PULL_EVERY_S)
-            stale = [feed for feed in self._feeds.values() if feed.away_s >= PULL_AFTER_S]
-            addresses = self._peer_addresses()
-            if stale and addresses:
-                await self._pull_from(self._rng.choice(addresses), stale)
-
-    def _peer_addresses(self) -> list[str]:
-        own = self._settings.peer_listen
-        known = [address for address in self._nodes.values() if address != own]
-        return known or [address for address in self._settings.seeds if address != own]
-
-    async def _pull_from(self, address: str, feeds: list[ObjectFeed]) -> None:
-        answered = asyncio.Event()
-        link = PeerLink(
-            lambda _link, frame: self._take_copy(frame, answered), lambda _link: answered.set()
-        )
-        if not await self._connect(link, address):
-            return
-        for feed in feeds:
-            answered.clear()
-            link.send(PULL, {"prefix": feed.prefix, "version": feed.version})
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    await answered.wait()
-            except TimeoutError:
-                log.info("no copy from peer", step="pull_objects", peer=address)
-                break
-        link.close()
-
-    def _take_copy(self, frame: Frame, answered: asyncio.Event) -> None:
-        answered.set()
-        if frame.kind != COPY or frame.body is None:
-            return
-        decoded = decode_copy(frame.body)
-        if isinstance(decoded, Err):
-            log.warning("copy not used", step="decode_copy", detail=decoded.err_value.detail)
-            return
-        copy = decoded.ok_value
-        feed = self._feeds.get(copy.prefix)
-        if feed is not None and feed.take_from_peer(copy.version, copy.objects):
-            log.info(
-                "objects copied from peer",
-                step="pull_objects",
-                prefix=copy.prefix,
-                version=copy.version,
-                age_ms=round(copy.age_s * 1000),
-            )
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -226,7 +226,7 @@
         others = [node for node in self.nodes if node is not old]
         for node in others:
             # Every connection to the leader is refused; the leader keeps the store and engines.
-            node.mesh._nodes[old.name] = f"127.0.0.1:{free_port()}"
+            node.mesh.registry._addresses[old.name] = f"127.0.0.1:{free_port()}"
         old.mesh.close()
         old.mesh._members.clear()
         await asyncio.sleep(2.0)
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -105,7 +105,7 @@
         self._isolation = IsolationWatch(
             settings.domain,
             self._directory,
-            self._mesh.peers,
+            self._mesh.registry.domains,
             lambda: self._mesh.misses_peers,
             boot_clock,
             self._use_isolation,
