Split the lease from the planning and the choice of an upstream from the dispatcher

Change: LeaseHolder and UpstreamChoice have files of their own; a coordinator whose term ends keeps what it ordered, so that it need not wait when it takes the lease again.

--- a/eelgrassferry/coordination/__init__.py
+++ b/eelgrassferry/coordination/__init__.py
@@ -3,6 +3,7 @@
 from .engine_wire import EngineWire
 from .isolation_watch import IsolationWatch
 from .leadership import Leadership
+from .lease_holder import LeaseHolder
 from .messages import FleetView, ObjectsCopy
 from .order_runner import OrderRunner
 from .peer_link import PeerLink
@@ -13,6 +14,7 @@
     "FleetView",
     "IsolationWatch",
     "Leadership",
+    "LeaseHolder",
     "ObjectsCopy",
     "OrderRunner",
     "PeerLink",
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -230,7 +230,7 @@
         if reply.seen_at > 0.0:
             self._promised[status.node] = reply.seen_at + PROMISE_S
         if reply.store_reached:
-            leadership.note_store_reached()
+            leadership.lease.note_store_reached()
         if link not in self._members:
             self._members.add(link)
             log.info("node joined", step="peer_link", peer=link.peer)
@@ -296,15 +296,15 @@
 
     async def _find_leader(self, leadership: Leadership) -> None:
         self._leave_leader()
-        name = leadership.holder.partition(":")[0]
+        name = leadership.lease.holder.partition(":")[0]
         address = self.registry.address(name)
-        if not address or name == self._settings.name or leadership.holder_is_gone:
+        if not address or name == self._settings.name or leadership.lease.holder_is_gone:
             return
         link = PeerLink(self._take_view, self._note_leader_lost)
         if not await connect_peer(link, address):
             return
         self._leader, self._leader_name = link, name
-        self._leader_holder, self._leader_process = leadership.holder, ""
+        self._leader_holder, self._leader_process = leadership.lease.holder, ""
         link.send(WHO, None)
         # A frozen process still accepts connections, so only a view shows that it coordinates.
         self._linked_at = self._clock()
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -12,7 +12,7 @@
 from ...objects import MemoryObjectStore, MonitoredStore, ObjectFeed
 from ...ordering import EngineReport, NodeStatus, OrderAnswer, Want
 from ...ordering.tests.fixtures import make_entry, make_service
-from .. import Leadership, PeerMesh
+from .. import Leadership, LeaseHolder, PeerMesh
 
 WAIT_S = 12.0
 HANDOVER_S = 0.6
@@ -71,17 +71,24 @@
             self.make_status,
             lambda view, _others: self.views.append(view),
         )
-        self.leadership = Leadership(
+        lease = LeaseHolder(
             self.settings,
             store,
-            self.directory,
-            lambda term: FakeRunner(term, orders, name),
             time.monotonic,
             Metrics(),
-            self.mesh.publish,
             self.mesh.announce_end,
             lambda: self.mesh.may_take_lease,
             lambda: self.mesh.promised_until,
+            lambda: self.leadership.is_informed,
+        )
+        self.leadership = Leadership(
+            self.settings,
+            lease,
+            self.directory,
+            FakeRunner(lease.term, orders, name),
+            time.monotonic,
+            Metrics(),
+            self.mesh.publish,
         )
         self.mesh.leadership = self.leadership
         service = make_service()
@@ -181,7 +188,7 @@
         """Guards against a fleet that follows a coordinator without the store (quiet-1)."""
         old = self.leader()
         await self.eventually(lambda: self.orders)
-        old.leadership._store = DownStore()
+        old.leadership.lease.store = DownStore()
         began = time.monotonic()
         await self.eventually(lambda: self.leader() not in (old, None))
         self.assertLess(time.monotonic() - began, 2.0)
@@ -194,7 +201,7 @@
         old = self.leader()
         silent = next(node for node in self.nodes if node is not old)
         await self.eventually(lambda: self.orders)
-        old.leadership._store = DownStore()
+        old.leadership.lease.store = DownStore()
         silent.freeze()
         others = [node for node in self.nodes if node not in (old, silent)]
         await self.eventually(lambda: others[0].leads)
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -7,23 +7,13 @@
 from collections.abc import Mapping
 from random import Random
 
-from ..fleet import (
-    Engine,
-    FleetConfig,
-    ServiceBounds,
-    UpstreamDirectory,
-    UpstreamEntry,
-)
-from ..peers import rendezvous_owner
-from ..routing import RetryBudget, UpstreamState
-from ..routing.pauses import PauseBook
+from ..fleet import FleetConfig, ServiceBounds, UpstreamDirectory
+from ..routing import RetryBudget
 from .actions import Action, Answer, Fail, FailReason, FlightEnd, Refuse, RefuseReason, Send
 from .fleet_residency import FleetResidency
-from .health_book import HealthBook
-from .job import Flight, Job
-from .load_view import LoadView, UpstreamLoad
-from .pace_book import PaceBook
-from .prefix_book import PrefixBook
+from .job import Job
+from .load_view import UpstreamLoad
+from .upstream_choice import PLAIN_START_S, UpstreamChoice
 
 __all__ = ["Dispatcher"]
 
@@ -32,21 +22,6 @@
 BUDGET_SHARE = 0.7
 # A request that upstreams declined is offered to at most this many more.
 MAX_DECLINED = 3
-# Share of an engine's slots and memory up to which requests are sent to it; the rest absorbs what
-# other nodes send at the same moment.
-SLOT_SHARE = 0.9
-MEMORY_SHARE = 0.92
-# Requests in flight at a plain upstream, in multiples of its slots; more would only queue there.
-PLAIN_LIMIT = 2.5
-# Costs in seconds that are added to estimates: a request to another failure domain pays for its
-# bytes, and the upstream that all nodes would choose for a prompt gets a small advantage.
-OTHER_DOMAIN_COST_S = 0.006
-PREFIX_OWNER_BONUS_S = 0.015
-# Slowing by each request that decodes beside a prefill, relative to the prefill alone.
-DECODE_SHARE = 0.008
-# Service time of a plain request that is assumed first, in seconds, and the weight of one answer.
-PLAIN_START_S = 0.05
-PLAIN_WEIGHT = 0.05
 # Share of the time left after which a silent upstream is given up for a repeatable request.
 SILENCE_SHARE = 0.4
 # Retry-After where another node can serve the request, in seconds; callers come back to another.
@@ -80,27 +55,19 @@
         bounds: ServiceBounds,
         rng: Random,
     ) -> None:
-        self.load = LoadView()
-        self.pace = PaceBook()
-        self.prefix = PrefixBook()
-        self.health = HealthBook()
-        self.pauses = PauseBook()
+        self.choice = UpstreamChoice(domain, directory, residency, rng)
+        self.load = self.choice.load
         self.arrivals: dict[tuple[str, str], tuple[int, float]] = {}
         self.adapters_used: set[tuple[str, str, str]] = set()
         self.declined: set[str] = set()
         self.doubts: dict[str, int] = {}
-        self._domain = domain
         self._directory = directory
         self._residency = residency
         self._bounds = bounds
-        self._rng = rng
-        self._config: FleetConfig | None = None
         self._waiting: list[Job] = []
         self._budgets: dict[str, RetryBudget] = {}
-        self._plain_s: dict[str, float] = {}
         self._nodes = 1
         self._stopping = False
-        self._isolated = False
 
     # Requests
 
@@ -130,12 +97,12 @@
         self.load.note_first_event(job)
         flight.first_event_at = now
         job.first_event_ms = round((now - flight.sent_at) * 1000)
-        self.pauses.note_progress(flight.instance, flight.sent_at)
-        engine = self._engine(job.service)
+        self.choice.pauses.note_progress(flight.instance, flight.sent_at)
+        engine = self.choice.engine(job.service)
         if engine is not None and job.model:
             took_s = now - flight.sent_at
-            self.pace.note(flight.instance, job.model, flight.expected_s, took_s)
-            self.prefix.note_run(
+            self.choice.pace.note(flight.instance, job.model, flight.expected_s, took_s)
+            self.choice.prefix.note_run(
                 flight.instance, job.model, job.adapter, job.parts, engine.cache_tokens
             )
 
@@ -143,12 +110,11 @@
         """Take a complete answer."""
         flight = job.flight
         if flight is not None:
-            self.health.note(flight.instance, False, now)
-            self.pauses.note_progress(flight.instance, flight.sent_at)
+            self.choice.health.note(flight.instance, False, now)
+            self.choice.pauses.note_progress(flight.instance, flight.sent_at)
             if not job.model:
                 took_s = now - flight.sent_at
-                mean_s = self._plain_s.get(flight.instance, PLAIN_START_S)
-                self._plain_s[flight.instance] = mean_s + PLAIN_WEIGHT * (took_s - mean_s)
+                self.choice.note_plain(flight.instance, took_s)
         self._close(job)
         return self.pump(now)
 
@@ -167,11 +133,11 @@
             self.doubts[instance] = self.doubts.get(instance, 0) + doubt
         match end:
             case FlightEnd.UNSENT | FlightEnd.NO_LISTENER:
-                self.health.note(instance, True, now)
-                self.pauses.note_crash(instance, now)
+                self.choice.health.note(instance, True, now)
+                self.choice.pauses.note_crash(instance, now)
                 job.avoid.add(instance)
             case FlightEnd.NOT_RUN:
-                self.pauses.note_refused(instance, now)
+                self.choice.pauses.note_refused(instance, now)
                 job.avoid.add(instance)
                 job.not_run_tries += 1
             case FlightEnd.NOT_RESIDENT:
@@ -179,11 +145,11 @@
                 self.declined.add(instance)
                 job.not_run_tries += 1
             case FlightEnd.OTHER_INSTANCE:
-                self.pauses.note_crash(instance, now)
+                self.choice.pauses.note_crash(instance, now)
                 job.avoid.add(instance)
                 job.not_run_tries += 1
             case FlightEnd.ERROR | FlightEnd.BROKEN | FlightEnd.SILENT:
-                self.health.note(instance, True, now)
+                self.choice.health.note(instance, True, now)
                 job.avoid.add(instance)
         return [*self._go_on(job, end, now), *self.pump(now)]
 
@@ -220,7 +186,7 @@
         """Take whether this node's domain is cut off. While it is, only upstreams of the domain
         are used, and what they cannot take is refused for nodes elsewhere.
         """
-        self._isolated = isolated
+        self.choice.isolated = isolated
         return self.pump(now)
 
     def silence_limit_s(self, job: Job, now: float) -> float | None:
@@ -236,7 +202,7 @@
 
     def set_config(self, config: FleetConfig) -> None:
         """Use another version of the configuration."""
-        self._config = config
+        self.choice.config = config
 
     def set_nodes(self, nodes: int) -> None:
         """Take the number of live nodes, which share the budget of repeats."""
@@ -250,11 +216,7 @@
 
     def forget(self, instance: str) -> None:
         """Drop what was learned about an upstream that is gone or restarted."""
-        self.prefix.forget(instance)
-        self.health.forget(instance)
-        self.pace.forget(instance)
-        self.pauses.note_live(instance)
-        self._plain_s.pop(instance, None)
+        self.choice.forget(instance)
 
     def wanted(self, now: float) -> dict[tuple[str, str, str], tuple[int, float]]:
         """Return, for each service, model and adapter that requests wait for, how many there are
@@ -262,7 +224,7 @@
         """
         found: dict[tuple[str, str, str], tuple[int, float]] = {}
         for job in self._waiting:
-            if not job.model or self._holders(job, now):
+            if not job.model or self.choice.holders(job, now):
                 continue
             key = (job.service, job.model, job.adapter)
             count, left_s = found.get(key, (0, float("inf")))
@@ -273,7 +235,7 @@
         """Return what a request waits for, which is the reason if it is refused."""
         if not self._directory.of_service(job.service):
             return RefuseReason.NO_UPSTREAM
-        if job.model and not self._holders(job, now):
+        if job.model and not self.choice.holders(job, now):
             return RefuseReason.NOT_RESIDENT
         return RefuseReason.NO_CAPACITY
 
@@ -306,7 +268,7 @@
     def _note_arrival(self, job: Job) -> None:
         """Count a request for a model and the work that its own part of the prompt is."""
         own_tokens = job.parts[-1][1] if job.parts else job.prompt_tokens
-        work_s = self.pace.expected_s("", job.model, own_tokens)
+        work_s = self.choice.pace.expected_s("", job.model, own_tokens)
         key = (job.service, job.model)
         count, total_s = self.arrivals.get(key, (0, 0.0))
         self.arrivals[key] = (count + 1, total_s + work_s)
@@ -342,7 +304,7 @@
             if job.may_have_run:
                 return [self._last_answer(job, end, now)]
             return [self._refuse(job, RefuseReason.NOT_RUN_UPSTREAM, now)]
-        if job.stored_answer is not None and not self._candidates(job, now):
+        if job.stored_answer is not None and not self.choice.candidates(job, now):
             return [self._last_answer(job, end, now)]
         return self._place_or_wait(job, now)
 
@@ -368,7 +330,7 @@
         retry_after_s: float | None = None if final else RETRY_AFTER_S
         if reason is RefuseReason.STOPPING:
             retry_after_s = OTHER_NODE_RETRY_S
-        elif self._isolated:
+        elif self.choice.isolated:
             retry_after_s = OTHER_DOMAIN_RETRY_S
         if not final and reason is RefuseReason.NOT_RESIDENT:
             due = self._residency.loading_until(job.service, job.model)
@@ -387,101 +349,22 @@
             self.load.remove(job)
             job.flight = None
 
-    # Choice
-
     def _place(self, job: Job, now: float) -> Send | None:
-        """Send a job to the upstream with the least cost, or return None where none has room."""
-        best: tuple[float, UpstreamEntry, Flight] | None = None
-        found = self._candidates(job, now)
-        owner = self._prefix_owner(job, found)
-        for entry in found:
-            planned = self._plan(job, entry, now)
-            if planned is None:
-                continue
-            cost_s = planned.expected_s + self.health.penalty_s(entry.instance, now)
-            if entry.domain != self._domain:
-                cost_s += OTHER_DOMAIN_COST_S
-            if entry.instance == owner:
-                cost_s -= PREFIX_OWNER_BONUS_S
-            cost_s += 0.001 * self._rng.random()
-            if best is None or cost_s < best[0]:
-                best = (cost_s, entry, planned)
-        if best is None:
+        """Send a job where its answer is expected first, or return None where none has room."""
+        flight = self.choice.choose(job, now)
+        if flight is None:
             return None
-        _, entry, flight = best
-        repeat = job.not_run_tries > 0 or job.may_have_run
         job.flight = flight
         self.load.add(job)
         if job.adapter:
-            self.adapters_used.add((entry.instance, job.model, job.adapter))
-        return Send(job, entry.instance, repeat)
-
-    def _plan(self, job: Job, entry: UpstreamEntry, now: float) -> Flight | None:
-        """Return the run of a job at an upstream, None where it has no room."""
-        load = self.load.at(entry.instance, now)
-        engine = self._engine(job.service)
-        if engine is None or not job.model:
-            if load.requests >= PLAIN_LIMIT * max(1, entry.slots):
-                return None
-            mean_s = self._plain_s.get(entry.instance, PLAIN_START_S)
-            ahead = max(0.0, load.requests + 1 - entry.slots)
-            expected_s = mean_s * (1.0 + 0.3 * load.requests / entry.slots + ahead / entry.slots)
-            return Flight(entry.instance, now, 0.0, 0.0, expected_s)
-        if load.requests >= SLOT_SHARE * engine.batch_slots:
-            return None
-        tokens = job.prompt_tokens + job.max_output_tokens
-        if load.requests and load.cache_tokens + tokens > MEMORY_SHARE * engine.cache_tokens:
-            return None
-        kept = self.prefix.kept_tokens(entry.instance, job.model, job.adapter, job.parts)
-        fresh = max(1, job.prompt_tokens - kept)
-        prefill_s = self.pace.expected_s(entry.instance, job.model, fresh)
-        busy = 1.0 + DECODE_SHARE * load.requests
-        return Flight(
-            entry.instance,
-            now,
-            prefill_s,
-            float(tokens),
-            (prefill_s + load.ahead_s(job.route.priority)) * busy,
-        )
-
-    def _candidates(self, job: Job, now: float) -> list[UpstreamEntry]:
-        found = [
-            entry
-            for entry in self._holders(job, now)
-            if not self.pauses.is_paused(entry.instance, now)
-        ]
-        fresh = [entry for entry in found if entry.instance not in job.avoid]
-        if not fresh and found and not job.may_have_run:
-            # Every upstream has declined this request once; a pause keeps them apart.
-            job.avoid.clear()
-            return found
-        return fresh
-
-    def _holders(self, job: Job, now: float) -> list[UpstreamEntry]:
-        """Return the live upstreams that could run a job."""
-        return [
-            entry
-            for entry in self._directory.of_service(job.service)
-            if entry.state is UpstreamState.LIVE
-            and (not self._isolated or entry.domain == self._domain)
-            and (
-                not job.model or self._residency.holds(entry.instance, job.model, job.adapter, now)
-            )
-        ]
-
-    def _prefix_owner(self, job: Job, found: list[UpstreamEntry]) -> str | None:
-        """Return the upstream that every node would choose for prompts that begin like this one."""
-        if len(job.parts) < 2 or len(found) < 2:
-            return None
-        shared = "/".join(part for part, _ in job.parts[:-1])
-        key = f"{job.model}/{job.adapter}/{shared}"
-        return rendezvous_owner(key, (entry.instance for entry in found))
+            self.adapters_used.add((flight.instance, job.model, job.adapter))
+        return Send(job, flight.instance, job.not_run_tries > 0 or job.may_have_run)
 
     # Conditions
 
     def _unservable(self, job: Job) -> RefuseReason | None:
         """Return why no upstream can ever serve a job, or None."""
-        engine = self._engine(job.service)
+        engine = self.choice.engine(job.service)
         if engine is None or not job.model:
             return None
         model = engine.models.get(job.model)
@@ -493,23 +376,19 @@
 
     def _is_hopeless(self, job: Job, now: float) -> bool:
         """Whether a job that is sent at once would miss its deadline, or cannot be sent here."""
-        if job.model and not self._holders(job, now):
-            if self._isolated:
+        if job.model and not self.choice.holders(job, now):
+            if self.choice.isolated:
                 return True
             due = self._residency.loading_until(job.service, job.model)
             hold_s = HOLD_SHARE * (job.patience_at - job.arrived_at)
             if (due is None or due >= job.patience_at) and now >= job.arrived_at + hold_s:
                 return True
         if job.model:
-            least_s = self.pace.expected_s("", job.model, job.prompt_tokens) / 2.0
+            least_s = self.choice.pace.expected_s("", job.model, job.prompt_tokens) / 2.0
         else:
             least_s = PLAIN_START_S / 2.0
         return now + least_s >= job.patience_at
 
-    def _engine(self, service: str) -> Engine | None:
-        found = self._config.services.get(service) if self._config else None
-        return found.engine if found else None
-
     @property
     def _burst(self) -> float:
         return BUDGET_SHARE * self._bounds.retry_slack / self._nodes
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -8,7 +8,7 @@
 import structlog
 from result import Err, Result
 
-from ..coordination import FleetView, IsolationWatch, Leadership, OrderRunner, PeerMesh
+from ..coordination import FleetView, IsolationWatch, Leadership, LeaseHolder, OrderRunner, PeerMesh
 from ..dispatch import Dispatcher, FleetResidency, UpstreamLoad
 from ..fleet import DirectoryChange, EntrySettings, FleetConfig, UpstreamDirectory
 from ..forwarding import CallerServer, UpstreamPool
@@ -88,19 +88,27 @@
             self._make_status,
             self._use_view,
         )
-        self._leadership = Leadership(
+        lease = LeaseHolder(
             settings,
             wire.object_store,
-            self._directory,
-            lambda term: OrderRunner(
-                wire.engines, client, settings.name, term, boot_clock, self._metrics
-            ),
             boot_clock,
             self._metrics,
-            self._mesh.publish,
             self._mesh.announce_end,
             lambda: self._mesh.may_take_lease and not self._isolation.isolated,
             lambda: self._mesh.promised_until,
+            lambda: self._leadership.is_informed,
+        )
+        runner = OrderRunner(
+            wire.engines, client, settings.name, lease.term, boot_clock, self._metrics
+        )
+        self._leadership = Leadership(
+            settings,
+            lease,
+            self._directory,
+            runner,
+            boot_clock,
+            self._metrics,
+            self._mesh.publish,
         )
         self._isolation = IsolationWatch(
             settings.domain,
@@ -258,7 +266,7 @@
         self._callers.closing = isolated
         self._isolated_at = boot_clock()
         if isolated:
-            self._leadership.give_up_term()
+            self._leadership.lease.give_up_term()
         self._desk.perform(self._dispatcher.set_isolated(isolated, boot_clock()))
 
     def _note_waiting(self) -> None:
