--- /dev/null
+++ b/eelgrassferry/ordering/tests/test_status_book.py
@@ -0,0 +1,44 @@
+"""Tests of the sums over nodes."""
+
+import unittest
+from random import Random
+
+from ...dispatch import UpstreamLoad
+from .. import NodeStatus, Want
+from ..status_book import StatusBook
+
+
+def make_status(node: str, rng: Random) -> NodeStatus:
+    """Return a random status."""
+    loads = {f"u{i}": UpstreamLoad(rng.randrange(1, 5), 100.0, {1: 0.25}) for i in range(3)}
+    running = {(f"u{i}", "m0", ""): rng.randrange(1, 4) for i in range(3)}
+    wants = (Want("s", "m1", "a1", 2, 1.5),) if rng.random() < 0.5 else ()
+    return NodeStatus(node, wants=wants, loads=loads, running=running)
+
+
+class StatusBookTest(unittest.TestCase):
+    """Sums that change by differences."""
+
+    def test_sums_are_those_of_the_last_statuses(self):
+        """Guards against sums that drift away as statuses are replaced."""
+        rng, book, last = Random(7), StatusBook(), {}
+        for step in range(300):
+            status = make_status(f"n{rng.randrange(6)}", rng)
+            book.take(status, float(step))
+            last[status.node] = status
+        for instance in ("u0", "u1", "u2"):
+            requests = sum(status.loads[instance].requests for status in last.values())
+            self.assertEqual(book.loads[instance].requests, requests)
+            runs = sum(status.running[instance, "m0", ""] for status in last.values())
+            self.assertEqual(book.running[instance, "m0"], runs)
+        waiting, adapters = book.wants()
+        wanting = sum(bool(status.wants) for status in last.values())
+        self.assertEqual(waiting.get("s", {}).get("m1", 0), 2 * wanting)
+        self.assertEqual(bool(adapters), wanting > 0)
+
+    def test_silent_node_counts_no_more(self):
+        """Guards against requests of a node that is gone."""
+        book = StatusBook()
+        book.take(make_status("n1", Random(1)), 0.0)
+        book.expire(2.6)
+        self.assertEqual((len(book), book.loads, book.running), (0, {}, {}))
