--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -146,8 +146,8 @@
         body["engines"] = {
             instance: [
                 known.started_ms,
+                sorted(known.live),
                 {model: sorted(names) for model, names in known.adapters.items()},
-                sorted(known.withdrawn),
                 {model: due - now for model, due in known.loading.items()},
             ]
             for instance, known in view.residency.items()
@@ -168,11 +168,11 @@
             residency = {
                 instance: OrderedResidency(
                     started_ms=started_ms,
+                    live=frozenset(live),
                     adapters={model: frozenset(names) for model, names in adapters.items()},
-                    withdrawn=frozenset(withdrawn),
                     loading={model: now + left_s for model, left_s in loading.items()},
                 )
-                for instance, (started_ms, adapters, withdrawn, loading) in body["engines"].items()
+                for instance, (started_ms, live, adapters, loading) in body["engines"].items()
             }
         orders = None
         if "orders" in body:
--- a/eelgrassferry/dispatch/fleet_residency.py
+++ b/eelgrassferry/dispatch/fleet_residency.py
@@ -1,7 +1,7 @@
 """Which upstream can run which model and adapter now.
 
-Two sources are joined: what upstreams say of themselves, which is slow for adapters, and what the
-coordinator says about the orders it gives, which is missing while there is no coordinator.
+Two sources are joined. Upstreams register what they hold, which is slow for adapters and stands still
+while the store is down. The coordinator tells about the orders it gives, and is missing at times.
 """
 
 from collections.abc import Mapping
@@ -14,22 +14,22 @@
 # What an upstream said it does not hold is believed for this long against other sources, in
 # seconds. A registry entry lags by some hundred ms.
 ABSENT_FOR_S = 0.6
-# A withdrawal counts only while the coordinator is heard: one that is gone unloads nothing. The
-# time covers an order that was on its way, in seconds.
-WITHDRAWN_FOR_S = 2.0
+# The coordinator's word on models counts for this long after it was heard, in seconds. One that is
+# gone loads and unloads nothing; the time covers an order that was on its way.
+ORDERED_FOR_S = 2.0
 
 
 @dataclass(frozen=True)
 class OrderedResidency:
     """What the coordinator knows about one incarnation of an upstream.
 
-    ``adapters`` maps models to the adapters that are loaded. Requests for ``withdrawn`` models are
-    not to be sent any more. ``loading`` maps models to the expected time of completion.
+    ``live`` are the models that take requests, ``adapters`` maps models to the adapters that are
+    loaded, and ``loading`` maps models to the expected time of completion.
     """
 
     started_ms: int
+    live: frozenset[str] = frozenset()
     adapters: Mapping[str, frozenset[str]] = field(default_factory=dict)
-    withdrawn: frozenset[str] = frozenset()
     loading: Mapping[str, float] = field(default_factory=dict)
 
 
@@ -57,16 +57,15 @@
     def holds(self, instance: str, model: str, adapter: str, now: float) -> bool:
         """Return whether a request for a model, and adapter if one is named, can run there."""
         entry = self._directory.get(instance)
-        if entry is None or model not in entry.residents:
-            return False
-        if self._is_absent(instance, model, adapter, now):
+        if entry is None or self._is_absent(instance, model, adapter, now):
             return False
         ordered = self._ordered_of(instance)
-        if ordered is not None:
-            if model in ordered.withdrawn and now - self._heard_at < WITHDRAWN_FOR_S:
-                return False
-            return not adapter or adapter in ordered.adapters.get(model, ())
-        return not adapter or adapter in entry.residents[model]
+        if ordered is None:
+            return model in entry.residents and (not adapter or adapter in entry.residents[model])
+        heard = now - self._heard_at < ORDERED_FOR_S
+        if model not in (ordered.live if heard else entry.residents):
+            return False
+        return not adapter or adapter in ordered.adapters.get(model, ())
 
     def loading_until(self, service: str, model: str) -> float | None:
         """Return when the next copy of a model is expected, None where none is under way."""
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -200,10 +200,8 @@
             instance: OrderedResidency(
                 started_ms=book.entry.started_ms,
                 adapters=self._ready_adapters(book, now),
-                withdrawn=frozenset(
-                    model
-                    for model, copy in book.copies.items()
-                    if copy.state in (CopyState.WITHDRAWN, CopyState.UNLOADING)
+                live=frozenset(
+                    model for model, copy in book.copies.items() if copy.state is CopyState.LIVE
                 ),
                 loading={
                     model: copy.due
