--- a/eelgrassferry/dispatch/fleet_residency.py
+++ b/eelgrassferry/dispatch/fleet_residency.py
@@ -1,7 +1,8 @@
 """Which upstream can run which model and adapter now.
 
-Two sources are joined. Upstreams register what they hold, which is slow for adapters and stands still
-while the store is down. The coordinator tells about the orders it gives, and is missing at times.
+Two sources are joined. Upstreams register what they hold, which is slow for adapters and stands
+still while the store is down. The coordinator tells about the orders it gives, and is missing at
+times.
 """
 
 from collections.abc import Mapping
