--- a/eelgrassferry/bench/overhead_caller.py
+++ b/eelgrassferry/bench/overhead_caller.py
@@ -6,6 +6,8 @@
 import time
 from dataclasses import dataclass, field
 
+from ..http import split_address
+
 __all__ = ["Caller", "Tally"]
 
 READ_BYTES = 64 * 1024
@@ -48,9 +50,8 @@
         return tally
 
     async def _work(self, address: str, tokens: int, until: float, tally: Tally) -> None:
-        host, _, port = address.rpartition(":")
         while time.perf_counter() < until:
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(*split_address(address))
             try:
                 while time.perf_counter() < until:
                     async with asyncio.timeout(REQUEST_TIMEOUT_S):
--- a/eelgrassferry/bench/overhead_parts.py
+++ b/eelgrassferry/bench/overhead_parts.py
@@ -11,6 +11,7 @@
 import sys
 from collections.abc import Sequence
 
+from ..http import split_address
 from ..standins import EngineOptions, EngineStandin
 
 __all__ = ["main"]
@@ -64,8 +65,7 @@
             writer.close()
 
     async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        host, _, port = next(turn).rpartition(":")
-        up_reader, up_writer = await asyncio.open_connection(host, int(port))
+        up_reader, up_writer = await asyncio.open_connection(*split_address(next(turn)))
         await asyncio.gather(copy(reader, up_writer), copy(up_reader, writer))
 
     server = await asyncio.start_server(accept, "127.0.0.1", 0)
--- a/eelgrassferry/coordination/connect_peer.py
+++ b/eelgrassferry/coordination/connect_peer.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from ..http import split_address
 from .messages import WHO
 from .peer_link import PeerLink
 
@@ -17,11 +18,10 @@
 
 async def connect_peer(link: PeerLink, address: str) -> bool:
     """Open a link to a node; return whether it is open."""
-    host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             loop = asyncio.get_running_loop()
-            await loop.create_connection(lambda: link, host, int(port))
+            await loop.create_connection(lambda: link, *split_address(address))
     except (OSError, ValueError) as exc:
         log.info("peer not reached", step="connect", peer=address, detail=str(exc))
         link.close()
--- a/eelgrassferry/coordination/isolation_watch.py
+++ b/eelgrassferry/coordination/isolation_watch.py
@@ -7,6 +7,7 @@
 import structlog
 
 from ..fleet import UpstreamDirectory
+from ..http import split_address
 from ..routing import UpstreamState
 
 __all__ = ["IsolationWatch"]
@@ -96,10 +97,9 @@
         """Whether something at an address accepts. A refusal proves nothing, because a partition
         may refuse connections.
         """
-        host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
+                _, writer = await asyncio.open_connection(*split_address(address))
         except (OSError, ValueError):
             return False
         writer.close()
--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -7,7 +7,7 @@
 import structlog
 from result import Err
 
-from ..dispatch import OrderedResidency, UpstreamLoad
+from ..dispatch import NO_LOAD, OrderedResidency, UpstreamLoad
 from ..fleet import EntrySettings, FleetConfig, UpstreamDirectory, UpstreamEntry
 from ..leases import LeaseTerm
 from ..metrics import Metrics
@@ -25,8 +25,6 @@
 PLAN_EVERY_S = 0.005
 MAX_PLAN_EVERY_S = 0.05
 
-NO_LOAD = UpstreamLoad()
-
 
 class Leadership:
     """Plans and gives orders while this node holds the lease.
--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -166,17 +166,16 @@
 def decode_view(body: Any, now: float) -> Result[FleetView, MalformedMessage]:
     """Decode the body of a view."""
     try:
-        residency = {}
-        if "engines" in body:
-            residency = {
-                instance: OrderedResidency(
-                    started_ms=started_ms,
-                    live=frozenset(live),
-                    adapters={model: frozenset(names) for model, names in adapters.items()},
-                    loading={model: now + left_s for model, left_s in loading.items()},
-                )
-                for instance, (started_ms, live, adapters, loading) in body["engines"].items()
-            }
+        engines = body.get("engines", {})
+        residency = {
+            instance: OrderedResidency(
+                started_ms=started_ms,
+                live=frozenset(live),
+                adapters={model: frozenset(names) for model, names in adapters.items()},
+                loading={model: now + left_s for model, left_s in loading.items()},
+            )
+            for instance, (started_ms, live, adapters, loading) in engines.items()
+        }
         orders = None
         if "orders" in body:
             orders = Inheritance(
@@ -200,16 +199,14 @@
         "prefix": copy.prefix,
         "version": copy.version,
         "age_s": copy.age_s,
-        "objects": [[obj.key, obj.version, obj.value] for obj in copy.objects],
+        "objects": _encode_objects(copy.objects),
     }
 
 
 def decode_copy(body: Any) -> Result[ObjectsCopy, MalformedMessage]:
     """Decode the body of a copy."""
     try:
-        objects = tuple(
-            StoredObject(key, version, value) for key, version, value in body["objects"]
-        )
+        objects = _decode_objects(body["objects"])
         return Ok(
             ObjectsCopy(str(body["prefix"]), int(body["version"]), float(body["age_s"]), objects)
         )
@@ -224,7 +221,7 @@
         "complete": update.complete,
         "base": update.base,
         "version": update.version,
-        "written": [[obj.key, obj.version, obj.value] for obj in update.written],
+        "written": _encode_objects(update.written),
         "removed": list(update.removed),
         "after_outage": update.after_outage,
     }
@@ -236,7 +233,7 @@
         update = FeedUpdate(
             complete=bool(body["complete"]),
             version=int(body["version"]),
-            written=tuple(StoredObject(*fields) for fields in body["written"]),
+            written=_decode_objects(body["written"]),
             removed=tuple(body["removed"]),
             after_outage=bool(body["after_outage"]),
             base=int(body["base"]),
@@ -246,6 +243,14 @@
         return Err(MalformedMessage("decode_changes", "", repr(exc)))
 
 
+def _encode_objects(objects: tuple[StoredObject, ...]) -> list[list[Any]]:
+    return [[obj.key, obj.version, obj.value] for obj in objects]
+
+
+def _decode_objects(body: Any) -> tuple[StoredObject, ...]:
+    return tuple(StoredObject(key, version, value) for key, version, value in body)
+
+
 def _encode_loads(loads: Mapping[str, UpstreamLoad]) -> dict[str, list[float]]:
     return {
         instance: [
--- a/eelgrassferry/coordination/object_relay.py
+++ b/eelgrassferry/coordination/object_relay.py
@@ -117,7 +117,7 @@
 
     def _ask(self, link: PeerLink, feed: ObjectFeed) -> None:
         self._relayed.discard(feed.prefix)
-        link.send(PULL, {"prefix": feed.prefix, "version": feed.version})
+        _send_pull(link, feed)
 
     async def _pull(self, address: str, feeds: list[ObjectFeed]) -> None:
         answered = asyncio.Event()
@@ -129,7 +129,7 @@
             return
         for feed in feeds:
             answered.clear()
-            link.send(PULL, {"prefix": feed.prefix, "version": feed.version})
+            _send_pull(link, feed)
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await answered.wait()
@@ -160,3 +160,8 @@
             log.warning("copy not used", step="decode_copy", detail=decoded.err_value.detail)
             return None
         return decoded.ok_value
+
+
+def _send_pull(link: PeerLink, feed: ObjectFeed) -> None:
+    """Ask a node for the objects of a feed that are newer than this node's."""
+    link.send(PULL, {"prefix": feed.prefix, "version": feed.version})
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -7,8 +7,9 @@
 import structlog
 from result import Err
 
-from ..dispatch import UpstreamLoad
+from ..dispatch import NO_LOAD, UpstreamLoad
 from ..fleet import EntrySettings
+from ..http import split_address
 from ..objects import MonitoredStore, ObjectFeed
 from ..ordering import NodeStatus
 from ..peers.frame import Frame, encode_frame
@@ -144,12 +145,10 @@
 
     async def listen(self) -> None:
         """Accept links from other nodes."""
-        host, _, port = self._settings.peer_listen.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: PeerLink(self._take_frame, self._drop_member, self._links.add),
-            host,
-            int(port),
+            *split_address(self._settings.peer_listen),
         )
 
     def close(self) -> None:
@@ -408,14 +407,12 @@
     def _apply(self, view: FleetView) -> None:
         if view.epoch < self._epoch:
             return
-        if view.epoch > self._epoch:
+        if view.complete or view.epoch > self._epoch:
             self._totals.clear()
         self._epoch = view.epoch
-        if view.complete:
-            self._totals.clear()
         self._totals.update(view.loads)
         others = {
-            instance: load.plus(self._own_sent.get(instance, UpstreamLoad()), sign=-1.0)
+            instance: load.plus(self._own_sent.get(instance, NO_LOAD), sign=-1.0)
             for instance, load in self._totals.items()
         }
         self._on_view(view, others)
--- a/eelgrassferry/dispatch/__init__.py
+++ b/eelgrassferry/dispatch/__init__.py
@@ -4,9 +4,10 @@
 from .dispatcher import Dispatcher
 from .fleet_residency import FleetResidency, OrderedResidency
 from .job import Flight, Job
-from .load_view import UpstreamLoad
+from .load_view import NO_LOAD, UpstreamLoad
 
 __all__ = [
+    "NO_LOAD",
     "Action",
     "Answer",
     "Dispatcher",
--- a/eelgrassferry/dispatch/load_view.py
+++ b/eelgrassferry/dispatch/load_view.py
@@ -5,7 +5,7 @@
 
 from .job import Job
 
-__all__ = ["LoadView", "UpstreamLoad"]
+__all__ = ["NO_LOAD", "LoadView", "UpstreamLoad"]
 
 # The other nodes' figures are dropped when none has come for this long, in seconds.
 STALE_AFTER_S = 2.0
@@ -39,7 +39,7 @@
         )
 
 
-NONE = UpstreamLoad()
+NO_LOAD = UpstreamLoad()
 
 
 class LoadView:
@@ -92,7 +92,7 @@
 
     def at(self, instance: str, now: float) -> UpstreamLoad:
         """Return what all nodes have at an upstream."""
-        own = self._own.get(instance, NONE)
+        own = self._own.get(instance, NO_LOAD)
         if now - self._others_at > STALE_AFTER_S:
             return own
         others = self._others.get(instance)
--- a/eelgrassferry/dispatch/upstream_choice.py
+++ b/eelgrassferry/dispatch/upstream_choice.py
@@ -73,9 +73,7 @@
             cost_s += TIE_SPREAD_S * self._rng.random()
             if best is None or cost_s < best[0]:
                 best = (cost_s, planned)
-        if best is None:
-            return None
-        return best[1]
+        return best[1] if best is not None else None
 
     def _plan(self, job: Job, entry: UpstreamEntry, now: float) -> Flight | None:
         """Return the run of a job at an upstream, None where it has no room."""
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -12,7 +12,7 @@
 from ..dispatch import Dispatcher, FleetResidency, UpstreamLoad
 from ..fleet import DirectoryChange, EntrySettings, FleetConfig, UpstreamDirectory
 from ..forwarding import CallerServer, UpstreamPool
-from ..http import HttpClient, HttpRequest, HttpResponse, HttpServer, Responder
+from ..http import HttpClient, HttpRequest, HttpResponse, HttpServer, Responder, split_address
 from ..metrics import CONTENT_TYPE, Metrics, format_metrics
 from ..objects import ObjectFeed
 from ..ordering import NodeStatus, Want
@@ -150,13 +150,13 @@
         return 0
 
     async def _listen(self) -> None:
-        ready_host, ready_port = _split(self._settings.ready_listen)
+        ready_host, ready_port = split_address(self._settings.ready_listen)
         await HttpServer(self._answer_ready, host=ready_host, port=ready_port).start()
         if self._metrics_listen:
-            host, port = _split(self._metrics_listen)
+            host, port = split_address(self._metrics_listen)
             await HttpServer(self._answer_metrics, host=host, port=port).start()
         await self._mesh.listen()
-        await self._callers.start(*_split(self._settings.caller_listen))
+        await self._callers.start(*split_address(self._settings.caller_listen))
 
     async def _drain(self) -> None:
         """Leave the balancer's rotation, then wait for the requests in flight."""
@@ -289,8 +289,3 @@
     def _addresses(self) -> dict[str, str]:
         settings = self._settings
         return {"callers": settings.caller_listen, "store": settings.object_store}
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -158,7 +158,7 @@
             self._desk.note_foreign_answer(self, head)
             return False
         self._head = head
-        if head.succeeded and head.sealed and not head.encoded and self._is_stream:
+        if self._is_stream and self._head_is_success:
             self._stop_silence()
             self._desk.dispatcher.note_first_event(self.job, self._desk.clock())
             if not self.job.answer_begun:
@@ -273,8 +273,7 @@
         self.done = True
         self._timer.cancel()
         self._stop_silence()
-        if self._connecting is not None:
-            self._connecting = None
+        self._connecting = None
         if self._upstream is not None:
             self._upstream.abort()
             self._upstream = None
--- a/eelgrassferry/forwarding/upstream_pool.py
+++ b/eelgrassferry/forwarding/upstream_pool.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok, Result
 
-from ..http import HttpError
+from ..http import HttpError, split_address
 from .facts import AnswerHead, RawHeaders
 from .upstream_conn import UpstreamConn
 
@@ -49,12 +49,11 @@
 
     async def connect(self, key: str, address: str) -> Result[UpstreamConn, HttpError]:
         """Open a connection. The error's step is ``refused`` where nothing listens."""
-        host, _, port = address.rpartition(":")
         conn = UpstreamConn(self._decode_head, self._keep)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(lambda: conn, host, int(port))
+                await loop.create_connection(lambda: conn, *split_address(address))
         except (OSError, ValueError) as exc:
             conn.abort()
             detail = str(exc) or type(exc).__name__
--- a/eelgrassferry/http/__init__.py
+++ b/eelgrassferry/http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 over asyncio streams, by h11 on both sides."""
 
+from .address import split_address
 from .client import HttpClient, HttpError, HttpStream
 from .limits import HttpLimits
 from .liveness import set_liveness_options
@@ -24,4 +25,5 @@
     "find_header",
     "format_event",
     "set_liveness_options",
+    "split_address",
 ]
--- /dev/null
+++ b/eelgrassferry/http/address.py
@@ -0,0 +1,13 @@
+"""Addresses of the form ``ip:port``."""
+
+__all__ = ["split_address"]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address; raise ``ValueError`` where there is no port.
+
+    >>> split_address("10.0.0.7:8080")
+    ('10.0.0.7', 8080)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -7,6 +7,7 @@
 import h11
 from result import Err, Ok, Result
 
+from .address import split_address
 from .liveness import set_liveness_options
 from .message import Headers, HttpResponse, find_header
 
@@ -227,10 +228,9 @@
             if not conn.reader.at_eof() and not conn.writer.is_closing():
                 return Ok(conn)
             conn.writer.close()
-        host, _, port = peer.rpartition(":")
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(*split_address(peer))
         except (OSError, ValueError) as exc:
             detail = str(exc) or type(exc).__name__
             return Err(HttpError("connect", peer, False, detail))
--- a/eelgrassferry/node/node.py
+++ b/eelgrassferry/node/node.py
@@ -8,7 +8,16 @@
 import structlog
 from result import Err, Ok
 
-from ..http import HttpClient, HttpRequest, HttpResponse, HttpServer, Problem, Ran, Responder
+from ..http import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    Problem,
+    Ran,
+    Responder,
+    split_address,
+)
 from ..metrics import Metrics
 from ..objects import HostList, HttpObjectStore
 from ..peers import Gossiper, PeerMesh
@@ -59,10 +68,10 @@
         self._tasks: list[asyncio.Task[Any]] = []
         self._in_force = asyncio.Event()
         self._store = HttpObjectStore(self._client, settings.platform, settings.domain)
-        self.callers = HttpServer(self._handle_caller, **_split_address(settings.listen))
-        self.operators = HttpServer(
-            self._handle_operator, **_split_address(settings.operator_listen)
-        )
+        host, port = split_address(settings.listen)
+        self.callers = HttpServer(self._handle_caller, host=host, port=port)
+        host, port = split_address(settings.operator_listen)
+        self.operators = HttpServer(self._handle_operator, host=host, port=port)
         self.mesh = PeerMesh(
             settings.name,
             settings.domain,
@@ -220,8 +229,3 @@
 def _read_text(path: str) -> SettingsText:
     with open(path, encoding="utf-8") as file:
         return SettingsText(path, file.read())
-
-
-def _split_address(address: str) -> dict[str, Any]:
-    host, _, port = address.rpartition(":")
-    return {"host": host, "port": int(port)}
--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -175,6 +175,9 @@
         self.on_step(update)
 
     def _apply(self, watched: WatchResult, after_outage: bool) -> None:
+        if watched.version < self.version:
+            # A peer has passed on newer changes while the watch was waiting.
+            return
         latest: dict[str, Change] = {change.key: change for change in watched.changes}
         written, removed = [], []
         for key, change in latest.items():
@@ -182,9 +185,6 @@
                 removed.append(key)
             else:
                 written.append(StoredObject(key, change.version, change.value))
-        if watched.version < self.version:
-            # A peer has passed on newer changes while the watch was waiting.
-            return
         self._merge(
             FeedUpdate(
                 False,
--- a/eelgrassferry/ordering/plan_state.py
+++ b/eelgrassferry/ordering/plan_state.py
@@ -4,14 +4,12 @@
 from dataclasses import dataclass
 from functools import cached_property
 
-from ..dispatch import UpstreamLoad
+from ..dispatch import NO_LOAD, UpstreamLoad
 from .demand_book import DemandBook
 from .engine_book import CopyState, EngineBook
 
 __all__ = ["PlanState"]
 
-NO_LOAD = UpstreamLoad()
-
 
 @dataclass(frozen=True)
 class PlanState:
--- a/eelgrassferry/ordering/status_book.py
+++ b/eelgrassferry/ordering/status_book.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from ..dispatch import UpstreamLoad
+from ..dispatch import NO_LOAD, UpstreamLoad
 from .node_status import NodeStatus
 
 __all__ = ["StatusBook"]
@@ -63,7 +63,7 @@
 
     def _add(self, status: NodeStatus, sign: int) -> None:
         for instance, load in status.loads.items():
-            total = self.loads.get(instance, UpstreamLoad()).plus(load, float(sign))
+            total = self.loads.get(instance, NO_LOAD).plus(load, float(sign))
             if total.requests < 0.5:
                 self.loads.pop(instance, None)
             else:
--- a/eelgrassferry/peers/mesh.py
+++ b/eelgrassferry/peers/mesh.py
@@ -8,6 +8,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from ..http import split_address
 from ..metrics import Metrics
 from .backoff import Backoff
 from .errors import FrameTooLarge, HandshakeError, PeerError, PeerFailure, VersionMismatch
@@ -106,8 +107,8 @@
 
     async def start(self) -> None:
         """Bind the listener and start to dial the seeds."""
-        host, _, port = self._me.address.rpartition(":")
-        self._server = await asyncio.start_server(self._accept, host, int(port), backlog=512)
+        host, port = split_address(self._me.address)
+        self._server = await asyncio.start_server(self._accept, host, port, backlog=512)
         port = self._server.sockets[0].getsockname()[1]
         me = self._me
         self._me = Identity(me.name, me.domain, me.instance, f"{host}:{port}")
@@ -238,10 +239,9 @@
         return next(found, "")
 
     async def _dial(self, name: str, addr: str) -> Link | None:
-        host, _, port = addr.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(*split_address(addr))
         except (OSError, TimeoutError, ValueError) as exc:
             self.metrics.count("peers.dial_failed")
             log.debug("peer not reached", step="dial", peer=name or addr, detail=str(exc))
--- a/eelgrassferry/platform/request_codec.py
+++ b/eelgrassferry/platform/request_codec.py
@@ -58,9 +58,7 @@
 
 def decode_request(headers: RawHeaders) -> Result[RequestFacts, CodecError]:
     """Return what a caller's headers say about its request."""
-    found: dict[bytes, bytes] = {}
-    for name, value in headers:
-        found.setdefault(name.lower(), value)
+    found = _first_values(headers)
     request_id = found.get(REQUEST_ID, b"").decode("latin-1")
     try:
         deadline = found.get(DEADLINE)
@@ -113,9 +111,7 @@
 
 def decode_answer(status: int, headers: RawHeaders) -> AnswerHead:
     """Return what an upstream's status and headers say."""
-    found: dict[bytes, bytes] = {}
-    for name, value in headers:
-        found.setdefault(name.lower(), value)
+    found = _first_values(headers)
     listed = _connection_names(headers)
     encoding = found.get(b"content-encoding", b"identity").strip().lower()
     return AnswerHead(
@@ -136,6 +132,14 @@
     )
 
 
+def _first_values(headers: RawHeaders) -> dict[bytes, bytes]:
+    """Return the first value of each header by its name in lower case."""
+    found: dict[bytes, bytes] = {}
+    for name, value in headers:
+        found.setdefault(name.lower(), value)
+    return found
+
+
 def _connection_names(headers: RawHeaders) -> frozenset[bytes]:
     """Return the header names that a Connection header declares as concerning one connection."""
     names: set[bytes] = set()
