Keep the age of objects that a node copied from a peer

Cause: a node that started while the store was away copied its objects from a peer and never learned how old they were. Its log line of a request rounded an infinite age, the exception ended the caller's connection, and the request was lost.

Change: a copy carries its age into the feed, also where the copy names nothing new; an unknown age is logged as null. Errors that no part handles are logged as a JSON line and counted.

Measured: tests of the feed and the relay fail on the old code.

--- a/eelgrassferry/coordination/object_relay.py
+++ b/eelgrassferry/coordination/object_relay.py
@@ -8,6 +8,7 @@
 import structlog
 from result import Err
 
+from ..logs import to_whole_ms
 from ..objects import FeedUpdate, ObjectFeed
 from ..peers.frame import Frame
 from .connect_peer import CONNECT_TIMEOUT_S, connect_peer
@@ -75,9 +76,8 @@
             link.send(COPY, None)
             return
         newer = feed.version > int(body.get("version", 0))
-        age_s = self._clock() - feed.fresh_at
         objects = tuple(feed.objects.values()) if newer else ()
-        link.send(COPY, encode_copy(ObjectsCopy(feed.prefix, feed.version, age_s, objects)))
+        link.send(COPY, encode_copy(ObjectsCopy(feed.prefix, feed.version, feed.age_s, objects)))
 
     def take_changes(self, link: PeerLink, frame: Frame) -> None:
         """Take changes that the coordinator passes on."""
@@ -97,7 +97,9 @@
         if copy is None or feed is None:
             return
         if copy.version > feed.version:
-            feed.take_relayed(FeedUpdate(True, copy.version, copy.objects, ()))
+            feed.take_relayed(FeedUpdate(True, copy.version, copy.objects, ()), copy.age_s)
+        else:
+            feed.take_from_peer(copy.version, (), copy.age_s)
         self._relayed.add(copy.prefix)
 
     async def run(self) -> None:
@@ -142,14 +144,16 @@
         answered.set()
         copy = self._decode(frame)
         feed = self._feeds.get(copy.prefix) if copy is not None else None
-        if copy is None or feed is None or not feed.take_from_peer(copy.version, copy.objects):
+        if copy is None or feed is None:
+            return
+        if not feed.take_from_peer(copy.version, copy.objects, copy.age_s):
             return
         log.info(
             "objects copied from peer",
             step="pull_objects",
             prefix=copy.prefix,
             version=copy.version,
-            age_ms=round(copy.age_s * 1000),
+            age_ms=to_whole_ms(copy.age_s),
         )
 
     def _decode(self, frame: Frame) -> ObjectsCopy | None:
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -126,6 +126,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.set_exception_handler(self._note_callback_failed)
         await self._listen()
         log.info("node started", step="start", node=self._settings.name, **self._addresses())
         tasks = [
@@ -275,7 +276,7 @@
         self._mesh.status_soon()
 
     def _freshness(self) -> tuple[int, float]:
-        return self._upstreams.version, boot_clock() - self._upstreams.fresh_at
+        return self._upstreams.version, self._upstreams.age_s
 
     def _note_rejected(self, peer: str, status: int, detail: str) -> None:
         self._metrics.count(f"rejected.{status}")
@@ -286,6 +287,19 @@
             log.error("part failed, stopping", step="run", exc_info=task.exception())
             self._stop.set()
 
+    def _note_callback_failed(
+        self, _loop: asyncio.AbstractEventLoop, context: dict[str, object]
+    ) -> None:
+        """Log an error that no part has handled. The loop closes the connection that it is of."""
+        self._metrics.count("callbacks_failed")
+        exc = context.get("exception")
+        log.error(
+            "callback failed",
+            step="run",
+            detail=str(context.get("message", "")),
+            exc_info=exc if isinstance(exc, BaseException) else None,
+        )
+
     def _addresses(self) -> dict[str, str]:
         settings = self._settings
         return {"callers": settings.caller_listen, "store": settings.object_store}
--- a/eelgrassferry/entry/front_desk.py
+++ b/eelgrassferry/entry/front_desk.py
@@ -18,6 +18,7 @@
 from ..fleet import FleetConfig, Route, UpstreamDirectory, UpstreamEntry
 from ..forwarding import AnswerHead, CallerConn, CallerRequest, RequestFacts, UpstreamPool
 from ..http import Problem, Ran
+from ..logs import to_whole_ms
 from ..metrics import Metrics
 from .exchange import Exchange
 from .wire import Wire
@@ -301,5 +302,5 @@
         return {
             "config_version": self.config.version if self.config else 0,
             "directory_version": version,
-            "directory_age_ms": round(age_s * 1000),
+            "directory_age_ms": to_whole_ms(age_s),
         }
--- a/eelgrassferry/logs/__init__.py
+++ b/eelgrassferry/logs/__init__.py
@@ -3,5 +3,6 @@
 from .bounded_lines import BoundedLines
 from .configure import configure_logs
 from .context import bind_request
+from .whole_ms import to_whole_ms
 
-__all__ = ["BoundedLines", "bind_request", "configure_logs"]
+__all__ = ["BoundedLines", "bind_request", "configure_logs", "to_whole_ms"]
--- a/eelgrassferry/logs/tests/test_logs.py
+++ b/eelgrassferry/logs/tests/test_logs.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from .. import bind_request, configure_logs
+from .. import bind_request, configure_logs, to_whole_ms
 
 
 class LogsTest(unittest.TestCase):
@@ -55,3 +55,13 @@
         """Guards against a mistyped level that silences the log."""
         with self.assertRaises(ValueError):
             configure_logs("loud")
+
+
+class WholeMsTest(unittest.TestCase):
+    """Durations in log lines."""
+
+    def test_unknown_duration_is_none(self):
+        """Guards against a request that is lost because its log line could not be written."""
+        self.assertEqual(to_whole_ms(0.0125), 12)
+        self.assertIsNone(to_whole_ms(float("inf")))
+        self.assertIsNone(to_whole_ms(float("-inf")))
--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -94,20 +94,32 @@
             if pause_s > 0:
                 await self._sleep(pause_s)
 
-    def take_from_peer(self, version: int, objects: tuple[StoredObject, ...]) -> bool:
-        """Take a peer's complete copy where it is newer; return whether it was."""
-        if version <= self.version:
+    @property
+    def age_s(self) -> float:
+        """The time since the objects were known to be up to date, in seconds; infinite at first."""
+        return self._clock() - self.fresh_at
+
+    def take_from_peer(self, version: int, objects: tuple[StoredObject, ...], age_s: float) -> bool:
+        """Take a peer's complete copy where it is newer; return whether it was. ``age_s`` is the
+        time since the peer knew it to be up to date.
+        """
+        if version < self.version:
+            return False
+        self.fresh_at = max(self.fresh_at, self._clock() - age_s)
+        if version == self.version:
             return False
         self._replace(Snapshot(version, objects), after_outage=False)
         # The next contact with the store lists again, because this copy is not of its making.
         self._listed = False
         return True
 
-    def take_relayed(self, update: FeedUpdate) -> bool:
-        """Take changes that a peer passes on; return False where some before them are missing."""
+    def take_relayed(self, update: FeedUpdate, age_s: float = 0.0) -> bool:
+        """Take changes that a peer passes on; return False where some before them are missing.
+        ``age_s`` is the time since the peer knew them to be up to date.
+        """
         if update.base > self.version:
             return False
-        self.fresh_at = self._clock()
+        self.fresh_at = max(self.fresh_at, self._clock() - age_s)
         if update.version > self.version:
             self._merge(update)
         return True
--- a/eelgrassferry/objects/tests/test_feed.py
+++ b/eelgrassferry/objects/tests/test_feed.py
@@ -112,10 +112,24 @@
     async def test_copy_of_a_peer_never_goes_back(self):
         """Guards against an older copy that undoes what this node knows."""
         await self.follow(Ok(Snapshot(5, (StoredObject("servers/u1", 4, b"1"),))))
-        self.assertFalse(self.feed.take_from_peer(5, ()))
-        self.assertTrue(self.feed.take_from_peer(6, ()))
+        self.assertFalse(self.feed.take_from_peer(5, (), 0.0))
+        self.assertTrue(self.feed.take_from_peer(6, (), 0.0))
         self.assertEqual(self.feed.objects, {})
 
+    async def test_copy_of_a_peer_is_as_old_as_the_peer_says(self):
+        """Guards against an unknown age at a node that starts while the store is away: its log
+        lines then failed and its requests were lost.
+        """
+        await self.follow()
+        self.now = 10.0
+        self.assertEqual(self.feed.age_s, float("inf"))
+        self.assertTrue(self.feed.take_from_peer(6, (), 4.0))
+        self.assertEqual(self.feed.age_s, 4.0)
+        self.assertFalse(self.feed.take_from_peer(6, (), 1.0))
+        self.assertEqual(self.feed.age_s, 1.0)
+        self.assertFalse(self.feed.take_from_peer(5, (), 0.0))
+        self.assertEqual(self.feed.age_s, 1.0)
+
     async def test_relayed_changes_need_what_came_before(self):
         """Guards against changes that are applied over a gap."""
         await self.follow(Ok(Snapshot(5, ())))
