Add a randomized soak of real processes under injected faults

Change: eelgrassferry/platform/tests/soak runs three nodes, five servers and a store on loopback, with proxies that delay, reset, mute or silence links, signals to the processes, and faults of the store. It checks from what callers and servers see: bytes, at most once, refusals, orders, drain, recovery.

--- a/eelgrassferry/platform/tests/documents.py
+++ b/eelgrassferry/platform/tests/documents.py
@@ -7,7 +7,14 @@
 HOST = "calls.example"
 
 
-def make_settings(store: str, front: int, ready: int, control: int, name: str = "front-1") -> str:
+def make_settings(
+    store: str,
+    front: int,
+    ready: int,
+    control: int,
+    name: str = "front-1",
+    first_start: bool = True,
+) -> str:
     """Return a settings file for a node on loopback."""
     lines = {
         "node_name": name,
@@ -16,7 +23,7 @@
         "listen.ready": f"127.0.0.1:{ready}",
         "listen.control": f"127.0.0.1:{control}",
         "platform.address": store,
-        "bootstrap": "true",
+        "bootstrap": str(first_start).lower(),
         "bounds.drain_ms": "2000",
         "bounds.grace_s": "8",
         "bounds.lease_ms": "3000",
--- /dev/null
+++ b/eelgrassferry/platform/tests/soak/__init__.py
@@ -0,0 +1,23 @@
+"""Randomized soak: real processes under faults that are injected from outside them."""
+
+from .fault_plan import Fault, FaultKind, draw_plan
+from .fault_proxy import FaultProxy
+from .promises import Violation, find_violations
+from .records import CallRecord, Disturbance, OrderRecord, RunRecord, SoakRecord
+from .run_soak import SoakReport, run_soak
+
+__all__ = [
+    "CallRecord",
+    "Disturbance",
+    "Fault",
+    "FaultKind",
+    "FaultProxy",
+    "OrderRecord",
+    "RunRecord",
+    "SoakRecord",
+    "SoakReport",
+    "Violation",
+    "draw_plan",
+    "find_violations",
+    "run_soak",
+]
--- /dev/null
+++ b/eelgrassferry/platform/tests/soak/__main__.py
@@ -0,0 +1,45 @@
+"""``python -m eelgrassferry.platform.tests.soak --seeds 1-50`` runs the soak by hand."""
+
+import asyncio
+import json
+import sys
+import tempfile
+from pathlib import Path
+
+import structlog
+from cyclopts import App
+
+from .run_soak import run_soak
+
+app = App(name="soak", help="Run the nodes under random faults and check what they promise.")
+
+
+@app.default
+def soak(seeds: str = "1-3", seconds: float = 20.0, logs: Path | None = None) -> int:
+    """Print one JSON line for each seed; exit with 1 if a promise was broken.
+
+    ``seeds`` is a range like ``1-50``. ``logs`` keeps the nodes' logs of each seed in a folder.
+    """
+    structlog.configure(logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+    first, _, last = seeds.partition("-")
+    broken = False
+    for seed in range(int(first), int(last or first) + 1):
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = Path(temporary) if logs is None else logs / str(seed)
+            folder.mkdir(parents=True, exist_ok=True)
+            report = asyncio.run(run_soak(seed, seconds, folder))
+        broken = broken or bool(report.violations)
+        line = {
+            "seed": seed,
+            "faults": len(report.faults),
+            "calls": report.calls,
+            "outcomes": report.outcomes,
+            "orders": report.orders,
+            "violations": [[v.promise, v.detail] for v in report.violations],
+        }
+        print(json.dumps(line), flush=True)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/eelgrassferry/platform/tests/soak/fault_plan.py
@@ -0,0 +1,63 @@
+"""Random series of faults, the same for the same seed."""
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+__all__ = ["Fault", "FaultKind", "draw_plan"]
+
+# Faults begin this far apart on average, in seconds, and last up to this long, so that they
+# overlap.
+MEAN_GAP_S = 1.1
+LONGEST_S = 4.0
+
+
+class FaultKind(Enum):
+    """What happens. Those on the first lines are over at once, the others last."""
+
+    KILL_NODE = "kill_node"
+    STOP_NODE = "stop_node"
+    RELOAD_NODE = "reload_node"
+    CHANGE_CONFIG = "change_config"
+    LOSE_WRITES = "lose_writes"
+    DROP_HISTORY = "drop_history"
+    RESET_STORE = "reset_store"
+    RESET_SERVER = "reset_server"
+    CRASH_SERVER = "crash_server"
+    DRAIN_SERVER = "drain_server"
+    PAUSE_NODE = "pause_node"
+    STORE_DOWN = "store_down"
+    STORE_SILENT = "store_silent"
+    CUT_NODE_FROM_STORE = "cut_node_from_store"
+    MUTE_STORE_TO_NODE = "mute_store_to_node"
+    SLOW_STORE = "slow_store"
+    SLOW_SERVER = "slow_server"
+    SILENT_SERVER = "silent_server"
+    MUTE_SERVER = "mute_server"
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault at a time after the start, in seconds. ``pick`` in [0, 1) chooses the target."""
+
+    at: float
+    kind: FaultKind
+    for_s: float
+    pick: float
+
+
+def draw_plan(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults of a run.
+
+    >>> draw_plan(1, 20.0) == draw_plan(1, 20.0)
+    True
+    """
+    rng = Random(seed)
+    kinds = list(FaultKind)
+    plan = []
+    at = rng.uniform(0.2, 1.0)
+    while at < seconds:
+        for_s = min(rng.uniform(0.2, LONGEST_S), seconds - at)
+        plan.append(Fault(at, rng.choice(kinds), for_s, rng.random()))
+        at += rng.expovariate(1.0 / MEAN_GAP_S)
+    return plan
--- /dev/null
+++ b/eelgrassferry/platform/tests/soak/run_soak.py
@@ -0,0 +1,103 @@
+"""One seeded run of the soak."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+from .caller import PATHS, Caller
+from .fault_plan import Fault, draw_plan
+from .promises import Violation, find_violations
+from .records import SoakRecord
+from .soak_fleet import SoakFleet
+
+__all__ = ["SoakReport", "run_soak"]
+
+# After the last fault every node serves every kind of request within this time, in seconds: the
+# platform's bound of recovery.
+RECOVER_S = 12.0
+# Callers go on for this long after the last fault, in seconds.
+CALM_S = 1.0
+
+
+@dataclass(frozen=True)
+class SoakReport:
+    """What a run did and found. ``outcomes`` counts the requests by status."""
+
+    seed: int
+    faults: tuple[Fault, ...]
+    calls: int
+    outcomes: dict[str, int]
+    orders: int
+    violations: tuple[Violation, ...]
+
+
+async def run_soak(seed: int, seconds: float, folder: Path) -> SoakReport:
+    """Run a fleet under the faults of a seed. Logs of the nodes go to ``folder``."""
+    plan = draw_plan(seed, seconds)
+    fleet = SoakFleet(seed, folder)
+    try:
+        await fleet.start()
+        callers = fleet.start_callers()
+        began = fleet.clock()
+        async with asyncio.TaskGroup() as group:
+            for fault in plan:
+                await asyncio.sleep(max(0.0, began + fault.at - fleet.clock()))
+                group.create_task(fleet.inject(fault))
+        await asyncio.sleep(max(CALM_S, began + seconds - fleet.clock()))
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+        _drop_unfinished(fleet.record)
+        await fleet.all_ready()
+        await _check_recovery(fleet)
+        violations = tuple(find_violations(fleet.record))
+    finally:
+        await fleet.stop()
+    record = fleet.record
+    outcomes = Counter(_outcome(call.status, call.left) for call in record.calls)
+    return SoakReport(
+        seed, tuple(plan), len(record.calls), dict(outcomes), len(record.orders), violations
+    )
+
+
+async def _check_recovery(fleet: SoakFleet) -> None:
+    """Ask every node for every kind of request until it is served."""
+    until = fleet.clock() + RECOVER_S
+    wanted = [
+        (node, kind, f"m{number}")
+        for node in fleet.nodes
+        for kind in PATHS
+        for number in range(4 if kind == "stream" else 1)
+    ]
+    callers = {node: fleet.make_caller(node) for node in fleet.nodes}
+    async with asyncio.TaskGroup() as group:
+        for node, kind, model in wanted:
+            group.create_task(_ask_until(fleet, callers[node], node, (kind, model), until))
+
+
+async def _ask_until(
+    fleet: SoakFleet, caller: Caller, node: str, wanted: tuple[str, str], until: float
+) -> None:
+    kind, model = wanted
+    while True:
+        call = await caller.send(kind, PATHS[kind], model)
+        if call.status == 200:
+            return
+        if fleet.clock() > until:
+            fleet.record.unserved.append(f"{node} {kind} {model}: {call.status} {call.detail}")
+            return
+        await asyncio.sleep(0.2)
+
+
+def _drop_unfinished(record: SoakRecord) -> None:
+    """Treat the requests that were in flight when the callers ended as left by them."""
+    for call in record.calls:
+        if call.ended_at is None:
+            call.left = True
+
+
+def _outcome(status: int | None, left: bool) -> str:
+    if left:
+        return "left"
+    return "closed" if status is None else str(status)
--- /dev/null
+++ b/eelgrassferry/platform/tests/soak/soak_fleet.py
@@ -0,0 +1,261 @@
+"""Nodes, servers and a store, and the faults that befall them."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from ..documents import make_config, make_settings
+from ..standin_store import StandinStore
+from .caller import Caller
+from .fault_plan import Fault, FaultKind
+from .fault_proxy import FaultProxy
+from .free_ports import free_ports
+from .promises import CONFIG_APPLY_S
+from .records import Disturbance, SoakRecord
+from .soak_node import SoakNode
+from .soak_server import SoakServer
+
+__all__ = ["SoakFleet"]
+
+NODES = 3
+CALLERS_PER_NODE = 2
+SERVERS = {
+    "engine-0": ("chat", ("m0",)),
+    "engine-1": ("chat", ("m1", "m2")),
+    "engine-2": ("chat", ("m3",)),
+    "desk-0": ("desk", ()),
+    "desk-1": ("desk", ()),
+}
+# A server works on each request for this long, in seconds.
+RUN_S = 0.05
+# The registration of a server that has crashed lapses after this time, and the server is back after
+# as long again, in seconds.
+LAPSE_S = 0.8
+# A server that leaves serves on for this long, in seconds: longer than nodes may send to it.
+DRAIN_S = 2.6
+# Delays of a slow store and a slow server, in seconds.
+STORE_DELAY_S = 0.3
+SERVER_DELAY_S = 0.1
+# Writes whose answers are lost in one fault.
+LOST_WRITES = 3
+
+
+class SoakFleet:
+    """Starts everything, injects faults and records what is seen. Times are of the loop's clock."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.record = SoakRecord()
+        self.clock = asyncio.get_running_loop().time
+        self._rng = Random(seed)
+        self._folder = folder
+        self._store = StandinStore()
+        self._store_proxies: dict[str, FaultProxy] = {}
+        self._servers: dict[str, SoakServer] = {}
+        self._server_proxies: dict[str, FaultProxy] = {}
+        self._server_addresses: dict[str, str] = {}
+        self._starts = 0
+        self._version = 1
+        self.nodes: dict[str, SoakNode] = {}
+        self.fronts: dict[str, str] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start the store, the servers and the nodes, and wait until all nodes are ready."""
+        store_address = await self._store.start()
+        await self._store.write("config", "main", make_config())
+        for name, (_service, models) in SERVERS.items():
+            proxy = self._server_proxies[name] = FaultProxy(self._address_of(name))
+            self._server_addresses[name] = await proxy.start()
+            await self._start_server(name, models)
+        for number in range(1, NODES + 1):
+            name = f"front-{number}"
+            proxy = self._store_proxies[name] = FaultProxy(lambda: store_address)
+            front, ready, control = free_ports(3)
+            self.fronts[name] = f"127.0.0.1:{front}"
+            write = self._settings_writer(name, await proxy.start(), front, ready, control)
+            node = SoakNode(
+                name, self._folder, f"127.0.0.1:{ready}", write, self.record, self.clock
+            )
+            self.nodes[name] = node
+            self._later(node.run())
+        await self.all_ready()
+
+    async def all_ready(self) -> None:
+        """Wait until all nodes take callers."""
+        for node in self.nodes.values():
+            while not await node.is_ready():
+                await asyncio.sleep(0.05)
+
+    def start_callers(self) -> list[asyncio.Task[None]]:
+        """Start the callers of all nodes."""
+        return [
+            asyncio.ensure_future(self.make_caller(name).run())
+            for name in self.nodes
+            for _ in range(CALLERS_PER_NODE)
+        ]
+
+    def make_caller(self, node: str) -> Caller:
+        """Return a caller of a node."""
+        rng = Random(self._rng.random())
+        return Caller(node, self.fronts[node], self.record, rng, self.clock)
+
+    async def stop(self) -> None:
+        """End all processes and connections that this fleet has started."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for proxy in (*self._store_proxies.values(), *self._server_proxies.values()):
+            await proxy.stop()
+        for server in self._servers.values():
+            await server.stop()
+        await self._store.stop()
+
+    async def inject(self, fault: Fault) -> None:
+        """Let a fault happen and last."""
+        node = self._pick(self.nodes, fault.pick)
+        server = self._pick(self._servers, fault.pick)
+        match fault.kind:
+            case FaultKind.KILL_NODE:
+                self.nodes[node].kill()
+            case FaultKind.STOP_NODE:
+                self.nodes[node].stop()
+            case FaultKind.RELOAD_NODE:
+                self.nodes[node].reload()
+            case FaultKind.PAUSE_NODE:
+                await self.nodes[node].pause(fault.for_s)
+            case FaultKind.CHANGE_CONFIG:
+                await self._change_config()
+            case FaultKind.CRASH_SERVER:
+                await self._crash_server(server)
+            case FaultKind.DRAIN_SERVER:
+                await self._drain_server(server)
+            case FaultKind.LOSE_WRITES | FaultKind.DROP_HISTORY | FaultKind.STORE_DOWN:
+                await self._disturb_store(fault)
+            case (
+                FaultKind.RESET_STORE
+                | FaultKind.STORE_SILENT
+                | FaultKind.SLOW_STORE
+                | FaultKind.CUT_NODE_FROM_STORE
+                | FaultKind.MUTE_STORE_TO_NODE
+            ):
+                one = fault.kind in (FaultKind.CUT_NODE_FROM_STORE, FaultKind.MUTE_STORE_TO_NODE)
+                proxies = [self._store_proxies[node]] if one else [*self._store_proxies.values()]
+                await self._disturb_links(fault, proxies, node if one else "", STORE_DELAY_S)
+            case _:
+                proxies = [self._server_proxies[server]]
+                target = self._servers[server].instance
+                await self._disturb_links(fault, proxies, target, SERVER_DELAY_S)
+
+    # Faults
+
+    async def _disturb_links(
+        self, fault: Fault, proxies: list[FaultProxy], target: str, delay_s: float
+    ) -> None:
+        began = self.clock()
+        slow = fault.kind in (FaultKind.SLOW_STORE, FaultKind.SLOW_SERVER)
+        for proxy in proxies:
+            if fault.kind in (FaultKind.RESET_STORE, FaultKind.RESET_SERVER):
+                proxy.reset()
+            elif slow:
+                proxy.delay_s = delay_s
+            else:
+                proxy.down_open.clear()
+                if fault.kind not in (FaultKind.MUTE_STORE_TO_NODE, FaultKind.MUTE_SERVER):
+                    proxy.up_open.clear()
+        if fault.kind not in (FaultKind.RESET_STORE, FaultKind.RESET_SERVER):
+            await asyncio.sleep(fault.for_s)
+        for proxy in proxies:
+            proxy.delay_s = 0.0
+            proxy.up_open.set()
+            proxy.down_open.set()
+        self._disturbed(began, target)
+
+    async def _disturb_store(self, fault: Fault) -> None:
+        began = self.clock()
+        match fault.kind:
+            case FaultKind.LOSE_WRITES:
+                self._store.lose_answers += LOST_WRITES
+            case FaultKind.DROP_HISTORY:
+                self._store.oldest = self._store.revision
+            case _:
+                self._store.down = True
+                await asyncio.sleep(fault.for_s)
+                self._store.down = False
+        self._disturbed(began, "")
+
+    async def _change_config(self) -> None:
+        self._version += self._rng.randrange(1, 5)
+        path = f"/new{self._version}/"
+        config = make_config(self._version)
+        look = next(route for route in config["routes"] if route["path_prefix"] == "/look/")
+        known = [*self.record.routes, f"{path}x"]
+        for prefix in (known_path.removesuffix("x") for known_path in known):
+            config["routes"].append({**look, "name": f"r{prefix}", "path_prefix": prefix})
+        await self._store.write("config", "main", config)
+        self.record.routes[f"{path}x"] = self.clock() + CONFIG_APPLY_S
+
+    async def _crash_server(self, name: str) -> None:
+        server = self._servers[name]
+        began = self.clock()
+        self._server_proxies[name].reset()
+        await server.stop()
+        await asyncio.sleep(LAPSE_S)
+        await self._replace_server(name, server)
+        self._disturbed(began, server.instance)
+
+    async def _drain_server(self, name: str) -> None:
+        server = self._servers[name]
+        await server.register(state="draining")
+        self.record.gone.setdefault(server.instance, self.clock())
+        await asyncio.sleep(DRAIN_S)
+        await server.stop()
+        await self._replace_server(name, server)
+
+    async def _replace_server(self, name: str, server: SoakServer) -> None:
+        if self._servers[name] is not server:
+            return
+        if self._store.spec("servers", server.instance) is not None:
+            await self._store.remove("servers", server.instance)
+        await asyncio.sleep(LAPSE_S)
+        if self._servers[name] is server:
+            await self._start_server(name, ())
+
+    async def _start_server(self, name: str, models: tuple[str, ...]) -> None:
+        self._starts += 1
+        server = SoakServer(
+            self._store,
+            SERVERS[name][0],
+            f"i-{name}-{self._starts}",
+            models,
+            self._server_addresses[name],
+            self.record,
+            self.clock,
+        )
+        server.pause_s = RUN_S
+        self._servers[name] = server
+        await server.start()
+
+    # Helpers
+
+    def _address_of(self, name: str) -> Callable[[], str]:
+        return lambda: self._servers[name].address
+
+    def _settings_writer(
+        self, name: str, store: str, front: int, ready: int, control: int
+    ) -> Callable[[Path, bool], None]:
+        def write(path: Path, first_start: bool) -> None:
+            path.write_text(make_settings(store, front, ready, control, name, first_start))
+
+        return write
+
+    def _pick(self, names: dict[str, Any], pick: float) -> str:
+        return sorted(names)[int(pick * len(names))]
+
+    def _disturbed(self, since: float, target: str) -> None:
+        self.record.disturbances.append(Disturbance(since, self.clock(), target))
+
+    def _later(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
--- /dev/null
+++ b/eelgrassferry/platform/tests/soak/soak_node.py
@@ -0,0 +1,143 @@
+"""One node process under test, started again whenever it ends."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+from ....http import HttpClient
+from .records import Disturbance, SoakRecord
+
+__all__ = ["SoakNode"]
+
+ROOT = Path(__file__).resolve().parents[4]
+# Pause before a process that has ended is started again, in seconds.
+RESTART_S = 0.3
+# A process that was told to stop is killed after this time, in seconds, as the settings say.
+GRACE_S = 8.0
+READY_EVERY_S = 0.05
+
+
+class SoakNode:
+    """``write_settings`` writes the settings file; it is told whether this is the first start.
+    Signals go to this node's own process only.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        ready_address: str,
+        write_settings: Callable[[Path, bool], None],
+        record: SoakRecord,
+        clock: Callable[[], float],
+    ) -> None:
+        self.name = name
+        self.log_path = folder / f"{name}.log"
+        self._settings = folder / f"{name}.conf"
+        self._ready_address = ready_address
+        self._write_settings = write_settings
+        self._record = record
+        self._clock = clock
+        self._client = HttpClient()
+        self._process: asyncio.subprocess.Process | None = None
+        self._expected: set[int] = set()
+        self._ended: dict[int, float] = {}
+
+    async def run(self) -> None:
+        """Keep the process running until cancelled, then kill it."""
+        first = True
+        down_since = self._clock()
+        try:
+            while True:
+                self._write_settings(self._settings, first)
+                first = False
+                process = await self._start()
+                watch = asyncio.ensure_future(process.wait())
+                await self._await_ready(watch)
+                self._disturbed(down_since, self._clock())
+                code = await watch
+                down_since = self._ended.pop(process.pid, self._clock())
+                if process.pid not in self._expected:
+                    self._record.exits.append(f"{self.name} ended by itself with code {code}")
+                elif code not in (0, -signal.SIGKILL):
+                    self._record.exits.append(f"{self.name} ended with code {code} after a stop")
+                await asyncio.sleep(RESTART_S)
+        finally:
+            self._client.close()
+            await self._end()
+
+    async def is_ready(self) -> bool:
+        """Whether the node takes callers."""
+        asked = await self._client.request(
+            self._ready_address, "GET", "/eelgrassferry/ready", fresh=True, timeout_s=1.0
+        )
+        return asked.is_ok() and asked.ok_value.status == 200
+
+    def kill(self) -> None:
+        """Kill the process; it is started again."""
+        self._signal(signal.SIGKILL, ends=True)
+
+    def stop(self) -> None:
+        """Ask the process to stop; it is killed after its grace and started again."""
+        process = self._process
+        self._signal(signal.SIGTERM, ends=True)
+        if process is not None:
+            asyncio.get_running_loop().call_later(GRACE_S, self._kill_late, process)
+
+    def reload(self) -> None:
+        """Rewrite the settings and say so."""
+        self._write_settings(self._settings, False)
+        self._signal(signal.SIGHUP)
+
+    async def pause(self, for_s: float) -> None:
+        """Stop the process for a while, then let it go on."""
+        process, began = self._process, self._clock()
+        self._signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        if process is self._process:
+            self._signal(signal.SIGCONT)
+        self._disturbed(began, self._clock())
+
+    async def _start(self) -> asyncio.subprocess.Process:
+        with self.log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "eelgrassferry",
+                "entry",
+                cwd=ROOT,
+                env={**os.environ, "EELGRASSFERRY_SETTINGS": str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+        return self._process
+
+    async def _await_ready(self, ended: asyncio.Future[int]) -> None:
+        while not ended.done() and not await self.is_ready():
+            await asyncio.sleep(READY_EVERY_S)
+
+    def _signal(self, number: signal.Signals, ends: bool = False) -> None:
+        process = self._process
+        if process is None or process.returncode is not None:
+            return
+        if ends:
+            self._expected.add(process.pid)
+            self._ended.setdefault(process.pid, self._clock())
+        process.send_signal(number)
+        self._disturbed(self._clock(), self._clock())
+
+    def _kill_late(self, process: asyncio.subprocess.Process) -> None:
+        if process.returncode is None:
+            process.kill()
+
+    def _disturbed(self, since: float, until: float) -> None:
+        self._record.disturbances.append(Disturbance(since, until, self.name))
+
+    async def _end(self) -> None:
+        process = self._process
+        if process is not None and process.returncode is None:
+            process.kill()
+            await process.wait()
--- a/eelgrassferry/platform/tests/standin_server.py
+++ b/eelgrassferry/platform/tests/standin_server.py
@@ -56,6 +56,15 @@
         """The address in use."""
         return self._server.address
 
+    @property
+    def registered_address(self) -> str:
+        """The address at which nodes reach it."""
+        return self.address
+
+    def note_run(self, req: HttpRequest, request_id: str) -> None:
+        """Take that a request begins to run."""
+        self.runs.append(request_id)
+
     async def register(self, state: str = "ready") -> None:
         """Write the entry in the store."""
         models = [
@@ -64,7 +73,7 @@
         ]
         entry = {
             "service": self._service,
-            "address": self.address,
+            "address": self.registered_address,
             "zone": "zone-a",
             "version": "v1",
             "slots": 8,
@@ -139,7 +148,7 @@
             self.decline -= 1
             await out.send(HttpResponse(503, (own, ("Eelgrassferry-Not-Executed", "1"))))
             return
-        self.runs.append(request_id)
+        self.note_run(req, request_id)
         try:
             await asyncio.sleep(self.pause_s)
         except asyncio.CancelledError:
--- a/eelgrassferry/platform/tests/test_whole_path.py
+++ b/eelgrassferry/platform/tests/test_whole_path.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -15,6 +14,7 @@
 
 from ...http import HttpClient, HttpResponse
 from .documents import HOST, make_config, make_settings
+from .soak.free_ports import free_ports
 from .standin_server import StandinServer
 from .standin_store import StandinStore
 
@@ -22,17 +22,6 @@
 WAIT_S = 15.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that the kernel picked."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 class WholePathTest(unittest.IsolatedAsyncioTestCase):
     """One node, one model server, two plain servers and the store."""
 
