Tell changes of orders only, and count an order until its answer

Cause: a successor knew when its predecessor had given an order, not when the order arrived. An order for an adapter was told to the nodes only once the adapter was usable, so that a coordinator that was killed in between left an order that its successor did not know of. Every view also named all recent orders and loads, which is most of its size at 70 nodes.

Change: an order counts as under way for 0.75 s or until its answer. Views name the orders and loads that have changed, are sent for each order, and nodes add them up. A view that cannot be decoded closes its link, so that the next one is complete.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -11,7 +11,15 @@
 from ..fleet import EntrySettings, FleetConfig, UpstreamDirectory, UpstreamEntry
 from ..leases import LeaseTerm
 from ..metrics import Metrics
-from ..ordering import AskReport, Coordinator, GiveOrder, Inheritance, NodeStatus
+from ..ordering import (
+    AskReport,
+    Coordinator,
+    GiveOrder,
+    Inheritance,
+    NodeStatus,
+    OrderHistory,
+    OrderNews,
+)
 from .lease_holder import STEP_S, LeaseHolder
 from .messages import FleetView
 from .order_runner import OrderRunner
@@ -50,7 +58,7 @@
         self._clock = clock
         self._metrics = metrics
         self._publish = publish
-        self._inherited: Inheritance | None = None
+        self._history = OrderHistory(settings.bounds)
         self._certain: set[str] = set()
         self._not_before = float("-inf")
         self._config: FleetConfig | None = None
@@ -69,19 +77,19 @@
     @property
     def is_informed(self) -> bool:
         """Whether the orders of a coordinator before are known."""
-        return self._inherited is not None
+        return self._history.is_known
 
     def inherit(self, view: FleetView) -> None:
         """Take what the present coordinator says of its lease and its orders."""
         self.lease.note_version(view.lease_version)
         if view.orders is not None:
-            self._inherited = view.orders
+            self._history.take(view.orders, view.complete, self._clock())
 
     def note_gone(self, instance: str, up_to_date: bool) -> None:
         """Take that a coordinator has ended or gives no more orders. ``up_to_date`` says that this
         node has heard of all its orders.
         """
-        if up_to_date and self._inherited is not None:
+        if up_to_date and self.is_informed:
             self._certain.add(instance)
         else:
             not_before = self._clock() + self.lease.handover_s
@@ -173,7 +181,7 @@
                 self._publish_view(self.coordinator, term, self._clock())
 
     def _publish_view(self, coordinator: Coordinator, term: LeaseTerm, now: float) -> None:
-        """Tell the nodes what has changed at engines."""
+        """Tell the nodes what has changed at engines, and which orders were given."""
         if coordinator.changes == self._published:
             return
         self._published = coordinator.changes
@@ -184,8 +192,8 @@
             if self._told_residency.get(instance) != known
         }
         self._told_residency = residency
-        if changed:
-            orders = coordinator.inheritance(now)
+        if changed or coordinator.has_order_news():
+            orders = coordinator.take_order_news(now)
             self._publish(self._make_view(coordinator, term, {}, changed, orders))
 
     def publish_loads(self) -> None:
@@ -210,7 +218,7 @@
         term, coordinator = self.term(), self.coordinator
         if term is None or coordinator is None:
             return None
-        orders = coordinator.inheritance(self._clock())
+        orders = coordinator.told_order_news(self._clock())
         told = (self._told_loads, self._told_residency)
         return replace(self._make_view(coordinator, term, *told, orders), complete=True)
 
@@ -220,7 +228,7 @@
         term: LeaseTerm,
         loads: Mapping[str, UpstreamLoad],
         residency: Mapping[str, OrderedResidency],
-        orders: Inheritance | None = None,
+        orders: OrderNews | None = None,
     ) -> FleetView:
         return FleetView(
             term.epoch,
@@ -240,7 +248,7 @@
         if term is None:
             if self.coordinator is not None:
                 log.warning("coordination ended", step="lease", epoch=self._epoch)
-                self._inherited = self.coordinator.inheritance(self._clock())
+                self._remember(self.coordinator)
                 self.coordinator = None
             return
         if self.coordinator is not None and term.epoch == self._epoch:
@@ -263,11 +271,17 @@
             self.coordinator.set_config(self._config, now)
             self.coordinator.take_directory(now)
 
+    def _remember(self, coordinator: Coordinator) -> None:
+        """Keep what this node has ordered itself, for the next time that it coordinates."""
+        now = self._clock()
+        coordinator.take_order_news(now)
+        self._history.take(coordinator.told_order_news(now), complete=True, now=now)
+
     def _inheritance(self, term: LeaseTerm, now: float) -> Inheritance:
         """Return what is known of the orders before this term."""
         if self._settings.first_start and term.epoch == 1:
             return Inheritance(cold_loads={})
-        known = self._inherited or Inheritance()
+        known = self._history.inheritance(now)
         released = term.acknowledged - self._certain
         # A holder that released the lease without a word to this node may just have ordered.
         not_before = max(now + self.lease.handover_s if released else now, self._not_before)
--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -8,7 +8,7 @@
 
 from ..dispatch import OrderedResidency, UpstreamLoad
 from ..objects import FeedUpdate, StoredObject
-from ..ordering import Inheritance, NodeStatus, Want
+from ..ordering import NodeStatus, OrderNews, Want
 from ..peers.errors import MalformedMessage
 
 __all__ = [
@@ -53,8 +53,8 @@
 @dataclass(frozen=True)
 class FleetView:
     """What the coordinator tells all nodes. ``loads`` are the sums over all nodes, ``residency`` is
-    what engines hold. Both name what has changed since the view before; a ``complete`` view names
-    everything. ``orders`` tells a successor what was ordered, and comes with the residency.
+    what engines hold, ``orders`` what a successor has to know of the orders. They name what has
+    changed since the view before; a ``complete`` view names everything.
     ``store_lost`` asks the nodes whether they reach the store. ``sent_at`` is the coordinator's own
     time, which nodes send back. On the wire, the other times are seconds before or after the moment
     of sending.
@@ -65,7 +65,7 @@
     nodes: int
     loads: Mapping[str, UpstreamLoad] = field(default_factory=dict)
     residency: Mapping[str, OrderedResidency] = field(default_factory=dict)
-    orders: Inheritance | None = None
+    orders: OrderNews | None = None
     store_lost: bool = False
     complete: bool = False
     sent_at: float = 0.0
@@ -155,11 +155,13 @@
             ]
             for instance, known in view.residency.items()
         }
-    if view.orders is not None and view.orders.cold_loads is not None:
-        body["orders"] = {i: at - now for i, at in view.orders.last_orders.items()}
-        body["cold_loads"] = {
-            name: [at - now for at in times] for name, times in view.orders.cold_loads.items()
-        }
+    if view.orders is not None:
+        news = view.orders
+        body["orders"] = [
+            {instance: at - now for instance, at in news.last_orders.items()},
+            {name: [at - now for at in times] for name, times in news.cold_loads.items()},
+            dict(news.open_loads),
+        ]
     return body
 
 
@@ -178,12 +180,11 @@
         }
         orders = None
         if "orders" in body:
-            orders = Inheritance(
-                {instance: now + ago_s for instance, ago_s in body["orders"].items()},
-                {
-                    name: tuple(now + ago_s for ago_s in times)
-                    for name, times in body["cold_loads"].items()
-                },
+            last_orders, cold_loads, open_loads = body["orders"]
+            orders = OrderNews(
+                {instance: now + ago_s for instance, ago_s in last_orders.items()},
+                {name: tuple(now + ago_s for ago_s in times) for name, times in cold_loads.items()},
+                {str(name): int(count) for name, count in open_loads.items()},
             )
         loads = _decode_loads(body["loads"])
         numbers = (int(body["epoch"]), int(body["lease"]), int(body["nodes"]))
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -396,6 +396,9 @@
         decoded = decode_view(frame.body, self._clock())
         if isinstance(decoded, Err):
             log.warning("view not used", step="decode_view", detail=decoded.err_value.detail)
+            # The views after it name changes only. A new link begins with a complete view.
+            if self._leader is not None:
+                self._leader.close()
             return
         self._heard_at = self._clock()
         self._seen_at = decoded.ok_value.sent_at
--- a/eelgrassferry/ordering/__init__.py
+++ b/eelgrassferry/ordering/__init__.py
@@ -5,6 +5,8 @@
 from .fleet_order import FleetOrder, OrderAnswer
 from .inheritance import Inheritance
 from .node_status import NodeStatus, Want
+from .order_history import OrderHistory
+from .order_news import OrderNews
 
 __all__ = [
     "AskReport",
@@ -15,5 +17,7 @@
     "Inheritance",
     "NodeStatus",
     "OrderAnswer",
+    "OrderHistory",
+    "OrderNews",
     "Want",
 ]
--- a/eelgrassferry/ordering/cold_load_gate.py
+++ b/eelgrassferry/ordering/cold_load_gate.py
@@ -1,7 +1,7 @@
 """Keeps loads from the weight store within its agreed rate."""
 
 import math
-from bisect import bisect_left, insort
+from bisect import bisect_left
 from dataclasses import dataclass
 
 from ..fleet import ServiceBounds
@@ -48,11 +48,14 @@
         self._most = max(1, int(most))
         # Where it is not known what an earlier coordinator began, it may have used the window up.
         self._begun = [now] * self._most if begun is None else sorted(begun)
+        self._dropped = 0
         self._open: dict[str, _OpenLoad] = {}
 
     def allowed(self, now: float, under_way: int) -> bool:
         """Whether a load may begin while some are under way."""
-        del self._begun[: bisect_left(self._begun, now - self._window_s)]
+        over = bisect_left(self._begun, now - self._window_s)
+        del self._begun[:over]
+        self._dropped += over
         counted = len(self._begun) + len(self._open)
         return counted < self._most and under_way < self._at_once
 
@@ -60,6 +63,22 @@
         """Return the latest times at which the loads of the window may have begun."""
         return (*self._begun, *(now for _ in self._open))
 
+    @property
+    def open_loads(self) -> int:
+        """The number of loads that were ordered and may begin yet."""
+        return len(self._open)
+
+    @property
+    def begun_count(self) -> int:
+        """The number of loads that have begun so far, those before the window included."""
+        return self._dropped + len(self._begun)
+
+    def begun_since(self, first: int, last: int) -> tuple[float, ...]:
+        """Return the times of the loads in the window whose numbers are from ``first`` on and
+        below ``last``, counted as ``begun_count`` does.
+        """
+        return tuple(self._begun[max(0, first - self._dropped) : max(0, last - self._dropped)])
+
     def note_ordered(self, instance: str, expected_count: int, now: float) -> None:
         """Count a load that is ordered of an engine which has accepted some orders before."""
         before = self._open.get(instance)
@@ -67,7 +86,7 @@
             self._open[instance] = _OpenLoad(expected_count)
         elif before.expected_count != expected_count:
             # An engine accepts only one order for a count, so that only another count adds a load.
-            insort(self._begun, now)
+            self._begun.append(now)
             self._open[instance] = _OpenLoad(expected_count)
 
     def note_unanswered(self, instance: str) -> None:
@@ -94,4 +113,4 @@
     def note_gone(self, instance: str, now: float) -> None:
         """Take that an engine has ended. A load there began by now."""
         if self._open.pop(instance, None) is not None:
-            insort(self._begun, now)
+            self._begun.append(now)
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -15,6 +15,7 @@
 from .fleet_order import FleetOrder, OrderAnswer
 from .inheritance import Inheritance
 from .node_status import NodeStatus
+from .order_news import OrderNews
 from .plan_state import PlanState
 from .planner import LoadStep, Planner, RestoreStep, Step, UnloadStep, WithdrawStep
 from .status_book import StatusBook
@@ -66,6 +67,9 @@
         self._statuses = StatusBook()
         self._learned: set[str] = set()
         self._demand_since: float | None = None
+        self._told_orders: dict[str, float] = {}
+        self._told_begun: dict[str, int] = {}
+        self._told_open: dict[str, int] = {}
 
     # Inputs
 
@@ -235,20 +239,48 @@
         """What all nodes have in flight by upstream."""
         return self._statuses.loads
 
-    def inheritance(self, now: float) -> Inheritance:
-        """Return what a successor has to know."""
-        recent_s = 2.0 * self._bounds.order_handover_s
-        return Inheritance(
-            last_orders={
-                instance: book.last_order_at
-                for instance, book in self.books.items()
-                if now - book.last_order_at < recent_s
-            },
-            cold_loads={
-                name: planner.gate.begun_by(now) for name, planner in self._planners.items()
+    def has_order_news(self) -> bool:
+        """Whether an engine was given an order that the nodes do not know of."""
+        return any(
+            book.last_order_at > self._told_orders.get(instance, float("-inf"))
+            for instance, book in self.books.items()
+        )
+
+    def take_order_news(self, now: float) -> OrderNews:
+        """Return what the nodes were not told yet of the orders, and count it as told."""
+        recent = self._recent_orders(now)
+        changed = {i: at for i, at in recent.items() if self._told_orders.get(i) != at}
+        begun: dict[str, tuple[float, ...]] = {}
+        for name, planner in self._planners.items():
+            count = planner.gate.begun_count
+            times = planner.gate.begun_since(self._told_begun.get(name, 0), count)
+            if times:
+                begun[name] = times
+            self._told_begun[name] = count
+        opened = {name: planner.gate.open_loads for name, planner in self._planners.items()}
+        changed_open = {n: count for n, count in opened.items() if self._told_open.get(n) != count}
+        self._told_open = opened
+        self._told_orders = {i: book.last_order_at for i, book in self.books.items()}
+        return OrderNews(changed, begun, changed_open)
+
+    def told_order_news(self, now: float) -> OrderNews:
+        """Return everything that the nodes were told of the orders and that still counts."""
+        oldest = now - 2.0 * self._bounds.order_handover_s
+        return OrderNews(
+            {i: at for i, at in self._told_orders.items() if at >= oldest},
+            {
+                name: planner.gate.begun_since(0, self._told_begun.get(name, 0))
+                for name, planner in self._planners.items()
             },
+            dict(self._told_open),
         )
 
+    def _recent_orders(self, now: float) -> dict[str, float]:
+        oldest = now - 2.0 * self._bounds.order_handover_s
+        return {
+            i: book.last_order_at for i, book in self.books.items() if book.last_order_at >= oldest
+        }
+
     @property
     def nodes(self) -> int:
         """The number of nodes that send their status."""
--- a/eelgrassferry/ordering/engine_book.py
+++ b/eelgrassferry/ordering/engine_book.py
@@ -10,6 +10,9 @@
 
 __all__ = ["CopyState", "EngineBook", "ModelCopy"]
 
+# An order arrives within this time after it was decided, in seconds: it is sent within the 0.35 s
+# for which its answer is waited for, and is on its way for 0.4 s at most.
+ORDER_ARRIVES_S = 0.75
 # An engine's report describes it as it was up to this long before, in seconds.
 REPORT_LAG_S = 0.35
 # An adapter is usable this long after its order was accepted, in seconds, while few are in transit.
@@ -54,7 +57,7 @@
 class EngineBook:
     """Orders to one engine, one at a time, and what they leave behind.
 
-    Orders are given from ``open_at`` on; the last order of an earlier coordinator was sent at
+    Orders are given from ``open_at`` on; the last order of an earlier coordinator arrived by
     ``last_order_at``. The book is ready once a report was read that no earlier order can
     contradict. An order without an answer counts as carried out until the engine's report says
     otherwise. Every order carries the number of orders accepted before it, so that at most one of
@@ -149,7 +152,7 @@
     def begin(self, order: FleetOrder, now: float) -> None:
         """Take that an order is about to be sent."""
         self.pending = order
-        self.last_order_at = now
+        self.last_order_at = now + ORDER_ARRIVES_S
         self._repeats = 0
         match order.kind:
             case OrderKind.LOAD_MODEL:
@@ -172,9 +175,12 @@
             self._repeats += 1
             if self._repeats <= MAX_REPEATS:
                 self.pending = order
+                self.last_order_at = now + ORDER_ARRIVES_S
                 return order
             self._lose_track(now)
             return None
+        if not self._repeats:
+            self.last_order_at = now
         if answer is OrderAnswer.OTHER_INSTANCE:
             self.note_doubt(DOUBT_LIMIT, now)
         if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.HOLDS):
--- a/eelgrassferry/ordering/tests/fleet_model.py
+++ b/eelgrassferry/ordering/tests/fleet_model.py
@@ -7,7 +7,16 @@
 
 from ...fleet import FleetConfig, Service, UpstreamDirectory, UpstreamEntry
 from ...placement import OrderKind
-from .. import AskReport, Coordinator, FleetOrder, GiveOrder, Inheritance, NodeStatus, OrderAnswer
+from .. import (
+    AskReport,
+    Coordinator,
+    FleetOrder,
+    GiveOrder,
+    Inheritance,
+    NodeStatus,
+    OrderAnswer,
+    OrderHistory,
+)
 from ..node_status import Want
 from .engine_model import EngineModel
 from .fixtures import BOUNDS
@@ -60,6 +69,13 @@
         self.coordinator.take_directory(self.now)
         return self.coordinator
 
+    def known_orders(self) -> Inheritance:
+        """Return what a node that has heard all of the coordinator's news knows."""
+        self.coordinator.take_order_news(self.now)
+        history = OrderHistory(BOUNDS)
+        history.take(self.coordinator.told_order_news(self.now), complete=True, now=self.now)
+        return history.inheritance(self.now)
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         end = self.now + seconds
--- a/eelgrassferry/ordering/tests/test_order_safety.py
+++ b/eelgrassferry/ordering/tests/test_order_safety.py
@@ -28,7 +28,7 @@
         fleet.ask_for({(model, adapter): 1}, {model: rng.randrange(1, 4)})
         fleet.run(rng.uniform(0.05, 0.4))
         if takeovers and rng.random() < 0.08:
-            known = fleet.coordinator.inheritance(fleet.now)
+            known = fleet.known_orders()
             lost = rng.random() < 0.5
             fleet.start_coordinator(
                 Inheritance(not_before=fleet.now + BOUNDS.order_handover_s) if lost else known
@@ -132,7 +132,7 @@
                 fleet.ask_for({(model, f"a{rng.randrange(5)}"): 1}, {model: 2})
                 fleet.run(0.1)
             before, now = list(fleet.orders), fleet.now
-            fleet.start_coordinator(fleet.coordinator.inheritance(fleet.now))
+            fleet.start_coordinator(fleet.known_orders())
             for _ in range(40):
                 fleet.ask_for({(f"m{rng.randrange(6)}", ""): 1}, {"m0": 2})
                 fleet.run(0.1)
