Make the test of a broken stream deterministic

Cause: the test cleared the servers' breaks after a poll of 20 ms. Beside load the repeat ran before that and was broken too.

Change: the first break clears the breaks of both servers; the test also counts the runs.

Conclusion: as strict as before, and without a race.

--- a/eelgrassferry/platform/tests/standin_server.py
+++ b/eelgrassferry/platform/tests/standin_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any
 
 from ...http import HttpRequest, HttpResponse, HttpServer, Responder
@@ -19,7 +20,8 @@
     ``runs`` are the ids of the requests that it ran, ``abandoned`` of those whose connection closed
     before the answer, ``orders`` the bodies of accepted orders.
     ``status`` is what it answers to a plain request, ``decline`` the number of requests that it
-    declines as not run, ``break_after`` the events after which it breaks off a stream.
+    declines as not run, ``break_after`` the events after which it breaks off a stream, once it has
+    called ``on_break``.
     """
 
     def __init__(
@@ -33,6 +35,7 @@
         self.status = 200
         self.decline = 0
         self.break_after: int | None = None
+        self.on_break: Callable[[], None] = lambda: None
         self.events = 3
         self.pause_s = 0.0
         self.models: dict[str, set[str]] = {model: set() for model in models}
@@ -164,6 +167,7 @@
         await out.start(200, (own, SEAL, ("Content-Type", "text/event-stream")))
         for number in range(first, self.events + 1):
             if self.break_after is not None and number > self.break_after:
+                self.on_break()
                 await out.write(b"id: torn")
                 raise ConnectionResetError("broken off")
             await out.write(f"id: {number}\ndata: {self.instance}\n\n".encode())
--- a/eelgrassferry/platform/tests/test_whole_path.py
+++ b/eelgrassferry/platform/tests/test_whole_path.py
@@ -159,14 +159,13 @@
         await self.spare.start()
         self.engine.break_after = self.spare.break_after = 2
         self.engine.events = self.spare.events = 4
-        asked = asyncio.ensure_future(self.call("/batch/x", 12, Eelgrassferry_Model="m0"))
 
-        async def one_has_run() -> bool:
-            return bool(self.engine.runs or self.spare.runs)
+        def break_no_more() -> None:
+            self.engine.break_after = self.spare.break_after = None
 
-        await self.eventually(one_has_run)
-        self.engine.break_after = self.spare.break_after = None
-        res = await asked
+        self.engine.on_break = self.spare.on_break = break_no_more
+        res = await self.call("/batch/x", 12, Eelgrassferry_Model="m0")
+        self.assertEqual(len(self.engine.runs) + len(self.spare.runs), 2)
         ids = [line for line in res.body.split(b"\n") if line.startswith(b"id:")]
         self.assertEqual(ids, [b"id: 1", b"id: 2", b"id: 3", b"id: 4"])
 
