--- a/eelgrassferry/platform/tests/soak/fault_proxy.py
+++ b/eelgrassferry/platform/tests/soak/fault_proxy.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Callable
 
 __all__ = ["FaultProxy"]
 
 READ_BYTES = 64 * 1024
+# Socket option by which a close sends a reset instead of an end.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class FaultProxy:
@@ -46,6 +50,9 @@
     def reset(self) -> None:
         """Reset all connections."""
         for writer in self._writers:
+            sock = writer.get_extra_info("socket")
+            if sock is not None and not writer.is_closing():
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
