Expect shared parts at their owner, and nothing at crashed engines

And a request whose only engine had crashed was not told to the coordinator as waiting, because the registration outlives the engine by three heartbeats.

Change: the upstream that all nodes choose for a prompt's beginning counts as keeping 0.7 of its shared parts where this node does not know; such estimates teach nothing about the engine's speed. An upstream that this node has just found crashed holds nothing for it.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -101,7 +101,9 @@
         engine = self.choice.engine(job.service)
         if engine is not None and job.model:
             took_s = now - flight.sent_at
-            self.choice.pace.note(flight.instance, job.model, flight.expected_s, took_s)
+            # A wrong assumption on what is kept says nothing of the engine's speed.
+            if not flight.is_assumed:
+                self.choice.pace.note(flight.instance, job.model, flight.expected_s, took_s)
             self.choice.prefix.note_run(
                 flight.instance, job.model, job.adapter, job.parts, engine.cache_tokens
             )
--- a/eelgrassferry/dispatch/job.py
+++ b/eelgrassferry/dispatch/job.py
@@ -19,7 +19,8 @@
     """One run, or attempted run, of a request at an upstream. Times in seconds.
 
     ``prefill_s`` is the time in which the upstream is expected to read the prompt, ``cache_tokens``
-    what the run keeps in its memory. ``expected_s`` is the estimated time to the first event.
+    what the run keeps in its memory. ``expected_s`` is the estimated time to the first event;
+    ``is_assumed`` says that it rests on parts of the prompt that other nodes have sent there.
     """
 
     instance: str
@@ -27,6 +28,7 @@
     prefill_s: float
     cache_tokens: float
     expected_s: float
+    is_assumed: bool = False
     first_event_at: float | None = None
     on_wire: bool = False
 
--- a/eelgrassferry/dispatch/tests/test_patterns_of_load.py
+++ b/eelgrassferry/dispatch/tests/test_patterns_of_load.py
@@ -44,6 +44,24 @@
         self.assertLessEqual(sent[20:].count("e0"), 4)
 
 
+class CrashOfTheOnlyCopyTest(unittest.TestCase):
+    """The only engine with a model is gone, and its registration outlives it."""
+
+    def test_model_is_asked_for_again(self):
+        """Guards against requests that wait until their deadline for an engine that has crashed,
+        while the coordinator does not learn that anything waits (grown scale-1).
+        """
+        world = DispatchWorld()
+        for name in ("e1", "e2"):
+            world.directory.update(name, replace(world.entries[name], residents={}))
+        job = world.make_job()
+        world.send(job)
+        (waits, *_) = [*world.dispatcher.fail(job, FlightEnd.NO_LISTENER, 0.1), None]
+        self.assertIsNone(waits)
+        self.assertEqual(list(world.dispatcher.wanted(0.2)), [("chat", "m0", "")])
+        self.assertIs(world.dispatcher.reason_to_wait(job, 0.2), RefuseReason.NOT_RESIDENT)
+
+
 class SharedPromptsTest(unittest.TestCase):
     """Requests that share the beginning of their prompts."""
 
@@ -55,6 +73,18 @@
             chosen.add(world.send(world.make_job(parts=(("p1", 600), ("own", 400)))))
         self.assertEqual(len(chosen), 1)
 
+    def test_nodes_that_have_not_sent_a_prompt_follow_the_others(self):
+        """Guards against shared parts that are read on many engines: with 70 nodes, most have not
+        sent a prompt's beginning before, and a little load drew them away (grown scale-1).
+        """
+        parts = (("p1", 6000), ("own", 500))
+        home = DispatchWorld(domain="z").send(DispatchWorld().make_job(tokens=6500, parts=parts))
+        for busy_s, expected in ((0.06, {home}), (0.5, {"e0", "e1", "e2"} - {home})):
+            world = DispatchWorld(domain="z", nodes=70)
+            busy = UpstreamLoad(1, backlog={1: busy_s})
+            world.dispatcher.set_other_loads({home: busy}, 0.0)
+            self.assertIn(world.send(world.make_job(tokens=6500, parts=parts)), expected)
+
     def test_kept_prompt_outweighs_a_little_load(self):
         """Guards against reading a long shared part again beside an idle upstream."""
         world = DispatchWorld()
--- a/eelgrassferry/dispatch/upstream_choice.py
+++ b/eelgrassferry/dispatch/upstream_choice.py
@@ -25,6 +25,9 @@
 # bytes, and the upstream that all nodes would choose for a prompt gets a small advantage.
 OTHER_DOMAIN_COST_S = 0.006
 PREFIX_OWNER_BONUS_S = 0.015
+# Share of a prompt's shared parts that this upstream is expected to keep where this node has not
+# sent it the prompt before: the other nodes have. The rest covers first prompts and evictions.
+OWNER_KEPT_SHARE = 0.7
 # Spread of equal costs, in seconds, so that nodes do not all choose the same upstream.
 TIE_SPREAD_S = 0.001
 # Slowing by each request that decodes beside a prefill, relative to the prefill alone.
@@ -62,7 +65,7 @@
         found = self.candidates(job, now)
         owner = self._prefix_owner(job, found)
         for entry in found:
-            planned = self._plan(job, entry, now)
+            planned = self._plan(job, entry, now, entry.instance == owner)
             if planned is None:
                 continue
             cost_s = planned.expected_s + self.health.penalty_s(entry.instance, now)
@@ -75,8 +78,10 @@
                 best = (cost_s, planned)
         return best[1] if best is not None else None
 
-    def _plan(self, job: Job, entry: UpstreamEntry, now: float) -> Flight | None:
-        """Return the run of a job at an upstream, None where it has no room."""
+    def _plan(self, job: Job, entry: UpstreamEntry, now: float, is_owner: bool) -> Flight | None:
+        """Return the run of a job at an upstream, None where it has no room. ``is_owner`` says that
+        all nodes send prompts that begin like this one there.
+        """
         load = self.load.at(entry.instance, now)
         engine = self.engine(job.service)
         if engine is None or not job.model:
@@ -92,7 +97,11 @@
         if load.requests and load.cache_tokens + tokens > MEMORY_SHARE * engine.cache_tokens:
             return None
         kept = self.prefix.kept_tokens(entry.instance, job.model, job.adapter, job.parts)
-        fresh = max(1, job.prompt_tokens - kept)
+        assumed = 0.0
+        if is_owner:
+            shared = sum(tokens for _, tokens in job.parts[:-1])
+            assumed = max(0.0, OWNER_KEPT_SHARE * shared - kept)
+        fresh = max(1.0, job.prompt_tokens - kept - assumed)
         prefill_s = self.pace.expected_s(entry.instance, job.model, fresh)
         busy = 1.0 + DECODE_SHARE * load.requests
         return Flight(
@@ -101,6 +110,7 @@
             prefill_s,
             float(tokens),
             (prefill_s + load.ahead_s(job.route.priority)) * busy,
+            is_assumed=assumed > 0.0,
         )
 
     def candidates(self, job: Job, now: float) -> list[UpstreamEntry]:
@@ -118,11 +128,14 @@
         return fresh
 
     def holders(self, job: Job, now: float) -> list[UpstreamEntry]:
-        """Return the live upstreams that could run a job."""
+        """Return the live upstreams that could run a job. One that has just crashed holds nothing,
+        whatever its registration says, so that a job whose models it held is waited for elsewhere.
+        """
         return [
             entry
             for entry in self._directory.of_service(job.service)
             if entry.state is UpstreamState.LIVE
+            and not (job.model and self.pauses.is_crashed(entry.instance, now))
             and (not self.isolated or entry.domain == self._domain)
             and (
                 not job.model or self._residency.holds(entry.instance, job.model, job.adapter, now)
--- a/eelgrassferry/routing/pauses.py
+++ b/eelgrassferry/routing/pauses.py
@@ -40,6 +40,7 @@
     def __init__(self) -> None:
         self.changes = 0
         self._until: dict[str, float] = {}
+        self._crashed_until: dict[str, float] = {}
         self._refusals: dict[str, int] = {}
         self._stalls: dict[str, Stall] = {}
 
@@ -50,8 +51,13 @@
             return True
         return now < self._until.get(upstream, now)
 
+    def is_crashed(self, upstream: str, now: float) -> bool:
+        """Return whether an upstream is paused because it crashed."""
+        return now < self._crashed_until.get(upstream, now)
+
     def note_crash(self, upstream: str, now: float) -> None:
         """Pause an upstream that crashed."""
+        self._crashed_until[upstream] = now + CRASH_PAUSE_S
         self._pause(upstream, now + CRASH_PAUSE_S)
 
     def note_refused(self, upstream: str, now: float) -> None:
@@ -72,6 +78,7 @@
 
     def note_live(self, upstream: str) -> None:
         """Take a report that the upstream is live."""
+        self._crashed_until.pop(upstream, None)
         if self._until.pop(upstream, None) is not None:
             self.changes += 1
 
