Watch the store more slowly while many nodes do so

Cause: while no coordinator watches the store for all, each node does.

Change: nodes that do not coordinate pause longer between two watches the more nodes there are, up to 0.45 s.

--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -10,7 +10,7 @@
 from ..dispatch import NO_LOAD, UpstreamLoad
 from ..fleet import EntrySettings
 from ..http import split_address
-from ..objects import MonitoredStore, ObjectFeed
+from ..objects import WATCH_PAUSE_S, MonitoredStore, ObjectFeed
 from ..ordering import NodeStatus
 from ..peers.frame import Frame, encode_frame
 from .connect_peer import ask_process, connect_peer
@@ -46,6 +46,10 @@
 STATUSES_PER_S = 250.0
 # Longer pauses would let a live coordinator look silent.
 MAX_EXCHANGE_S = 0.3
+# Nodes that may watch the store at its feeds' own pace while no coordinator does so for them. More
+# of them pause longer, up to this time in seconds, so that the store's calls do not grow with them.
+QUICK_WATCHERS = 8
+MAX_WATCH_PAUSE_S = 0.45
 # Without news, a frame is sent this often, in seconds, so that a silent link is noticed.
 HEARTBEAT_S = 0.5
 # A coordinator that was not heard for this long is looked for again, in seconds.
@@ -87,6 +91,8 @@
         self._make_status = make_status
         self._on_view = on_view
         self.registry = NodeRegistry(settings, store, clock, self._member_names)
+        for feed in (*feeds, self.registry.feed):
+            feed.watch_pause_s = self._watch_pause_s
         self._relay = ObjectRelay(
             [*feeds, self.registry.feed],
             clock,
@@ -241,6 +247,12 @@
 
     # Node's side
 
+    def _watch_pause_s(self) -> float:
+        """Return the least time between two watches of a feed, in seconds."""
+        if self.leadership is not None and self.leadership.term() is not None:
+            return WATCH_PAUSE_S
+        return min(MAX_WATCH_PAUSE_S, WATCH_PAUSE_S * max(1.0, len(self.registry) / QUICK_WATCHERS))
+
     @property
     def _exchange_s(self) -> float:
         """Time between two exchanges, in seconds: the coordinator handles a bounded number of
--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -11,7 +11,7 @@
 from .monitored_store import MonitoredStore
 from .object_store import Change, Snapshot, StoredObject, WatchResult
 
-__all__ = ["FeedUpdate", "ObjectFeed"]
+__all__ = ["WATCH_PAUSE_S", "FeedUpdate", "ObjectFeed"]
 
 log = structlog.get_logger()
 
@@ -48,7 +48,8 @@
     ``version`` only grows: an update that is older than the copy is dropped. Updates may also come
     from peers: while ``is_relayed`` says that one passes all changes on, the store is not asked,
     and while this process cannot reach the store, it takes a peer's copy. ``on_step`` is told of
-    every step of the version, also without changes.
+    every step of the version, also without changes. ``watch_pause_s`` returns the least time
+    between the starts of two watches.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
     ) -> None:
         self.is_relayed: Callable[[], bool] = lambda: False
         self.on_step: Callable[[FeedUpdate], None] = lambda _update: None
+        self.watch_pause_s: Callable[[], float] = lambda: WATCH_PAUSE_S
         self.prefix = prefix
         self.version = 0
         self.objects: dict[str, StoredObject] = {}
@@ -90,7 +92,7 @@
             if isinstance(res, Err):
                 await self._take_error(res.err_value)
                 continue
-            pause_s = WATCH_PAUSE_S - (self._clock() - began)
+            pause_s = self.watch_pause_s() - (self._clock() - began)
             if pause_s > 0:
                 await self._sleep(pause_s)
 
