--- a/eelgrassferry/coordination/node_registry.py
+++ b/eelgrassferry/coordination/node_registry.py
@@ -130,8 +130,10 @@
     def _take(self, update: FeedUpdate) -> None:
         if update.complete:
             self._addresses.clear()
+            self._domains.clear()
         for key in update.removed:
             self._addresses.pop(key.removeprefix(NODES_PREFIX), None)
+            self._domains.pop(key.removeprefix(NODES_PREFIX), None)
         for stored in update.written:
             try:
                 entry = json.loads(stored.value)
