Ask a store that is away less often in large fleets

Change: the retry pause grows with the nodes like the pause between watches, up to 1.5 s; nodes that try the store for a coordinator do so less often and at different times.

--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -1,6 +1,7 @@
 """Links between nodes: status to the coordinator, views from it."""
 
 import asyncio
+import random
 import secrets
 from collections.abc import Callable, Coroutine
 
@@ -10,7 +11,7 @@
 from ..dispatch import NO_LOAD, UpstreamLoad
 from ..fleet import EntrySettings
 from ..http import split_address
-from ..objects import WATCH_PAUSE_S, MonitoredStore, ObjectFeed
+from ..objects import MonitoredStore, ObjectFeed
 from ..ordering import NodeStatus
 from ..peers.frame import Frame, encode_frame
 from .connect_peer import ask_process, connect_peer
@@ -46,10 +47,9 @@
 STATUSES_PER_S = 500.0
 # Longer pauses would let a live coordinator look silent.
 MAX_EXCHANGE_S = 0.3
-# Nodes that may watch the store at its feeds' own pace while no coordinator does so for them. More
-# of them pause longer, up to this time in seconds, so that the store's calls do not grow with them.
-QUICK_WATCHERS = 8
-MAX_WATCH_PAUSE_S = 0.45
+# Nodes that may ask the store at full pace while no coordinator does so for them. More of them ask
+# less often, so that the store's calls do not grow with the nodes.
+QUICK_NODES = 8
 # Without news, a frame is sent this often, in seconds, so that a silent link is noticed.
 HEARTBEAT_S = 0.5
 # A coordinator that was not heard for this long is looked for again, in seconds.
@@ -92,7 +92,7 @@
         self._on_view = on_view
         self.registry = NodeRegistry(settings, store, clock, self._member_names)
         for feed in (*feeds, self.registry.feed):
-            feed.watch_pause_s = self._watch_pause_s
+            feed.stretch = self._stretch
         self._relay = ObjectRelay(
             [*feeds, self.registry.feed],
             clock,
@@ -247,11 +247,11 @@
 
     # Node's side
 
-    def _watch_pause_s(self) -> float:
-        """Return the least time between two watches of a feed, in seconds."""
+    def _stretch(self) -> float:
+        """Return the factor by which this node asks the store less often."""
         if self.leadership is not None and self.leadership.term() is not None:
-            return WATCH_PAUSE_S
-        return min(MAX_WATCH_PAUSE_S, WATCH_PAUSE_S * max(1.0, len(self.registry) / QUICK_WATCHERS))
+            return 1.0
+        return max(1.0, len(self.registry) / QUICK_NODES)
 
     @property
     def _exchange_s(self) -> float:
@@ -371,12 +371,14 @@
             self._relay.follow(self._leader)
 
     async def _try_store(self) -> None:
+        # Nodes begin at different times; the first that reaches the store is enough.
+        await asyncio.sleep(random.uniform(0.0, TRY_STORE_EVERY_S * (self._stretch() - 1.0)))
         while self._store_lost and not self._store_reached and self.has_leader:
             read = await self._store.get(self.registry.own_key)
             if not isinstance(read, Err):
                 self._store_reached = True
                 self._send_status(False)
-            await asyncio.sleep(TRY_STORE_EVERY_S)
+            await asyncio.sleep(TRY_STORE_EVERY_S * self._stretch())
 
     def _keep(self, work: Coroutine[None, None, None]) -> None:
         """Run some work beside and keep it until it is done."""
--- a/eelgrassferry/objects/__init__.py
+++ b/eelgrassferry/objects/__init__.py
@@ -1,7 +1,7 @@
 """The platform's object API: versions, conditional updates and watches."""
 
 from .errors import Conflict, HistoryGone, ObjectError, RateLimited, TooLarge, Unavailable
-from .feed import WATCH_PAUSE_S, FeedUpdate, ObjectFeed
+from .feed import FeedUpdate, ObjectFeed
 from .host_list import Host, HostList, HostState
 from .http_store import HttpObjectStore
 from .memory_store import MemoryObjectStore
@@ -10,7 +10,6 @@
 from .settle import put_settled
 
 __all__ = [
-    "WATCH_PAUSE_S",
     "Change",
     "Conflict",
     "FeedUpdate",
--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -11,7 +11,7 @@
 from .monitored_store import MonitoredStore
 from .object_store import Change, Snapshot, StoredObject, WatchResult
 
-__all__ = ["WATCH_PAUSE_S", "FeedUpdate", "ObjectFeed"]
+__all__ = ["FeedUpdate", "ObjectFeed"]
 
 log = structlog.get_logger()
 
@@ -25,6 +25,9 @@
 RELAY_CHECK_S = 0.05
 # Time between two tries while the store does not answer, in seconds.
 RETRY_S = 0.25
+# Limits of both pauses where they are stretched, in seconds: a change is to be in force within 2 s.
+MAX_WATCH_PAUSE_S = 0.45
+MAX_RETRY_S = 1.5
 
 
 @dataclass(frozen=True)
@@ -48,8 +51,8 @@
     ``version`` only grows: an update that is older than the copy is dropped. Updates may also come
     from peers: while ``is_relayed`` says that one passes all changes on, the store is not asked,
     and while this process cannot reach the store, it takes a peer's copy. ``on_step`` is told of
-    every step of the version, also without changes. ``watch_pause_s`` returns the least time
-    between the starts of two watches.
+    every step of the version, also without changes. ``stretch`` returns the factor by which
+    it asks the store less often, 1 or more.
     """
 
     def __init__(
@@ -62,7 +65,7 @@
     ) -> None:
         self.is_relayed: Callable[[], bool] = lambda: False
         self.on_step: Callable[[FeedUpdate], None] = lambda _update: None
-        self.watch_pause_s: Callable[[], float] = lambda: WATCH_PAUSE_S
+        self.stretch: Callable[[], float] = lambda: 1.0
         self.prefix = prefix
         self.version = 0
         self.objects: dict[str, StoredObject] = {}
@@ -92,7 +95,8 @@
             if isinstance(res, Err):
                 await self._take_error(res.err_value)
                 continue
-            pause_s = self.watch_pause_s() - (self._clock() - began)
+            least_s = min(MAX_WATCH_PAUSE_S, WATCH_PAUSE_S * self.stretch())
+            pause_s = least_s - (self._clock() - began)
             if pause_s > 0:
                 await self._sleep(pause_s)
 
@@ -177,7 +181,7 @@
                 reason=str(getattr(exc, "detail", type(exc).__name__)),
                 version=self.version,
             )
-        await self._sleep(RETRY_S)
+        await self._sleep(min(MAX_RETRY_S, RETRY_S * self.stretch()))
 
     def _replace(self, snapshot: Snapshot, after_outage: bool) -> None:
         found = {obj.key: obj for obj in snapshot.objects}
--- a/eelgrassferry/objects/tests/test_feed.py
+++ b/eelgrassferry/objects/tests/test_feed.py
@@ -145,18 +145,23 @@
         self.assertEqual(self.feed.objects["servers/u1"].value, b"new")
         self.assertEqual(self.feed.version, 9)
 
-    async def test_pause_between_watches_is_its_owners_to_set(self):
+    async def test_store_is_asked_less_often_by_many_nodes(self):
         """Guards against calls of the store that grow with the nodes: while no coordinator watched
         it for all, 70 nodes made thousands of calls (grown scale-1).
         """
         await self.follow()
-        self.feed.watch_pause_s = lambda: 0.4
+        self.feed.stretch = lambda: 8.0
         self.feed._store = ScriptedStore(Ok(Snapshot(5, ())), Ok(WatchResult(6, ())))
         self.feed._store.had_outage_since = lambda _at: False
         before = self.now
         with self.assertRaises(asyncio.CancelledError):
             await self.feed.run()
         self.assertAlmostEqual(self.now - before, 0.8)
+        self.feed._store.answers = [DOWN, DOWN]
+        before = self.now
+        with self.assertRaises(asyncio.CancelledError):
+            await self.feed.run()
+        self.assertAlmostEqual(self.now - before, 3.0)
 
     async def test_store_is_not_asked_while_changes_are_relayed(self):
         """Guards against every node watching the store."""
