Give the soak's nodes an address of their own

Cause: nodes keep their ports while they restart.

Change: each run's nodes listen on a loopback address made of the run's process id.

--- a/eelgrassferry/platform/tests/documents.py
+++ b/eelgrassferry/platform/tests/documents.py
@@ -14,14 +14,15 @@
     control: int,
     name: str = "front-1",
     first_start: bool = True,
+    ip: str = "127.0.0.1",
 ) -> str:
     """Return a settings file for a node on loopback."""
     lines = {
         "node_name": name,
         "zone": "zone-a",
-        "listen.front": f"127.0.0.1:{front}",
-        "listen.ready": f"127.0.0.1:{ready}",
-        "listen.control": f"127.0.0.1:{control}",
+        "listen.front": f"{ip}:{front}",
+        "listen.ready": f"{ip}:{ready}",
+        "listen.control": f"{ip}:{control}",
         "platform.address": store,
         "bootstrap": str(first_start).lower(),
         "bounds.drain_ms": "2000",
--- a/eelgrassferry/platform/tests/soak/soak_fleet.py
+++ b/eelgrassferry/platform/tests/soak/soak_fleet.py
@@ -1,6 +1,7 @@
 """Nodes, servers and a store, and the faults that befall them."""
 
 import asyncio
+import os
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from random import Random
@@ -50,6 +51,9 @@
         self.clock = asyncio.get_running_loop().time
         self._rng = Random(seed)
         self._folder = folder
+        # Nodes keep their ports while they restart. No other process takes ports of this address.
+        pid = os.getpid()
+        self._node_ip = f"127.{1 + pid // 62_500 % 250}.{pid // 250 % 250}.{1 + pid % 250}"
         self._store = StandinStore()
         self._store_proxies: dict[str, FaultProxy] = {}
         self._servers: dict[str, SoakServer] = {}
@@ -72,11 +76,11 @@
         for number in range(1, NODES + 1):
             name = f"front-{number}"
             proxy = self._store_proxies[name] = FaultProxy(lambda: store_address)
-            front, ready, control = free_ports(3)
-            self.fronts[name] = f"127.0.0.1:{front}"
+            front, ready, control = free_ports(3, self._node_ip)
+            self.fronts[name] = f"{self._node_ip}:{front}"
             write = self._settings_writer(name, await proxy.start(), front, ready, control)
             node = SoakNode(
-                name, self._folder, f"127.0.0.1:{ready}", write, self.record, self.clock
+                name, self._folder, f"{self._node_ip}:{ready}", write, self.record, self.clock
             )
             self.nodes[name] = node
             self._later(node.run())
@@ -246,7 +250,9 @@
         self, name: str, store: str, front: int, ready: int, control: int
     ) -> Callable[[Path, bool], None]:
         def write(path: Path, first_start: bool) -> None:
-            path.write_text(make_settings(store, front, ready, control, name, first_start))
+            path.write_text(
+                make_settings(store, front, ready, control, name, first_start, self._node_ip)
+            )
 
         return write
 
