Do not queue requests that would be late, and load several copies at once

Cause: a model in demand whose other copies had crashed got one copy after the other, and its last engine got every request, with an expected first event of up to 3.2 s.

Change: a request is sent where its answer begins within its target, or where no more than about one prompt is ahead of it; otherwise it waits, and is refused as not run after 0.55 of its caller's patience. A model whose known demand needs several engines gets several copies at once.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -11,7 +11,7 @@
 from ..routing import RetryBudget
 from .actions import Action, Answer, Fail, FailReason, FlightEnd, Refuse, RefuseReason, Send
 from .fleet_residency import FleetResidency
-from .job import Job
+from .job import Flight, Job
 from .load_view import UpstreamLoad
 from .upstream_choice import PLAIN_START_S, UpstreamChoice
 
@@ -26,9 +26,11 @@
 SILENCE_SHARE = 0.4
 # Retry-After where another node can serve the request, in seconds; callers come back to another.
 OTHER_NODE_RETRY_S = 0.05
-# Share of its caller's patience that a request waits for a model or adapter of which no load is
-# known. After that its caller is told to come back, which reaches further than waiting does.
+# Share of its caller's patience that a request waits for room, or for a model or adapter of which
+# no load is known. After that its caller is told to come back, which reaches further than waiting.
 HOLD_SHARE = 0.55
+# Work ahead of a request, in seconds, that never keeps it from being sent: about one prompt.
+ADMIT_AHEAD_S = 0.15
 # Retry-After where nodes of another domain can, in seconds: the balancer needs two checks, one a
 # second, to send callers there.
 OTHER_DOMAIN_RETRY_S = 1.0
@@ -358,7 +360,7 @@
     def _place(self, job: Job, now: float) -> Send | None:
         """Send a job where its answer is expected first, or return None where none has room."""
         flight = self.choice.choose(job, now)
-        if flight is None:
+        if flight is None or not self._is_timely(job, flight, now):
             return None
         job.flight = flight
         self.load.add(job)
@@ -380,21 +382,35 @@
             return RefuseReason.TOO_LARGE
         return None
 
+    def _is_timely(self, job: Job, flight: Flight, now: float) -> bool:
+        """Whether a run can begin its answer within the target, or has little work ahead of it.
+
+        Where an engine has more work than it can do, requests that it would serve late keep the
+        others from being served in time.
+        """
+        if not job.model or flight.expected_s - flight.prefill_s <= ADMIT_AHEAD_S:
+            return True
+        return now + flight.expected_s <= job.target_at
+
     def _is_hopeless(self, job: Job, now: float) -> bool:
         """Whether a job that is sent at once would miss its deadline, or cannot be sent here."""
         if job.model and not self.choice.holders(job, now):
             if self.choice.isolated:
                 return True
             due = self._residency.loading_until(job.service, job.model)
-            hold_s = HOLD_SHARE * (job.patience_at - job.arrived_at)
-            if (due is None or due >= job.patience_at) and now >= job.arrived_at + hold_s:
+            if (due is None or due >= job.patience_at) and self._is_held_long(job, now):
                 return True
+        elif job.model and self._is_held_long(job, now):
+            return True
         if job.model:
             least_s = self.choice.pace.expected_s("", job.model, job.prompt_tokens) / 2.0
         else:
             least_s = PLAIN_START_S / 2.0
         return now + least_s >= job.patience_at
 
+    def _is_held_long(self, job: Job, now: float) -> bool:
+        return now >= job.arrived_at + HOLD_SHARE * (job.patience_at - job.arrived_at)
+
     @property
     def _burst(self) -> float:
         return BUDGET_SHARE * self._bounds.retry_slack / self._nodes
--- a/eelgrassferry/dispatch/tests/test_patterns_of_load.py
+++ b/eelgrassferry/dispatch/tests/test_patterns_of_load.py
@@ -44,6 +44,45 @@
         self.assertLessEqual(sent[20:].count("e0"), 4)
 
 
+class MoreWorkThanOneEngineDoesTest(unittest.TestCase):
+    """A model in demand has one engine left, which cannot serve all in time."""
+
+    def setUp(self):
+        self.world = DispatchWorld(nodes=70)
+        for name in ("e1", "e2"):
+            self.world.directory.update(name, replace(self.world.entries[name], residents={}))
+
+    def load(self, backlog_s, now):
+        busy = UpstreamLoad(requests=5, backlog={1: backlog_s})
+        self.world.dispatcher.set_other_loads({"e0": busy}, now)
+
+    def test_request_that_would_be_late_does_not_join_the_queue(self):
+        """Guards against an engine that serves everything after 3 s, when most callers have left,
+        instead of a part within the target (grown scale-1).
+        """
+        self.load(0.3, 0.0)
+        self.assertEqual(self.world.send(self.world.make_job()), "e0")
+        self.load(1.5, 0.1)
+        self.assertEqual(self.world.dispatcher.submit(self.world.make_job(now=0.1), 0.1), [])
+        self.load(0.1, 0.2)
+        self.assertEqual([type(act) for act in self.world.dispatcher.pump(0.2)], [Send])
+
+    def test_request_that_waits_long_is_refused_as_not_run(self):
+        """Guards against requests that are held until their callers leave."""
+        self.load(1.5, 0.0)
+        job = self.world.make_job()
+        self.assertEqual(self.world.dispatcher.submit(job, 0.0), [])
+        for tenth in range(1, 40):
+            self.load(1.5, 0.1 * tenth)
+            actions = self.world.dispatcher.pump(0.1 * tenth)
+            if actions:
+                break
+        (refused,) = actions
+        self.assertIsInstance(refused, Refuse)
+        self.assertIs(refused.reason, RefuseReason.NO_CAPACITY)
+        self.assertLess(0.1 * tenth, 2.5)
+
+
 class CrashOfTheOnlyCopyTest(unittest.TestCase):
     """The only engine with a model is gone, and its registration outlives it."""
 
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -1,5 +1,6 @@
 """Decides which model is loaded where, and what makes room for it."""
 
+import math
 from dataclasses import dataclass
 
 from ..fleet import Service
@@ -156,9 +157,13 @@
                 )
             # Its last copy was lost or is leaving; the next requests are about to come.
             return ModelNeed(model, "last copy lost", rate) if rate >= LIVELY_RATE else None
-        if len(holders) == len(state.books) or any(not book.live(model) for book in holders):
+        # One more copy at a time, unless the demand is known to need several.
+        enough = math.ceil(state.demand.busy(state.service, model, state.now) / BUSY_LIMIT)
+        is_loading = any(not book.live(model) for book in holders)
+        if len(holders) == len(state.books) or (is_loading and len(holders) >= enough):
             return None
-        if rate > 0.0 and self._is_overloaded(holders, state):
+        live = [book for book in holders if book.live(model)]
+        if rate > 0.0 and self._is_overloaded(live, state):
             return ModelNeed(model, "engines too busy", rate)
         if len(holders) == 1 and rate >= SPARE_COPY_RATE:
             return ModelNeed(model, "spare copy", rate / 10.0, spare=True)
--- a/eelgrassferry/ordering/tests/test_patterns_of_load.py
+++ b/eelgrassferry/ordering/tests/test_patterns_of_load.py
@@ -1,6 +1,7 @@
 """Loads that the planner answers, each named for its pattern. No network, virtual time."""
 
 import unittest
+from dataclasses import replace
 
 from ...placement import OrderKind
 from .fixtures import make_entry, make_service
@@ -26,6 +27,20 @@
         serve(fleet, "m0", 4.0, per_step=1, work_s=0.08)
         self.assertGreaterEqual(len(fleet.holders("m0")), 2)
 
+    def test_several_copies_are_loaded_at_once(self):
+        """Guards against a model in great demand that gets one copy after the other: each takes
+        seconds to load from the weight store (grown scale-1).
+        """
+        entries = [make_entry(f"u{number}") for number in range(1, 8)]
+        service = make_service()
+        service = replace(service, engine=replace(service.engine, cold_loads_per_s=10.0))
+        fleet = FleetModel(service, [make_entry("u0", "m0"), *entries])
+        fleet.run(1.0)
+        # Five seconds of work at once.
+        fleet.ask_for({}, {"m0": 100}, 0.05)
+        fleet.run(0.5)
+        self.assertGreaterEqual(len([o for _, _, o in fleet.orders if o.model == "m0"]), 2)
+
     def test_steady_light_demand_moves_nothing(self):
         """Guards against churn: a copy that copes needs no other."""
         fleet = FleetModel(make_service(2), [make_entry("u0", "m0"), make_entry("u1", "m1")])
