Say in one line which address a node cannot use

Cause: the soak showed a traceback and exit code 1 where another process had taken a node's port.

Change: one JSON line with the address, exit code 1.

--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -121,13 +121,19 @@
         self._mesh.leadership = self._leadership
 
     async def run(self) -> int:
-        """Serve until SIGTERM or SIGINT, then stop gracefully; return the exit code."""
+        """Serve until SIGTERM or SIGINT, then stop gracefully; return the exit code, 1 where an
+        address of the settings cannot be used.
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         loop.set_exception_handler(self._note_callback_failed)
-        await self._listen()
+        try:
+            await self._listen()
+        except OSError as exc:
+            log.error("address not available", step="listen", detail=str(exc))
+            return 1
         log.info("node started", step="start", node=self._settings.name, **self._addresses())
         tasks = [
             loop.create_task(part)
--- a/eelgrassferry/platform/tests/test_whole_path.py
+++ b/eelgrassferry/platform/tests/test_whole_path.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -266,6 +267,34 @@
         self.assertEqual(sent["config_version"], 1)
 
 
+class AddressInUseTest(unittest.IsolatedAsyncioTestCase):
+    """A node whose address another process has taken."""
+
+    async def test_one_line_and_exit_code_1(self):
+        """Guards against a traceback in place of a reason (soak seed 43)."""
+        with socket.socket() as taken, tempfile.TemporaryDirectory() as folder:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            port = taken.getsockname()[1]
+            settings = Path(folder) / "node.conf"
+            settings.write_text(make_settings("127.0.0.1:9", port, *free_ports(2)))
+            node = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "eelgrassferry",
+                "entry",
+                cwd=ROOT,
+                env={**os.environ, "EELGRASSFERRY_SETTINGS": str(settings)},
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            out, err = await asyncio.wait_for(node.communicate(), WAIT_S)
+        self.assertEqual((node.returncode, err), (1, b""))
+        (line,) = [json.loads(line) for line in out.splitlines()]
+        self.assertEqual(line["event"], "address not available")
+        self.assertIn(str(port), line["detail"])
+
+
 class SettingsTest(unittest.IsolatedAsyncioTestCase):
     """A process with settings that cannot be used."""
 
