Let a lost order for a load count for 12 s at most

Cause: found on reading: an order without an answer counted in the gate until its engine accepted another order. Engines without other work could keep the gate of a small site shut: it lets 9 loads begin in 5 s.

Change: it counts for the 12 s within which workers carry out late orders, and a window after that.

--- a/eelgrassferry/ordering/cold_load_gate.py
+++ b/eelgrassferry/ordering/cold_load_gate.py
@@ -11,6 +11,9 @@
 # Loads that may begin in a window beyond the rate (three by agreement); one is left for an order
 # without an answer that is carried out late.
 EXTRA_LOADS = 2
+# An order without an answer begins its load within this time or never, in seconds: workers that leave
+# orders unanswered carry them out up to 12 s later.
+LATE_LOAD_S = 12.0
 
 
 @dataclass
@@ -18,6 +21,7 @@
     """A load that was ordered and may begin, once the engine accepts its next order."""
 
     expected_count: int
+    ordered_at: float
     unanswered: bool = False
 
 
@@ -26,7 +30,7 @@
 
     A load begins at some time between its order and the answer, so it counts from its order until
     a window after its answer. One without an answer counts until the engine has accepted another
-    order instead, or has ended. Loads that run at once share the store's speed, so that no more run
+    order instead, has ended, or can begin it no longer. Loads that run at once share the store's speed, so that no more run
     than its rate needs.
 
     >>> gate = ColdLoadGate(ServiceBounds(), loads_per_s=1.4, load_s=1.2, now=0.0)
@@ -53,6 +57,9 @@
 
     def allowed(self, now: float, under_way: int) -> bool:
         """Whether a load may begin while some are under way."""
+        for instance, open_load in list(self._open.items()):
+            if open_load.unanswered and now - open_load.ordered_at > LATE_LOAD_S:
+                self.note_gone(instance, now)
         over = bisect_left(self._begun, now - self._window_s)
         del self._begun[:over]
         self._dropped += over
@@ -83,11 +90,11 @@
         """Count a load that is ordered of an engine which has accepted some orders before."""
         before = self._open.get(instance)
         if before is None:
-            self._open[instance] = _OpenLoad(expected_count)
+            self._open[instance] = _OpenLoad(expected_count, now)
         elif before.expected_count != expected_count:
             # An engine accepts only one order for a count, so that only another count adds a load.
             self._begun.append(now)
-            self._open[instance] = _OpenLoad(expected_count)
+            self._open[instance] = _OpenLoad(expected_count, now)
 
     def note_unanswered(self, instance: str) -> None:
         """Take that an order had no answer."""
