--- a/eelgrassferry/ordering/cold_load_gate.py
+++ b/eelgrassferry/ordering/cold_load_gate.py
@@ -11,8 +11,8 @@
 # Loads that may begin in a window beyond the rate (three by agreement); one is left for an order
 # without an answer that is carried out late.
 EXTRA_LOADS = 2
-# An order without an answer begins its load within this time or never, in seconds: workers that leave
-# orders unanswered carry them out up to 12 s later.
+# An order without an answer begins its load within this time or never, in seconds: workers that
+# leave orders unanswered carry them out up to 12 s later.
 LATE_LOAD_S = 12.0
 
 
@@ -30,8 +30,8 @@
 
     A load begins at some time between its order and the answer, so it counts from its order until
     a window after its answer. One without an answer counts until the engine has accepted another
-    order instead, has ended, or can begin it no longer. Loads that run at once share the store's speed, so that no more run
-    than its rate needs.
+    order instead, has ended, or can begin it no longer. Loads that run at once share the store's
+    speed, so that no more run than its rate needs.
 
     >>> gate = ColdLoadGate(ServiceBounds(), loads_per_s=1.4, load_s=1.2, now=0.0)
     >>> gate.allowed(0.0, under_way=1), gate.allowed(0.0, under_way=2)
