Tell nodes that connect at once what a successor has inherited

Cause: found on reading: the first complete view of a new coordinator named what the nodes had been told in its term, which is nothing before the first plan. A node that connected in these 20 ms replaced what it knew of the orders with nothing.

Change: what was inherited counts as told from the beginning of the term.

Measured: the test fails on the old code.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -270,6 +270,8 @@
         if self._config is not None:
             self.coordinator.set_config(self._config, now)
             self.coordinator.take_directory(now)
+        # Nodes that connect from now on are told what was inherited.
+        self.coordinator.take_order_news(now)
 
     def _remember(self, coordinator: Coordinator) -> None:
         """Keep what this node has ordered itself, for the next time that it coordinates."""
--- /dev/null
+++ b/eelgrassferry/coordination/tests/test_leadership.py
@@ -0,0 +1,36 @@
+"""Tests of what a coordinator tells the nodes that connect to it."""
+
+import unittest
+from unittest.mock import Mock
+
+from ...fleet import EntrySettings, FleetConfig, UpstreamDirectory
+from ...leases import LeaseTerm
+from ...metrics import Metrics
+from ...ordering import OrderNews
+from ...ordering.tests.fixtures import make_entry, make_service
+from ..leadership import Leadership
+from ..messages import FleetView
+
+
+class SuccessorTest(unittest.TestCase):
+    """A coordinator that follows another one, before its first plan."""
+
+    def test_node_that_connects_at_once_hears_of_earlier_orders(self):
+        """Guards against ONE and CEILING: the next successor would know nothing of what the one
+        before has ordered.
+        """
+        settings = EntrySettings("n1", "a", "", "", "", "", first_start=False)
+        directory = UpstreamDirectory()
+        directory.replace({"u0": make_entry("u0", "m0")}, 0.0)
+        lease = Mock(handover_s=3.4, version=7, store_lost=False)
+        lease.term.return_value = LeaseTerm(2, 99.0, frozenset())
+        leadership = Leadership(
+            settings, lease, directory, Mock(), lambda: 10.0, Metrics(), lambda _view: None
+        )
+        leadership.set_config(FleetConfig(1, (), {"chat": make_service()}))
+        news = OrderNews({"u0": 9.0}, {"chat": (8.0, 9.0)}, {"chat": 1})
+        leadership.inherit(FleetView(1, 6, 3, orders=news, complete=True))
+        leadership._follow_term()
+        told = leadership.complete_view().orders
+        self.assertGreaterEqual(told.last_orders["u0"], 9.0)
+        self.assertEqual(told.cold_loads, {"chat": (8.0, 9.0, 10.0)})
