--- a/eelgrassferry/platform/tests/soak/__main__.py
+++ b/eelgrassferry/platform/tests/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -9,14 +10,17 @@
 import structlog
 from cyclopts import App
 
-from .run_soak import run_soak
+from .run_soak import SoakReport, run_soak
+
+# Exit code after SIGTERM, as shells count it.
+STOPPED = 143
 
 app = App(name="soak", help="Run the nodes under random faults and check what they promise.")
 
 
 @app.default
 def soak(seeds: str = "1-3", seconds: float = 20.0, logs: Path | None = None) -> int:
-    """Print one JSON line for each seed; exit with 1 if a promise was broken.
+    """Print one JSON line for each seed; exit with 1 if a promise was broken, 143 after SIGTERM.
 
     ``seeds`` is a range like ``1-50``. ``logs`` keeps the nodes' logs of each seed in a folder.
     """
@@ -27,7 +31,10 @@
         with tempfile.TemporaryDirectory() as temporary:
             folder = Path(temporary) if logs is None else logs / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
-            report = asyncio.run(run_soak(seed, seconds, folder))
+            try:
+                report = asyncio.run(_run_until_stopped(seed, seconds, folder))
+            except asyncio.CancelledError:
+                return STOPPED
         broken = broken or bool(report.violations)
         line = {
             "seed": seed,
@@ -41,5 +48,13 @@
     return 1 if broken else 0
 
 
+async def _run_until_stopped(seed: int, seconds: float, folder: Path) -> SoakReport:
+    """Run one seed. SIGTERM cancels it, so that its processes are ended too."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run_soak(seed, seconds, folder)
+
+
 if __name__ == "__main__":
     sys.exit(app())
