--- a/eelgrassferry/__main__.py
+++ b/eelgrassferry/__main__.py
@@ -3,8 +3,8 @@
 import signal
 import sys
 
-# Commands that run until they are stopped and reload their settings on SIGHUP.
-RELOADING = {"entry", "node"}
+# Commands that reload their settings on SIGHUP.
+RELOADING = {"entry"}
 
 
 def run(command: str) -> int:
--- a/eelgrassferry/platform/tests/soak/soak_node.py
+++ b/eelgrassferry/platform/tests/soak/soak_node.py
@@ -86,7 +86,7 @@
         """Ask the process to stop; it is killed after its grace and started again."""
         process = self._process
         if process is not None and not _handles(process.pid, signal.SIGTERM):
-            # The interpreter has just started, and the signal's default is to end it.
+            # The process is still starting, and the signal's default is to end it.
             self._allow(-signal.SIGTERM)
         self._allow(0, -signal.SIGKILL)
         self._signal(signal.SIGTERM, ends=True)
@@ -94,8 +94,8 @@
             asyncio.get_running_loop().call_later(GRACE_S, self._kill_late, process)
 
     def reload(self) -> None:
-        """Rewrite the settings and say so, unless the interpreter has just started and cannot do
-        anything about a signal yet.
+        """Rewrite the settings and say so, unless the interpreter has just started and could not
+        have done anything about the signal.
         """
         self._write_settings(self._settings, False)
         if self._process is not None and _handles(self._process.pid, signal.SIGHUP):
