Let the soak report a node that does not stop within its grace

Cause: found on reading: the soak killed a node 8 s after SIGTERM and allowed it.

Change: it is reported, unless the node was paused in that time.

--- a/eelgrassferry/platform/tests/soak/soak_node.py
+++ b/eelgrassferry/platform/tests/soak/soak_node.py
@@ -46,6 +46,7 @@
         self._expected: set[int] = set()
         self._allowed_codes: dict[int, set[int]] = {}
         self._ended: dict[int, float] = {}
+        self._resumed_at = float("-inf")
 
     async def run(self) -> None:
         """Keep the process running until cancelled, then kill it."""
@@ -104,10 +105,13 @@
     async def pause(self, for_s: float) -> None:
         """Stop the process for a while, then let it go on."""
         process, began = self._process, self._clock()
+        # A stop that runs into the pause is not late because of the node.
+        self._resumed_at = float("inf")
         self._signal(signal.SIGSTOP)
         await asyncio.sleep(for_s)
         if process is self._process:
             self._signal(signal.SIGCONT)
+        self._resumed_at = self._clock()
         self._disturbed(began, self._clock())
 
     async def _start(self) -> asyncio.subprocess.Process:
@@ -144,8 +148,11 @@
             self._allowed_codes.setdefault(self._process.pid, set()).update(codes)
 
     def _kill_late(self, process: asyncio.subprocess.Process) -> None:
-        if process.returncode is None:
-            process.kill()
+        if process.returncode is not None:
+            return
+        if self._clock() - self._resumed_at > GRACE_S:
+            self._record.exits.append(f"{self.name} did not stop within {GRACE_S} s")
+        process.kill()
 
     def _disturbed(self, since: float, until: float) -> None:
         self._record.disturbances.append(Disturbance(since, until, self.name))
