List a restart just after a handover as known red

Cause: a restarted process takes the lease of the one before it without waiting, because both are one holder. That leaves out the holder before both.

The test shows it without processes.

--- a/eelgrassferry/coordination/tests/test_leadership.py
+++ b/eelgrassferry/coordination/tests/test_leadership.py
@@ -6,7 +6,7 @@
 from ...fleet import EntrySettings, FleetConfig, UpstreamDirectory
 from ...leases import LeaseTerm
 from ...metrics import Metrics
-from ...ordering import OrderNews
+from ...ordering import EngineReport, OrderNews
 from ...ordering.tests.fixtures import make_entry, make_service
 from ..leadership import Leadership
 from ..messages import FleetView
@@ -34,3 +34,26 @@
         told = leadership.complete_view().orders
         self.assertGreaterEqual(told.last_orders["u0"], 9.0)
         self.assertEqual(told.cold_loads, {"chat": (8.0, 9.0, 10.0)})
+
+
+class RestartTest(unittest.TestCase):
+    """A node that was killed while it coordinated, and takes its own lease again."""
+
+    def test_orders_of_the_holder_before_keep_their_distance(self):
+        """Guards against ONE: the process that was killed had taken over a moment before, and the
+        new one does not know when the holder before it gave its last orders (soak seed 47).
+        """
+        settings = EntrySettings("n1", "a", "", "", "", "", first_start=False)
+        directory = UpstreamDirectory()
+        directory.replace({"u0": make_entry("u0", "m0")}, 0.0)
+        lease = Mock(handover_s=3.4, version=7, store_lost=False)
+        lease.term.return_value = LeaseTerm(3, 99.0, frozenset())
+        leadership = Leadership(
+            settings, lease, directory, Mock(), lambda: 10.0, Metrics(), lambda _view: None
+        )
+        leadership.set_config(FleetConfig(1, (), {"chat": make_service()}))
+        leadership._follow_term()
+        book = leadership.coordinator.books["u0"]
+        report = EngineReport({"m0": frozenset()}, False, 4)
+        book.take_report(report, 11.0, 11.1)
+        self.assertFalse(book.is_ready(11.1))
