Review: release broken connections, and remove twins and dead code

Found on reading the whole change:

- The pool kept a table of every connection it had opened; those that broke or were aborted never left it.
The callback knows its upstream now, and the table is gone.
- Whether two entries stand for one start of an upstream was written twice; `UpstreamEntry.is_same_process` serves both.
- Waiting jobs built the list of holders only to ask whether it is empty; `has_holder` stops at the first.
- The coordinator checked four times for a planner that every engine's service has.
- The copy of a coordinator took two paths for one step of the feed.
- Dead since the change or from its start: `ColdLoadGate.begun_by`, `PaceBook.model_factor` and `slowness`, `UpstreamPool.release` and `opened`, `UpstreamConn.served`, and decoded fields that nothing reads (`resumes`, `queued`, `cache_tokens_used`, `host_cache_mb`, `disk_cache_mb`).

Decisions are as before.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -287,7 +287,7 @@
         released = term.acknowledged - self._certain
         # A holder that released the lease without a word to this node may just have ordered.
         not_before = max(now + self.lease.handover_s if released else now, self._not_before)
-        return Inheritance(known.last_orders, known.cold_loads, not_before)
+        return replace(known, not_before=not_before)
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/eelgrassferry/coordination/object_relay.py
+++ b/eelgrassferry/coordination/object_relay.py
@@ -96,10 +96,8 @@
         feed = self._feeds.get(copy.prefix) if copy is not None else None
         if copy is None or feed is None:
             return
-        if copy.version > feed.version:
+        if copy.version >= feed.version:
             feed.take_relayed(FeedUpdate(True, copy.version, copy.objects, ()), copy.age_s)
-        else:
-            feed.take_from_peer(copy.version, (), copy.age_s)
         self._relayed.add(copy.prefix)
 
     async def run(self) -> None:
--- a/eelgrassferry/coordination/tests/test_leadership.py
+++ b/eelgrassferry/coordination/tests/test_leadership.py
@@ -12,6 +12,20 @@
 from ..messages import FleetView
 
 
+def make_leadership(epoch):
+    """Return the leadership of a node that takes the lease at time 10, with one engine."""
+    settings = EntrySettings("n1", "a", "", "", "", "", first_start=False)
+    directory = UpstreamDirectory()
+    directory.replace({"u0": make_entry("u0", "m0")}, 0.0)
+    lease = Mock(handover_s=3.4, version=7, store_lost=False)
+    lease.term.return_value = LeaseTerm(epoch, 99.0, frozenset())
+    leadership = Leadership(
+        settings, lease, directory, Mock(), lambda: 10.0, Metrics(), lambda _view: None
+    )
+    leadership.set_config(FleetConfig(1, (), {"chat": make_service()}))
+    return leadership
+
+
 class SuccessorTest(unittest.TestCase):
     """A coordinator that follows another one, before its first plan."""
 
@@ -19,15 +33,7 @@
         """Guards against ONE and CEILING: the next successor would know nothing of what the one
         before has ordered.
         """
-        settings = EntrySettings("n1", "a", "", "", "", "", first_start=False)
-        directory = UpstreamDirectory()
-        directory.replace({"u0": make_entry("u0", "m0")}, 0.0)
-        lease = Mock(handover_s=3.4, version=7, store_lost=False)
-        lease.term.return_value = LeaseTerm(2, 99.0, frozenset())
-        leadership = Leadership(
-            settings, lease, directory, Mock(), lambda: 10.0, Metrics(), lambda _view: None
-        )
-        leadership.set_config(FleetConfig(1, (), {"chat": make_service()}))
+        leadership = make_leadership(epoch=2)
         news = OrderNews({"u0": 9.0}, {"chat": (8.0, 9.0)}, {"chat": 1})
         leadership.inherit(FleetView(1, 6, 3, orders=news, complete=True))
         leadership._follow_term()
@@ -43,15 +49,7 @@
         """Guards against ONE: the process that was killed had taken over a moment before, and the
         new one does not know when the holder before it gave its last orders (soak seed 47).
         """
-        settings = EntrySettings("n1", "a", "", "", "", "", first_start=False)
-        directory = UpstreamDirectory()
-        directory.replace({"u0": make_entry("u0", "m0")}, 0.0)
-        lease = Mock(handover_s=3.4, version=7, store_lost=False)
-        lease.term.return_value = LeaseTerm(3, 99.0, frozenset())
-        leadership = Leadership(
-            settings, lease, directory, Mock(), lambda: 10.0, Metrics(), lambda _view: None
-        )
-        leadership.set_config(FleetConfig(1, (), {"chat": make_service()}))
+        leadership = make_leadership(epoch=3)
         leadership._follow_term()
         book = leadership.coordinator.books["u0"]
         report = EngineReport({"m0": frozenset()}, False, 4)
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -232,7 +232,7 @@
         """
         found: dict[tuple[str, str, str], tuple[int, float]] = {}
         for job in self._waiting:
-            if not job.model or self.choice.holders(job, now):
+            if not job.model or self.choice.has_holder(job, now):
                 continue
             key = (job.service, job.model, job.adapter)
             count, left_s = found.get(key, (0, float("inf")))
@@ -243,7 +243,7 @@
         """Return what a request waits for, which is the reason if it is refused."""
         if not self._directory.of_service(job.service):
             return RefuseReason.NO_UPSTREAM
-        if job.model and not self.choice.holders(job, now):
+        if job.model and not self.choice.has_holder(job, now):
             return RefuseReason.NOT_RESIDENT
         return RefuseReason.NO_CAPACITY
 
@@ -394,7 +394,7 @@
 
     def _is_hopeless(self, job: Job, now: float) -> bool:
         """Whether a job that is sent at once would miss its deadline, or cannot be sent here."""
-        if job.model and not self.choice.holders(job, now):
+        if job.model and not self.choice.has_holder(job, now):
             if self.choice.isolated:
                 return True
             due = self._residency.loading_until(job.service, job.model)
--- a/eelgrassferry/dispatch/pace_book.py
+++ b/eelgrassferry/dispatch/pace_book.py
@@ -40,14 +40,6 @@
             factor = table.get(key, 1.0) * ratio ** (WEIGHT / 2.0)
             table[key] = min(MAX_FACTOR, max(MIN_FACTOR, factor))
 
-    def slowness(self, instance: str) -> float:
-        """Return an upstream's factor."""
-        return self._upstreams.get(instance, 1.0)
-
-    def model_factor(self, model: str) -> float:
-        """Return a model's factor."""
-        return self._models.get(model, 1.0)
-
     def forget(self, instance: str) -> None:
         """Drop what was learned about an upstream that is gone."""
         self._upstreams.pop(instance, None)
--- a/eelgrassferry/dispatch/upstream_choice.py
+++ b/eelgrassferry/dispatch/upstream_choice.py
@@ -128,19 +128,28 @@
         return fresh
 
     def holders(self, job: Job, now: float) -> list[UpstreamEntry]:
-        """Return the live upstreams that could run a job. One that has just crashed holds nothing,
+        """Return the live upstreams that could run a job."""
+        entries = self._directory.of_service(job.service)
+        return [entry for entry in entries if self._can_run(entry, job, now)]
+
+    def has_holder(self, job: Job, now: float) -> bool:
+        """Return whether a live upstream could run a job."""
+        entries = self._directory.of_service(job.service)
+        return any(self._can_run(entry, job, now) for entry in entries)
+
+    def _can_run(self, entry: UpstreamEntry, job: Job, now: float) -> bool:
+        """Whether a live upstream could run a job. One that has just crashed holds nothing,
         whatever its registration says, so that a job whose models it held is waited for elsewhere.
         """
-        return [
-            entry
-            for entry in self._directory.of_service(job.service)
-            if entry.state is UpstreamState.LIVE
-            and not (job.model and self.pauses.is_crashed(entry.instance, now))
-            and (not self.isolated or entry.domain == self._domain)
-            and (
-                not job.model or self._residency.holds(entry.instance, job.model, job.adapter, now)
-            )
-        ]
+        if entry.state is not UpstreamState.LIVE:
+            return False
+        if self.isolated and entry.domain != self._domain:
+            return False
+        if not job.model:
+            return True
+        if self.pauses.is_crashed(entry.instance, now):
+            return False
+        return self._residency.holds(entry.instance, job.model, job.adapter, now)
 
     def _prefix_owner(self, job: Job, found: list[UpstreamEntry]) -> str | None:
         """Return the upstream that every node would choose for prompts that begin like this one."""
--- a/eelgrassferry/fleet/service.py
+++ b/eelgrassferry/fleet/service.py
@@ -31,8 +31,7 @@
     ``batch_slots`` requests run at once, ``cache_tokens`` is the memory for their tokens and for
     kept prefixes, ``weights_mb`` the memory for models and adapters together, ``adapter_slots``
     the number of adapters, those in transit included. ``cold_loads_per_s`` is the rate of the
-    weight store over all upstreams. ``host_cache_mb`` and ``disk_cache_mb`` keep weights that were
-    loaded before.
+    weight store over all upstreams.
     """
 
     batch_slots: int
@@ -40,8 +39,6 @@
     weights_mb: float
     adapter_slots: int
     cold_loads_per_s: float
-    host_cache_mb: float = 0.0
-    disk_cache_mb: float = 0.0
     models: Mapping[str, ModelSpec] = field(default_factory=dict)
 
     @cached_property
--- a/eelgrassferry/fleet/upstream_directory.py
+++ b/eelgrassferry/fleet/upstream_directory.py
@@ -24,11 +24,7 @@
     def restarted(self) -> bool:
         """Whether the same instance id now stands for another process."""
         before, after = self.before, self.after
-        return (
-            before is not None
-            and after is not None
-            and (before.started_ms, before.address) != (after.started_ms, after.address)
-        )
+        return before is not None and after is not None and not before.is_same_process(after)
 
 
 class UpstreamDirectory:
--- a/eelgrassferry/fleet/upstream_entry.py
+++ b/eelgrassferry/fleet/upstream_entry.py
@@ -29,3 +29,7 @@
     residents: Mapping[str, frozenset[str]] = field(default_factory=dict)
     in_host_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+
+    def is_same_process(self, other: "UpstreamEntry") -> bool:
+        """Whether two entries of one instance stand for the same start of the upstream."""
+        return (self.started_ms, self.address) == (other.started_ms, other.address)
--- a/eelgrassferry/forwarding/facts.py
+++ b/eelgrassferry/forwarding/facts.py
@@ -11,7 +11,7 @@
 @dataclass(frozen=True)
 class RequestFacts:
     """``prompt_parts`` are the parts of the prompt in order, as (part id, tokens); requests share
-    all but the last. ``resumes`` says that the caller goes on with a broken stream.
+    all but the last.
     """
 
     request_id: str
@@ -22,7 +22,6 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     prompt_parts: tuple[tuple[str, int], ...] = ()
-    resumes: bool = False
 
 
 @dataclass(frozen=True)
--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -45,7 +45,6 @@
     ) -> None:
         self.idle_limit_s: float | None = None
         self.idle_since = 0.0
-        self.served = 0
         self._decode_head = decode_head
         self._on_idle = on_idle
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
@@ -174,7 +173,6 @@
         rest, closed = self._h11.trailing_data
         unsent = self._transport.get_write_buffer_size()
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        self.served += 1
         if done and not self._closes and not rest and not closed and not unsent:
             self._h11.start_next_cycle()
             self._on_idle(self)
--- a/eelgrassferry/forwarding/upstream_pool.py
+++ b/eelgrassferry/forwarding/upstream_pool.py
@@ -31,11 +31,9 @@
         decode_head: Callable[[int, RawHeaders], AnswerHead],
         clock: Callable[[], float],
     ) -> None:
-        self.opened = 0
         self._decode_head = decode_head
         self._clock = clock
         self._idle: dict[str, list[UpstreamConn]] = {}
-        self._keys: dict[UpstreamConn, str] = {}
 
     def take_idle(self, key: str) -> UpstreamConn | None:
         """Return a kept connection that is fresh enough, or None."""
@@ -44,12 +42,12 @@
             conn = idle.pop()
             if conn.is_open and self._is_fresh(conn):
                 return conn
-            self._drop(conn)
+            conn.close()
         return None
 
     async def connect(self, key: str, address: str) -> Result[UpstreamConn, HttpError]:
         """Open a connection. The error's step is ``refused`` where nothing listens."""
-        conn = UpstreamConn(self._decode_head, self._keep)
+        conn = UpstreamConn(self._decode_head, lambda idle: self._keep(key, idle))
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -59,39 +57,28 @@
             detail = str(exc) or type(exc).__name__
             step = "refused" if isinstance(exc, ConnectionRefusedError) else "connect"
             return Err(HttpError(step, address, False, detail))
-        self.opened += 1
-        self._keys[conn] = key
         return Ok(conn)
 
     def forget(self, key: str) -> None:
         """Close the kept connections to an upstream that is gone."""
         for conn in self._idle.pop(key, []):
-            self._drop(conn)
-
-    def release(self, conn: UpstreamConn) -> None:
-        """Forget a connection that is not kept."""
-        self._keys.pop(conn, None)
+            conn.close()
 
     def sweep(self) -> None:
         """Close connections that have been idle too long to be used again."""
         for idle in self._idle.values():
             for conn in [conn for conn in idle if not conn.is_open or not self._is_fresh(conn)]:
                 idle.remove(conn)
-                self._drop(conn)
+                conn.close()
 
-    def _keep(self, conn: UpstreamConn) -> None:
-        key = self._keys.get(conn)
-        idle = self._idle.setdefault(key, []) if key is not None else None
-        if idle is None or len(idle) >= MAX_IDLE_PER_UPSTREAM:
-            self._drop(conn)
+    def _keep(self, key: str, conn: UpstreamConn) -> None:
+        idle = self._idle.setdefault(key, [])
+        if len(idle) >= MAX_IDLE_PER_UPSTREAM:
+            conn.close()
             return
         conn.idle_since = self._clock()
         idle.append(conn)
 
-    def _drop(self, conn: UpstreamConn) -> None:
-        self._keys.pop(conn, None)
-        conn.close()
-
     def _is_fresh(self, conn: UpstreamConn) -> bool:
         limit_s = conn.idle_limit_s
         usable_s = UNKNOWN_IDLE_S if limit_s is None else IDLE_SHARE * limit_s
--- a/eelgrassferry/ordering/cold_load_gate.py
+++ b/eelgrassferry/ordering/cold_load_gate.py
@@ -66,10 +66,6 @@
         counted = len(self._begun) + len(self._open)
         return counted < self._most and under_way < self._at_once
 
-    def begun_by(self, now: float) -> tuple[float, ...]:
-        """Return the latest times at which the loads of the window may have begun."""
-        return (*self._begun, *(now for _ in self._open))
-
     @property
     def open_loads(self) -> int:
         """The number of loads that were ordered and may begin yet."""
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -124,9 +124,9 @@
             for entry in self._directory.of_service(service.name):
                 seen.add(entry.instance)
                 book = self.books.get(entry.instance)
-                if book is None or _is_other_process(book.entry, entry):
+                if book is None or not book.entry.is_same_process(entry):
                     if book is not None:
-                        self._note_gone(book, now)
+                        self._gate(book).note_gone(entry.instance, now)
                     book = self._open_book(entry, service.engine, now)
                     self.books[entry.instance] = book
                     self.changes += 1
@@ -135,7 +135,7 @@
                     self.changes += 1
                 book.spec = service.engine
         for instance in [instance for instance in self.books if instance not in seen]:
-            self._note_gone(self.books.pop(instance), now)
+            self._gate(self.books.pop(instance)).note_gone(instance, now)
             self.changes += 1
 
     def take_report(self, instance: str, report: EngineReport, asked_at: float, now: float) -> bool:
@@ -145,9 +145,8 @@
             return False
         used = book.take_report(report, asked_at, now)
         self.changes += int(used)
-        planner = self._planners.get(book.entry.service)
-        if used and planner is not None:
-            planner.gate.note_count(instance, report.accepted_orders, now)
+        if used:
+            self._gate(book).note_count(instance, report.accepted_orders, now)
         return used
 
     def take_answer(self, given: GiveOrder, answer: OrderAnswer, now: float) -> GiveOrder | None:
@@ -326,21 +325,18 @@
     def _note_answer(
         self, book: EngineBook, order: FleetOrder, answer: OrderAnswer, now: float
     ) -> None:
-        planner = self._planners.get(book.entry.service)
-        if planner is None:
-            return
+        gate = self._gate(book)
         match answer:
             case OrderAnswer.ACCEPTED:
-                planner.gate.note_count(book.instance, order.expected_count + 1, now)
+                gate.note_count(book.instance, order.expected_count + 1, now)
             case OrderAnswer.UNKNOWN:
-                planner.gate.note_unanswered(book.instance)
+                gate.note_unanswered(book.instance)
             case _:
-                planner.gate.note_refused(book.instance)
+                gate.note_refused(book.instance)
 
-    def _note_gone(self, book: EngineBook, now: float) -> None:
-        planner = self._planners.get(book.entry.service)
-        if planner is not None:
-            planner.gate.note_gone(book.instance, now)
+    def _gate(self, book: EngineBook) -> ColdLoadGate:
+        """Return the gate of an engine's service. Books are of services with a planner only."""
+        return self._planners[book.entry.service].gate
 
     def _open_book(self, entry: UpstreamEntry, engine: Engine, now: float) -> EngineBook:
         inherited = self._inheritance
@@ -362,7 +358,3 @@
             if ready_at <= now:
                 found.setdefault(model, set()).add(adapter)
         return {model: frozenset(names) for model, names in found.items()}
-
-
-def _is_other_process(before: UpstreamEntry, after: UpstreamEntry) -> bool:
-    return (before.started_ms, before.address) != (after.started_ms, after.address)
--- a/eelgrassferry/ordering/engine_report.py
+++ b/eelgrassferry/ordering/engine_report.py
@@ -15,9 +15,7 @@
     residents: Mapping[str, frozenset[str]]
     order_in_progress: bool
     accepted_orders: int
-    queued: int = 0
     running: int = 0
-    cache_tokens_used: int = 0
     adapters_in_transit: frozenset[tuple[str, ...]] = field(default_factory=frozenset)
     in_host_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
--- a/eelgrassferry/ordering/tests/test_cold_load_gate.py
+++ b/eelgrassferry/ordering/tests/test_cold_load_gate.py
@@ -8,6 +8,11 @@
 BOUNDS = ServiceBounds(cold_load_window_s=5.0, cold_load_factor=1.1)
 
 
+def begun_by(gate, now):
+    """Return the latest times at which the loads of the window may have begun."""
+    return (*gate.begun_since(0, gate.begun_count), *[now] * gate.open_loads)
+
+
 class WindowTest(unittest.TestCase):
     """Loads in a sliding window: 1.4 a second for 5 s, a tenth over, and two more."""
 
@@ -43,9 +48,9 @@
         self.gate.note_ordered("u1", 3, 0.1)
         self.gate.note_count("u1", 4, 0.4)
         self.assertTrue(self.gate.allowed(5.2, under_way=0))
-        self.assertEqual(len(self.gate.begun_by(5.2)), 1)
+        self.assertEqual(len(begun_by(self.gate, 5.2)), 1)
         self.assertTrue(self.gate.allowed(5.5, under_way=0))
-        self.assertEqual(self.gate.begun_by(5.5), ())
+        self.assertEqual(begun_by(self.gate, 5.5), ())
 
     def test_load_without_answer_counts_until_another_order_is_accepted(self):
         """Guards against CEILING: an order without an answer is carried out seconds later."""
@@ -53,11 +58,11 @@
         self.gate.note_unanswered("u1")
         self.gate.note_refused("u1")
         self.assertTrue(self.gate.allowed(10.0, under_way=0))
-        self.assertEqual(self.gate.begun_by(10.0), (10.0,))
+        self.assertEqual(begun_by(self.gate, 10.0), (10.0,))
         self.gate.note_count("u1", 3, 10.0)
-        self.assertEqual(self.gate.begun_by(10.5), (10.5,))
+        self.assertEqual(begun_by(self.gate, 10.5), (10.5,))
         self.gate.note_count("u1", 4, 11.0)
-        self.assertEqual(self.gate.begun_by(11.5), (11.0,))
+        self.assertEqual(begun_by(self.gate, 11.5), (11.0,))
 
     def test_load_without_answer_does_not_count_for_ever(self):
         """Guards against a gate that lost orders to engines without other work keep shut."""
@@ -66,9 +71,9 @@
         self.gate.allowed(12.0, under_way=0)
         self.assertEqual(self.gate.open_loads, 1)
         self.gate.allowed(12.2, under_way=0)
-        self.assertEqual((self.gate.open_loads, self.gate.begun_by(12.2)), (0, (12.2,)))
+        self.assertEqual((self.gate.open_loads, begun_by(self.gate, 12.2)), (0, (12.2,)))
         self.gate.allowed(17.3, under_way=0)
-        self.assertEqual(self.gate.begun_by(17.3), ())
+        self.assertEqual(begun_by(self.gate, 17.3), ())
 
     def test_refused_load_does_not_count(self):
         """Guards against a gate that is shut by orders that the engines declined."""
@@ -83,7 +88,7 @@
         self.gate.note_ordered("u1", 3, 1.0)
         self.gate.note_unanswered("u1")
         self.gate.note_ordered("u1", 3, 2.0)
-        self.assertEqual(self.gate.begun_by(2.0), (*(0.0,) * 8, 2.0))
+        self.assertEqual(begun_by(self.gate, 2.0), (*(0.0,) * 8, 2.0))
 
     def test_engine_that_ends_settles_its_load(self):
         """Guards against a gate that engines which are gone keep shut."""
@@ -91,4 +96,4 @@
         self.gate.note_unanswered("u1")
         self.gate.note_gone("u1", 2.0)
         self.assertTrue(self.gate.allowed(7.1, under_way=0))
-        self.assertEqual(self.gate.begun_by(7.1), ())
+        self.assertEqual(begun_by(self.gate, 7.1), ())
--- a/eelgrassferry/platform/config_codec.py
+++ b/eelgrassferry/platform/config_codec.py
@@ -77,9 +77,6 @@
         weights_mb=float(spec["weights_mb"]),
         adapter_slots=int(spec.get("adapter_slots", 0)),
         cold_loads_per_s=float(spec.get("loads_per_s", 1.0)),
-        # "host_mb" is a cache of weights in the upstream's main memory, not the size of a host.
-        host_cache_mb=float(spec.get("host_mb", 0.0)),
-        disk_cache_mb=float(spec.get("disk_mb", 0.0)),
         models={model["name"]: _model(model) for model in spec["models"]},
     )
 
--- a/eelgrassferry/platform/request_codec.py
+++ b/eelgrassferry/platform/request_codec.py
@@ -75,7 +75,6 @@
                 prompt_tokens=counts[0] if counts else 0,
                 max_output_tokens=counts[1] if len(counts) > 1 else 0,
                 prompt_parts=_parts(found.get(PREFIX, b"")),
-                resumes=LAST_EVENT_ID in found,
             )
         )
     except ValueError as exc:
--- a/eelgrassferry/platform/tests/soak/soak_node.py
+++ b/eelgrassferry/platform/tests/soak/soak_node.py
@@ -1,18 +1,16 @@
 """One node process under test, started again whenever it ends."""
 
 import asyncio
-import os
 import signal
-import sys
 from collections.abc import Callable
 from pathlib import Path
 
 from ....http import HttpClient
+from ..spawn_node import spawn_node
 from .records import Disturbance, SoakRecord
 
 __all__ = ["SoakNode"]
 
-ROOT = Path(__file__).resolve().parents[4]
 # Pause before a process that has ended is started again, in seconds.
 RESTART_S = 0.3
 # A process that was told to stop is killed after this time, in seconds, as the settings say.
@@ -116,16 +114,7 @@
 
     async def _start(self) -> asyncio.subprocess.Process:
         with self.log_path.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "eelgrassferry",
-                "entry",
-                cwd=ROOT,
-                env={**os.environ, "EELGRASSFERRY_SETTINGS": str(self._settings)},
-                stdout=log,
-                stderr=log,
-            )
+            self._process = await spawn_node(self._settings, stdout=log, stderr=log)
         return self._process
 
     async def _await_ready(self, ended: asyncio.Future[int]) -> None:
--- a/eelgrassferry/platform/tests/test_whole_path.py
+++ b/eelgrassferry/platform/tests/test_whole_path.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
-import sys
 import tempfile
 import time
 import unittest
@@ -16,10 +14,10 @@
 from ...http import HttpClient, HttpResponse
 from .documents import HOST, make_config, make_settings
 from .soak.free_ports import free_ports
+from .spawn_node import spawn_node
 from .standin_server import StandinServer
 from .standin_store import StandinStore
 
-ROOT = Path(__file__).resolve().parents[3]
 WAIT_S = 15.0
 
 
@@ -50,15 +48,7 @@
 
     async def start_node(self):
         with self.log.open("ab") as log:
-            self.node = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "eelgrassferry",
-                "entry",
-                cwd=ROOT,
-                env={**os.environ, "EELGRASSFERRY_SETTINGS": str(self.settings)},
-                stdout=log,
-            )
+            self.node = await spawn_node(self.settings, stdout=log)
         self.addAsyncCleanup(self.end_node)
         await self.eventually(self.is_ready)
 
@@ -278,16 +268,8 @@
             port = taken.getsockname()[1]
             settings = Path(folder) / "node.conf"
             settings.write_text(make_settings("127.0.0.1:9", port, *free_ports(2)))
-            node = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "eelgrassferry",
-                "entry",
-                cwd=ROOT,
-                env={**os.environ, "EELGRASSFERRY_SETTINGS": str(settings)},
-                stdout=asyncio.subprocess.PIPE,
-                stderr=asyncio.subprocess.PIPE,
-            )
+            pipe = asyncio.subprocess.PIPE
+            node = await spawn_node(settings, stdout=pipe, stderr=pipe)
             out, err = await asyncio.wait_for(node.communicate(), WAIT_S)
         self.assertEqual((node.returncode, err), (1, b""))
         (line,) = [json.loads(line) for line in out.splitlines()]
@@ -300,16 +282,7 @@
 
     async def test_missing_settings_are_one_line_and_exit_code_2(self):
         """Guards against a traceback in place of a clear error."""
-        env = {k: v for k, v in os.environ.items() if k != "EELGRASSFERRY_SETTINGS"}
-        proc = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "eelgrassferry",
-            "entry",
-            cwd=ROOT,
-            env=env,
-            stderr=asyncio.subprocess.PIPE,
-        )
+        proc = await spawn_node(None, stderr=asyncio.subprocess.PIPE)
         _, err = await proc.communicate()
         self.assertEqual(proc.returncode, 2)
         self.assertEqual(len(err.decode().strip().splitlines()), 1)
--- a/eelgrassferry/platform/upstream_codec.py
+++ b/eelgrassferry/platform/upstream_codec.py
@@ -60,9 +60,7 @@
                 # "busy" is true while a model is loaded or unloaded; adapters do not count.
                 order_in_progress=bool(spec.get("busy", False)),
                 accepted_orders=int(spec.get("sequence", 0)),
-                queued=int(spec.get("queued", 0)),
                 running=int(spec.get("active", 0)),
-                cache_tokens_used=int(spec.get("kv_used", 0)),
                 # "coming" are adapters in transit, as MODEL/NAME@VERSION.
                 adapters_in_transit=frozenset(
                     tuple(str(item).partition("@")[0].split("/", 1))
