Let the stand-in refuse orders that name another server

In all three traces a server had been restarted at its address, a successor whose directory was stale sent orders that named the server before, and the stand-in obeyed them, unlike the platform's servers, which answer 421. The nodes sent the right header. Change: the stand-in answers 421 to orders for another instance, as it does to requests. Conclusion: the checks and the bound of the soak are unchanged.

--- a/eelgrassferry/platform/tests/standin_server.py
+++ b/eelgrassferry/platform/tests/standin_server.py
@@ -92,10 +92,14 @@
         if req.path == "/eelgrassferry/report":
             await out.send(HttpResponse.of_json(self._report()))
         elif req.path == "/eelgrassferry/order":
-            await out.send(self._obey(json.loads(req.body)))
+            other = self._names_another(req)
+            await out.send(HttpResponse(421) if other else self._obey(json.loads(req.body)))
         else:
             await self._run(req, out)
 
+    def _names_another(self, req: HttpRequest) -> bool:
+        return req.header("eelgrassferry-expect-instance") not in (None, self.instance)
+
     def _report(self) -> dict[str, Any]:
         models = [
             {"name": name, "version": 1, "adapters": sorted(adapters)}
@@ -138,7 +142,7 @@
         self.seen.append(req)
         request_id = req.header("eelgrassferry-request-id") or ""
         own = ("Eelgrassferry-Request-Id", request_id)
-        if req.header("eelgrassferry-expect-instance") not in (None, self.instance):
+        if self._names_another(req):
             named = ("Eelgrassferry-Instance-Id", self.instance)
             await out.send(HttpResponse(421, (own, named)))
             return
--- /dev/null
+++ b/eelgrassferry/platform/tests/test_standin_server.py
@@ -0,0 +1,40 @@
+"""Tests of the stand-in of a server."""
+
+import json
+import unittest
+
+from ...http import HttpClient
+from .standin_server import StandinServer
+from .standin_store import StandinStore
+
+
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    """Orders to a model server."""
+
+    async def asyncSetUp(self):
+        self.server = StandinServer(StandinStore(), "chat", "i-new", ("m0",))
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.client = HttpClient()
+        self.addCleanup(self.client.close)
+
+    async def order(self, instance):
+        order = {"operation": "load", "model": "m0", "adapter": "a1", "expect": 0}
+        sent = await self.client.request(
+            self.server.address,
+            "POST",
+            "/eelgrassferry/order",
+            headers=(("Eelgrassferry-Expect-Instance", instance),),
+            body=json.dumps({**order, "holder": "front-1", "fencing_token": 1}).encode(),
+            timeout_s=1.0,
+        )
+        return sent.unwrap().status
+
+    async def test_order_for_the_server_before_at_the_address_is_not_obeyed(self):
+        """Guards against a soak that blames the nodes for orders that name a server which has
+        ended: its successor at the same address obeyed them (soak seed 43).
+        """
+        self.assertEqual(await self.order("i-old"), 421)
+        self.assertEqual(self.server.orders, [])
+        self.assertEqual(await self.order("i-new"), 202)
+        self.assertEqual(self.server.models, {"m0": {"a1"}})
