Keep the distance to the holder before after a restart

Change: the lease's record says for how long no other host has held it. A process that knows no earlier orders gives its first one a handover after that time.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -287,6 +287,10 @@
         released = term.acknowledged - self._certain
         # A holder that released the lease without a word to this node may just have ordered.
         not_before = max(now + self.lease.handover_s if released else now, self._not_before)
+        if not self.is_informed:
+            # The process before this one on the host may have followed another host just now.
+            alone_since = now if term.alone_since is None else term.alone_since
+            not_before = max(not_before, alone_since + self.lease.handover_s)
         return replace(known, not_before=not_before)
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -47,12 +47,14 @@
     """The right to act until ``valid_until``, on the holder's own clock in seconds.
 
     ``epoch`` is the fencing number. ``acknowledged`` lists earlier holders that have released the
-    lease and so promised to send nothing any more.
+    lease and so promised to send nothing any more. ``alone_since`` is a time on the same clock from
+    which no other host has acted as the holder, None where none is known.
     """
 
     epoch: int
     valid_until: float
     acknowledged: frozenset[str] = frozenset()
+    alone_since: float | None = None
 
 
 @dataclass
@@ -124,6 +126,7 @@
         self._heard: tuple[int, float] = (-1, 0.0)
         self._former = former
         self._acknowledged: frozenset[str] = frozenset()
+        self._alone_since = 0.0
         self._count = 0
         self._top_epoch = 0
         self._state = _State()
@@ -244,10 +247,13 @@
             self._top_epoch += 1
             if old is not None and old.released:
                 self._acknowledged |= {old.holder}
+        if not self._is_held():
+            self._alone_since = self._find_alone_since(state.seen, now)
         self._count += 1
         write_id = f"{self.instance}/{self._count}"
+        held_s = max(0.0, now - self._alone_since)
         state.sent = LeaseRecord(
-            self.instance, self._top_epoch, self._duration_s, write_id, released
+            self.instance, self._top_epoch, self._duration_s, write_id, released, held_s
         )
         state.writes[write_id] = _Write(now)
         state.busy = True
@@ -291,7 +297,18 @@
             return
         state.renewed_s = write.sent_s
         end_s = write.sent_s + record.duration_s - self._stop_early_s
-        state.term = LeaseTerm(record.epoch, end_s, self._acknowledged)
+        state.term = LeaseTerm(record.epoch, end_s, self._acknowledged, self._alone_since)
+
+    def _find_alone_since(self, seen: _Seen, now: float) -> float:
+        """Return from when on no other host acts, for a lease that is taken at ``now``."""
+        record = seen.record
+        if record is None:
+            return now - self._stop_early_s
+        if _host_of(record.holder) == _host_of(self.instance):
+            return seen.first_s - record.held_s
+        lapsed_at = seen.first_s + record.duration_s * self._takeover_factor
+        # A holder whose term lapses has stopped ``stop_early_s`` before.
+        return max(seen.first_s, min(now, lapsed_at - self._stop_early_s))
 
     def _is_held(self) -> bool:
         seen = self._state.seen
--- a/eelgrassferry/leases/record.py
+++ b/eelgrassferry/leases/record.py
@@ -21,6 +21,8 @@
 class LeaseRecord:
     """Who holds a lease. ``released`` is the holder's promise that it sends nothing any more.
 
+    ``held_s`` says for how many seconds, when this was written, no other host had held the lease.
+
     >>> LeaseRecord.decode(LeaseRecord("n1:a", 3, 9.0, "n1:a/1").encode()).unwrap().epoch
     3
     """
@@ -30,6 +32,7 @@
     duration_s: float
     write_id: str
     released: bool = False
+    held_s: float = 0.0
 
     def encode(self) -> bytes:
         """Return the record as JSON."""
@@ -47,6 +50,8 @@
                     duration_s=float(fields["duration_s"]),
                     write_id=str(fields["write_id"]),
                     released=bool(fields["released"]),
+                    # Records of earlier releases lack it; 0 is the cautious value.
+                    held_s=float(fields.get("held_s", 0.0)),
                 )
             )
         except (ValueError, KeyError, TypeError) as exc:
--- a/eelgrassferry/leases/tests/test_handover.py
+++ b/eelgrassferry/leases/tests/test_handover.py
@@ -83,3 +83,56 @@
         self.assertIsNotNone(machine.term(1.0))
         self.assertIsNone(machine.term(1.15))
         self.assertTrue(machine.is_held)
+
+
+class AloneSinceTest(unittest.TestCase):
+    """From when on no other host has acted, as a holder knows it from the lease's record."""
+
+    def take(self, machine: LeaseMachine, record: LeaseRecord | None, now: float) -> LeaseRecord:
+        """Let the candidate read a lease and take it at ``now``, and return what it writes."""
+        machine.tick(now)
+        held = None if record is None else StoredObject("leases/a", 3, record.encode())
+        machine.on_read(Ok(held), now)
+        return self.write(machine, 4, now)
+
+    def write(self, machine: LeaseMachine, version: int, now: float) -> LeaseRecord:
+        (write,) = machine.tick(now)
+        machine.on_write(Ok(version), now)
+        return LeaseRecord.decode(write.value).unwrap()
+
+    def test_restarted_process_counts_from_the_one_before(self):
+        """Guards against ONE: a process that was killed just after it had followed another host
+        (soak seed 47).
+        """
+        machine = make_machine("n1:z")
+        wrote = self.take(machine, LeaseRecord("n1:x", 7, DURATION_S, "n1:x/1", held_s=1.0), 10.0)
+        self.assertEqual(machine.term(10.0).alone_since, 9.0)
+        self.assertEqual(wrote.held_s, 1.0)
+
+    def test_time_grows_with_each_renewal(self):
+        """Guards against a wait after each restart, however long the lease was held before."""
+        machine = make_machine("n1:z")
+        self.take(machine, LeaseRecord("n1:x", 7, DURATION_S, "n1:x/1", held_s=1.0), 10.0)
+        self.assertEqual(self.write(machine, 5, 10.5).held_s, 1.5)
+        self.assertEqual(machine.term(10.6).alone_since, 9.0)
+
+    def test_holder_that_released_may_have_acted_until_now(self):
+        """Guards against counting the time of another host."""
+        machine = make_machine("n2:y")
+        record = LeaseRecord("n1:x", 7, DURATION_S, "n1:x/1", released=True, held_s=60.0)
+        self.assertEqual(self.take(machine, record, 10.0).held_s, 0.0)
+        self.assertEqual(machine.term(10.0).alone_since, 10.0)
+
+    def test_holder_that_lapsed_stopped_before(self):
+        """Guards against a second wait after that for the end of the lease."""
+        machine = make_machine("n2:y")
+        record = LeaseRecord("n1:x", 7, DURATION_S, "n1:x/1", held_s=60.0)
+        machine.tick(10.0)
+        machine.on_read(Ok(StoredObject("leases/a", 3, record.encode())), 10.0)
+        self.write(machine, 4, 15.0)
+        self.assertAlmostEqual(machine.term(15.0).alone_since, 10.0 + DURATION_S * 1.02 - 3.4)
+
+    def test_record_without_the_time_counts_as_just_taken(self):
+        """Guards against a lease of an earlier release that cannot be read."""
+        value = b'{"holder":"n1:x","epoch":7,"duration_s":4.5,"write_id":"w","released":false}'
+        self.assertEqual(LeaseRecord.decode(value).unwrap().held_s, 0.0)
