Recognise crashed engines that are back or just closing

A node tells a crash from a lost connection by asking the engine. In the traces the engine was back before it was asked, or took the question just before it closed its listener; both counted as alive, so the request was not suspected and ran a third time. Change: an answer of another instance than the one known at sending is a crash, and a question whose own connection breaks is asked again.

--- a/eelgrassferry/node/model_proxy.py
+++ b/eelgrassferry/node/model_proxy.py
@@ -147,6 +147,7 @@
             return Failed(UpstreamFailure(FailureKind.NOT_RESIDENT, dispatch.upstream, detail))
         body = self._encode(call, dispatch, answer)
         address = self._watch.address_of(dispatch.upstream)
+        instance = self._watch.instance_of(dispatch.upstream)
         path = PATHS[call.kind]
         timeout_s = URGENT_HEAD_TIMEOUT_S if call.urgent else PATIENT_HEAD_TIMEOUT_S
         opened = await open_stream(
@@ -156,10 +157,10 @@
             case Err(EngineFailure(EngineFailureKind.REJECTED, _, _, detail)):
                 return Rejected(detail)
             case Err(failure):
-                return Failed(await self._classify(dispatch.upstream, failure))
+                return Failed(await self._classify(dispatch.upstream, instance, failure))
             case Ok(stream):
                 try:
-                    return await self._pass_on(call, dispatch, stream, answer)
+                    return await self._pass_on(call, dispatch, instance, stream, answer)
                 finally:
                     stream.close()
                     self._count_anomalies(stream)
@@ -174,13 +175,19 @@
         return await self._watch.wait_resident(call.name, dispatch.upstream, ADAPTER_WAIT_S)
 
     async def _pass_on(
-        self, call: ModelCall, dispatch: Dispatch, stream: EngineStream, answer: Answer
+        self,
+        call: ModelCall,
+        dispatch: Dispatch,
+        instance: str,
+        stream: EngineStream,
+        answer: Answer,
     ) -> Served | Rejected | Failed:
         first = True
         while not stream.done:
             read = await stream.read()
             if isinstance(read, Err):
-                return Failed(await self._classify(dispatch.upstream, read.err_value))
+                failure = await self._classify(dispatch.upstream, instance, read.err_value)
+                return Failed(failure)
             tokens = read.ok_value
             if tokens and first:
                 first = False
@@ -201,10 +208,14 @@
             body["version"] = dispatch.version
         return json.dumps(body).encode()
 
-    async def _classify(self, upstream: str, failure: EngineFailure) -> UpstreamFailure:
-        """Tell a crash of the whole upstream from the loss of one connection."""
+    async def _classify(
+        self, upstream: str, instance: str, failure: EngineFailure
+    ) -> UpstreamFailure:
+        """Tell a crash of the whole upstream from the loss of one connection. ``instance`` is the
+        one that was known when the request was sent.
+        """
         kind = FAILURE_KINDS[failure.kind]
-        if kind is FailureKind.BROKEN and not await self._watch.is_reachable(upstream):
+        if kind is FailureKind.BROKEN and not await self._watch.is_running(upstream, instance):
             kind = FailureKind.CRASHED
         return UpstreamFailure(kind, upstream, f"{failure.step}: {failure.detail}")
 
--- a/eelgrassferry/node/tests/test_upstream_watch.py
+++ b/eelgrassferry/node/tests/test_upstream_watch.py
@@ -1,10 +1,14 @@
 """Tests of what a node concludes about its upstreams."""
 
 import unittest
+from unittest.mock import patch
 
-from ...http import HttpClient
+from result import Err, Ok
+
+from ...http import HttpClient, HttpError
 from ...metrics import Metrics
 from ...routing import LoadReport, UpstreamState
+from .. import upstream_watch
 from ..engine_poll import EngineView
 from ..upstream_watch import UpstreamWatch
 
@@ -31,6 +35,11 @@
         """Take no actions."""
 
 
+def make_view(instance: str) -> EngineView:
+    """Return a status of engine u1."""
+    return EngineView("u1", instance, (), False, 100, 0, LoadReport("u1", 0, 0, 0.0))
+
+
 class LeavingTest(unittest.TestCase):
     """One watch without sockets."""
 
@@ -64,3 +73,44 @@
         self.watch.learn_leaving(("u1",))
         self.note_status(leaving=False)
         self.assertEqual(self.watch.state_of("u1"), UpstreamState.LIVE)
+
+
+class CrashTest(unittest.IsolatedAsyncioTestCase):
+    """What a node concludes when a request's connection to an engine breaks."""
+
+    def setUp(self) -> None:
+        self.watch = UpstreamWatch(
+            FakeDriver(), None, HttpClient(), Metrics(), lambda _: None, lambda _: None
+        )
+        self.watch._note_view(make_view("i1"))
+
+    async def check(self, *answers, instance="i1") -> bool:
+        """Return what the watch concludes from an engine's answers to its questions."""
+        with patch.object(upstream_watch, "read_engine_status", side_effect=answers):
+            return await self.watch.is_running("u1", instance)
+
+    async def test_engine_that_is_back_already_has_crashed(self):
+        """Guards against a crash that is taken for one lost connection, because the engine was
+        back before it was asked: the request that crashes engines is then not suspected.
+        """
+        self.assertFalse(await self.check(Ok(make_view("i2"))))
+        self.assertEqual(self.watch.instance_of("u1"), "i2")
+
+    async def test_same_instance_has_lost_a_connection(self):
+        """Guards against suspects without a crash."""
+        self.assertTrue(await self.check(Ok(make_view("i1"))))
+        self.assertTrue(await self.check(Ok(make_view("i2")), instance=""))
+
+    async def test_broken_question_is_asked_again(self):
+        """Guards against a crash that is taken for one lost connection, because the question was
+        asked while the engine's listener was just closing.
+        """
+        broken = Err(HttpError("receive_head", "u1", True, "closed"))
+        refused = Err(HttpError("connect", "u1", False, "refused"))
+        self.assertFalse(await self.check(broken, refused))
+        self.assertTrue(await self.check(broken, Ok(make_view("i1"))))
+
+    async def test_refused_connection_is_a_crash(self):
+        """Guards against an engine that is down and still used."""
+        self.assertFalse(await self.check(Err(HttpError("connect", "u1", False, "refused"))))
+        self.assertEqual(self.watch.state_of("u1"), UpstreamState.GONE)
--- a/eelgrassferry/node/upstream_watch.py
+++ b/eelgrassferry/node/upstream_watch.py
@@ -29,6 +29,10 @@
 # One lost poll may be a slow engine; two in a row take it out of routing.
 MISSES_BEFORE_GONE = 2
 JITTER = 0.2
+# A question whose own connection breaks says nothing, because a process that crashes may take it
+# before it closes its listener. It is repeated this often, after a pause in seconds.
+ASK_TRIES = 3
+ASK_PAUSE_S = 0.05
 
 log = structlog.get_logger()
 
@@ -145,12 +149,30 @@
         if upstream in self._upstreams and self._misses.get(upstream, 0) == 0:
             self._set_residency(upstream, copies, self.state_of(upstream))
 
-    async def is_reachable(self, upstream: str) -> bool:
-        """Ask an upstream at once whether it still answers."""
-        read = await read_engine_status(self._client, upstream, self.address_of(upstream))
-        if isinstance(read, Err) and read.err_value.step == "connect":
-            self._note_miss(upstream, MISSES_BEFORE_GONE)
-            return False
+    def instance_of(self, upstream: str) -> str:
+        """Return the instance that an upstream last reported, empty where none is known."""
+        view = self.views.get(upstream)
+        return view.instance if view is not None else ""
+
+    async def is_running(self, upstream: str, instance: str) -> bool:
+        """Ask an upstream at once whether it still answers, as the same instance.
+
+        An engine may have crashed and be back before it is asked. An empty ``instance`` stands for
+        any.
+        """
+        for _ in range(ASK_TRIES):
+            read = await read_engine_status(self._client, upstream, self.address_of(upstream))
+            match read:
+                case Ok(view) if instance and view.instance != instance:
+                    self._note_view(view)
+                    return False
+                case Err(failure) if failure.step == "connect":
+                    self._note_miss(upstream, MISSES_BEFORE_GONE)
+                    return False
+                case Err(failure) if failure.step != "timeout":
+                    await asyncio.sleep(ASK_PAUSE_S)
+                case _:
+                    return True
         return True
 
     async def run(self) -> None:
