Share what nodes learn of engines' paces, and send loads as integers

Cause: engines read prompts 0.4 to 2.7 times as slowly as assumed, and each of 70 nodes learned that by itself, with one request to an engine in 16 s; prompts queued at slow engines. Views spent nine bytes on each figure of a load. Change: nodes report their observations, the coordinator's node learns from all and tells the factors that have changed by a tenth. An observation moves a factor towards what it implies, so that many of one moment do not add up. Loads go as whole requests, tokens and ms.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -7,7 +7,7 @@
 import structlog
 from result import Err
 
-from ..dispatch import NO_LOAD, OrderedResidency, UpstreamLoad
+from ..dispatch import NO_LOAD, OrderedResidency, PaceBook, PaceFactors, UpstreamLoad
 from ..fleet import EntrySettings, FleetConfig, UpstreamDirectory, UpstreamEntry
 from ..leases import LeaseTerm
 from ..metrics import Metrics
@@ -32,12 +32,17 @@
 # engines takes about a third of a millisecond.
 PLAN_EVERY_S = 0.005
 MAX_PLAN_EVERY_S = 0.05
+# Nodes are told at most this often how fast upstreams read, in seconds, and only of changes by more
+# than this share. Each is sent to every node.
+PACES_EVERY_S = 0.5
+PACE_CHANGE = 0.1
 
 
 class Leadership:
     """Plans and gives orders while this node holds the lease.
 
-    ``publish`` is called with each new view for the nodes.
+    ``publish`` is called with each new view for the nodes. ``pace`` is the node's own, which learns
+    from all nodes' observations while this node coordinates.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         clock: Callable[[], float],
         metrics: Metrics,
         publish: Callable[[FleetView], None],
+        pace: PaceBook,
     ) -> None:
         self.lease = lease
         self.coordinator: Coordinator | None = None
@@ -66,6 +72,9 @@
         self._published = -1
         self._told_residency: Mapping[str, OrderedResidency] = {}
         self._told_loads: dict[str, UpstreamLoad] = {}
+        self._pace = pace
+        self._told_paces = PaceFactors()
+        self._paces_told_at = float("-inf")
         self._planned_at = float("-inf")
         self._planned_soon: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -114,6 +123,9 @@
         """Take a node's status; requests that wait are acted on at once."""
         if self.coordinator is not None:
             self.coordinator.take_status(status, self._clock())
+            if status.node != self._settings.name:
+                for seen in status.paces:
+                    self._pace.note(seen)
             if status.wants:
                 self.step()
 
@@ -201,14 +213,26 @@
         term, coordinator = self.term(), self.coordinator
         if term is None or coordinator is None:
             return
-        loads = coordinator.loads
+        loads = {instance: load.rounded() for instance, load in coordinator.loads.items()}
         changed = {
             instance: loads.get(instance, NO_LOAD)
             for instance in loads.keys() | self._told_loads.keys()
             if loads.get(instance, NO_LOAD) != self._told_loads.get(instance, NO_LOAD)
         }
-        self._told_loads = dict(loads)
-        self._publish(self._make_view(coordinator, term, changed, {}))
+        self._told_loads = loads
+        view = self._make_view(coordinator, term, changed, {})
+        self._publish(replace(view, paces=self._take_pace_news()))
+
+    def _take_pace_news(self) -> PaceFactors:
+        """Return the paces that the nodes are to be told now, and count them as told."""
+        now = self._clock()
+        if now - self._paces_told_at < PACES_EVERY_S:
+            return PaceFactors()
+        self._paces_told_at = now
+        known = self._pace.factors
+        news = known.changed_since(self._told_paces, PACE_CHANGE)
+        self._told_paces = self._told_paces.updated(news, known)
+        return news
 
     def complete_view(self) -> FleetView | None:
         """Return a view of everything for a node that has just connected.
@@ -220,7 +244,8 @@
             return None
         orders = coordinator.told_order_news(self._clock())
         told = (self._told_loads, self._told_residency)
-        return replace(self._make_view(coordinator, term, *told, orders), complete=True)
+        view = self._make_view(coordinator, term, *told, orders)
+        return replace(view, complete=True, paces=self._told_paces)
 
     def _make_view(
         self,
@@ -258,6 +283,7 @@
         inherited = self._inheritance(term, now)
         self.coordinator = Coordinator(self._directory, self._settings.bounds, inherited)
         self._published, self._told_residency, self._told_loads = -1, {}, {}
+        self._told_paces = PaceFactors()
         log.info(
             "coordination begun",
             step="lease",
--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from ..dispatch import OrderedResidency, UpstreamLoad
+from ..dispatch import OrderedResidency, PaceFactors, PaceSeen, UpstreamLoad
 from ..objects import FeedUpdate, StoredObject
 from ..ordering import NodeStatus, OrderNews, Want
 from ..peers.errors import MalformedMessage
@@ -53,11 +53,11 @@
 @dataclass(frozen=True)
 class FleetView:
     """What the coordinator tells all nodes. ``loads`` are the sums over all nodes, ``residency`` is
-    what engines hold, ``orders`` what a successor has to know of the orders. They name what has
-    changed since the view before; a ``complete`` view names everything.
-    ``store_lost`` asks the nodes whether they reach the store. ``sent_at`` is the coordinator's own
-    time, which nodes send back. On the wire, the other times are seconds before or after the moment
-    of sending.
+    what engines hold, ``orders`` what a successor has to know of the orders, ``paces`` how fast
+    upstreams read prompts. They name what has changed since the view before; a ``complete`` view
+    names everything. ``store_lost`` asks the nodes whether they reach the store. ``sent_at`` is the
+    coordinator's own time, which nodes send back. On the wire, the other times are seconds before
+    or after the moment of sending.
     """
 
     epoch: int
@@ -69,6 +69,7 @@
     store_lost: bool = False
     complete: bool = False
     sent_at: float = 0.0
+    paces: PaceFactors = field(default_factory=PaceFactors)
 
 
 @dataclass(frozen=True)
@@ -107,6 +108,7 @@
         "used": [list(item) for item in status.used],
         "declined": list(status.declined),
         "doubts": dict(status.doubts),
+        "paces": [[seen.instance, seen.model, round(seen.factor, 3)] for seen in status.paces],
     }
 
 
@@ -126,6 +128,7 @@
                     used=tuple((i, m, a) for i, m, a in body["used"]),
                     declined=tuple(body["declined"]),
                     doubts=dict(body["doubts"]),
+                    paces=tuple(PaceSeen(i, m, float(f)) for i, m, f in body["paces"]),
                 ),
                 ViewReply(float(body["seen"]), bool(body["reached"])),
             )
@@ -155,6 +158,8 @@
             ]
             for instance, known in view.residency.items()
         }
+    if view.paces:
+        body["paces"] = [_round_all(view.paces.upstreams), _round_all(view.paces.models)]
     if view.orders is not None:
         news = view.orders
         body["orders"] = [
@@ -189,7 +194,8 @@
         loads = _decode_loads(body["loads"])
         numbers = (int(body["epoch"]), int(body["lease"]), int(body["nodes"]))
         told = (bool(body["store_lost"]), bool(body["complete"]), float(body["at"]))
-        return Ok(FleetView(*numbers, loads, residency, orders, *told))
+        paces = PaceFactors(*body.get("paces", ()))
+        return Ok(FleetView(*numbers, loads, residency, orders, *told, paces))
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Err(MalformedMessage("decode_view", "", repr(exc)))
 
@@ -252,12 +258,17 @@
     return tuple(StoredObject(key, version, value) for key, version, value in body)
 
 
-def _encode_loads(loads: Mapping[str, UpstreamLoad]) -> dict[str, list[float]]:
+def _round_all(factors: Mapping[str, float]) -> dict[str, float]:
+    return {key: round(factor, 3) for key, factor in factors.items()}
+
+
+def _encode_loads(loads: Mapping[str, UpstreamLoad]) -> dict[str, list[Any]]:
+    """Encode loads as integers, which take a third of the bytes of floats on a link."""
     return {
         instance: [
-            load.requests,
-            load.cache_tokens,
-            [[level, round(wait_s, 4)] for level, wait_s in load.backlog.items() if wait_s > 0],
+            round(load.requests),
+            round(load.cache_tokens),
+            [[level, round(wait_s * 1000)] for level, wait_s in load.backlog.items()],
         ]
         for instance, load in loads.items()
     }
@@ -265,6 +276,8 @@
 
 def _decode_loads(body: Any) -> dict[str, UpstreamLoad]:
     return {
-        instance: UpstreamLoad(requests, cache_tokens, dict(backlog))
+        instance: UpstreamLoad(
+            requests, cache_tokens, {level: wait_ms / 1000 for level, wait_ms in backlog}
+        )
         for instance, (requests, cache_tokens, backlog) in body.items()
     }
--- a/eelgrassferry/coordination/tests/test_leadership.py
+++ b/eelgrassferry/coordination/tests/test_leadership.py
@@ -3,16 +3,24 @@
 import unittest
 from unittest.mock import Mock
 
+from ...dispatch import PaceBook, PaceSeen
 from ...fleet import EntrySettings, FleetConfig, UpstreamDirectory
 from ...leases import LeaseTerm
 from ...metrics import Metrics
-from ...ordering import EngineReport, OrderNews
+from ...ordering import EngineReport, NodeStatus, OrderNews
 from ...ordering.tests.fixtures import make_entry, make_service
 from ..leadership import Leadership
-from ..messages import FleetView
+from ..messages import (
+    FleetView,
+    ViewReply,
+    decode_status,
+    decode_view,
+    encode_status,
+    encode_view,
+)
 
 
-def make_leadership(epoch, alone_since=None):
+def make_leadership(epoch, alone_since=None, publish=lambda _view: None):
     """Return the leadership of a node that takes the lease at time 10, with one engine."""
     settings = EntrySettings("n1", "a", "", "", "", "", first_start=False)
     directory = UpstreamDirectory()
@@ -20,7 +28,7 @@
     lease = Mock(handover_s=3.4, version=7, store_lost=False)
     lease.term.return_value = LeaseTerm(epoch, 99.0, frozenset(), alone_since)
     leadership = Leadership(
-        settings, lease, directory, Mock(), lambda: 10.0, Metrics(), lambda _view: None
+        settings, lease, directory, Mock(), lambda: 10.0, Metrics(), publish, PaceBook()
     )
     leadership.set_config(FleetConfig(1, (), {"chat": make_service()}))
     return leadership
@@ -42,6 +50,40 @@
         self.assertEqual(told.cold_loads, {"chat": (8.0, 9.0, 10.0)})
 
 
+class SharedPaceTest(unittest.TestCase):
+    """What one node has seen of an engine's pace."""
+
+    def test_all_nodes_learn_of_a_slow_engine(self):
+        """Guards against prompts that queue at a slow engine until each of many nodes has found out
+        by itself (grown trouble-2).
+        """
+        views = []
+        leadership = make_leadership(epoch=2, publish=views.append)
+        leadership._follow_term()
+        seen = tuple(PaceSeen("u0", "m0", 4.0) for _ in range(20))
+        leadership.take_status(NodeStatus("n2", paces=seen))
+        leadership.publish_loads()
+        body = encode_view(views[-1], 10.0)
+        paces = decode_view(body, 10.0).unwrap().paces
+        pace = PaceBook()
+        pace.take(paces)
+        self.assertGreater(pace.factor("u0", "m0"), 3.0)
+        self.assertEqual(leadership.complete_view().paces.upstreams.keys(), {"u0"})
+
+    def test_own_observations_count_once(self):
+        """Guards against a coordinator's own runs that weigh twice as much as those of others."""
+        leadership = make_leadership(epoch=2)
+        leadership._follow_term()
+        leadership.take_status(NodeStatus("n1", paces=(PaceSeen("u0", "m0", 4.0),)))
+        self.assertFalse(leadership._pace.factors)
+
+    def test_status_carries_observations(self):
+        """Guards against observations that are lost on the way."""
+        status = NodeStatus("n2", paces=(PaceSeen("u0", "m0", 4.0),))
+        body = encode_status(status, ViewReply(0.0, False))
+        self.assertEqual(decode_status(body).unwrap()[0].paces, status.paces)
+
+
 class RestartTest(unittest.TestCase):
     """A node that was killed while it coordinated, and takes its own lease again."""
 
--- a/eelgrassferry/dispatch/__init__.py
+++ b/eelgrassferry/dispatch/__init__.py
@@ -5,6 +5,7 @@
 from .fleet_residency import FleetResidency, OrderedResidency
 from .job import Flight, Job
 from .load_view import NO_LOAD, UpstreamLoad
+from .pace_book import PaceBook, PaceFactors, PaceSeen
 
 __all__ = [
     "NO_LOAD",
@@ -18,6 +19,9 @@
     "FlightEnd",
     "Job",
     "OrderedResidency",
+    "PaceBook",
+    "PaceFactors",
+    "PaceSeen",
     "Refuse",
     "RefuseReason",
     "Send",
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -13,6 +13,7 @@
 from .fleet_residency import FleetResidency
 from .job import Flight, Job
 from .load_view import UpstreamLoad
+from .pace_book import PaceSeen
 from .upstream_choice import PLAIN_START_S, UpstreamChoice
 
 __all__ = ["Dispatcher"]
@@ -37,6 +38,10 @@
 # Retry-After where nothing better is known, in seconds.
 RETRY_AFTER_S = 1.0
 
+# Observations of upstreams' paces that are kept for one status to the coordinator, so that a status
+# stays small. A node has about ten runs between two of them.
+MAX_PACES_SEEN = 50
+
 # How much the end of a run speaks for the upstream being gone, although it is still registered.
 DOUBTS = {
     FlightEnd.NO_LISTENER: 2,
@@ -63,6 +68,7 @@
         self.adapters_used: set[tuple[str, str, str]] = set()
         self.declined: set[str] = set()
         self.doubts: dict[str, int] = {}
+        self.paces_seen: list[PaceSeen] = []
         self._directory = directory
         self._residency = residency
         self._bounds = bounds
@@ -105,7 +111,7 @@
             took_s = now - flight.sent_at
             # A wrong assumption on what is kept says nothing of the engine's speed.
             if not flight.is_assumed:
-                self.choice.pace.note(flight.instance, job.model, flight.expected_s, took_s)
+                self._note_pace(job.model, flight, took_s)
             self.choice.prefix.note_run(
                 flight.instance, job.model, job.adapter, job.parts, engine.cache_tokens
             )
@@ -281,6 +287,16 @@
         count, total_s = self.arrivals.get(key, (0, 0.0))
         self.arrivals[key] = (count + 1, total_s + work_s)
 
+    def _note_pace(self, model: str, flight: Flight, took_s: float) -> None:
+        """Learn from a time to the first event, and keep it for the coordinator."""
+        pace = self.choice.pace
+        seen = pace.observe(flight.instance, model, flight.pace, flight.expected_s, took_s)
+        if seen is None:
+            return
+        pace.note(seen)
+        if len(self.paces_seen) < MAX_PACES_SEEN:
+            self.paces_seen.append(seen)
+
     def _place_or_wait(self, job: Job, now: float) -> list[Action]:
         sent = self._place(job, now)
         if sent is not None:
--- a/eelgrassferry/dispatch/job.py
+++ b/eelgrassferry/dispatch/job.py
@@ -20,7 +20,8 @@
 
     ``prefill_s`` is the time in which the upstream is expected to read the prompt, ``cache_tokens``
     what the run keeps in its memory. ``expected_s`` is the estimated time to the first event;
-    ``is_assumed`` says that it rests on parts of the prompt that other nodes have sent there.
+    ``is_assumed`` says that it rests on parts of the prompt that other nodes have sent there, and
+    ``pace`` is the slowness that was assumed of the upstream.
     """
 
     instance: str
@@ -29,6 +30,7 @@
     cache_tokens: float
     expected_s: float
     is_assumed: bool = False
+    pace: float = 1.0
     first_event_at: float | None = None
     on_wire: bool = False
 
--- a/eelgrassferry/dispatch/load_view.py
+++ b/eelgrassferry/dispatch/load_view.py
@@ -9,6 +9,9 @@
 
 # The other nodes' figures are dropped when none has come for this long, in seconds.
 STALE_AFTER_S = 2.0
+# Nodes tell each other of unread prompts from this time on, in seconds; less has no effect on a
+# choice and is mostly the rest of sums.
+LEAST_BACKLOG_S = 0.0005
 
 
 @dataclass
@@ -38,6 +41,18 @@
             backlog,
         )
 
+    def rounded(self) -> "UpstreamLoad":
+        """Return what other nodes are told: whole requests, tokens and ms."""
+        return UpstreamLoad(
+            round(self.requests),
+            round(self.cache_tokens),
+            {
+                level: round(wait_s, 3)
+                for level, wait_s in self.backlog.items()
+                if wait_s >= LEAST_BACKLOG_S
+            },
+        )
+
 
 NO_LOAD = UpstreamLoad()
 
--- a/eelgrassferry/dispatch/pace_book.py
+++ b/eelgrassferry/dispatch/pace_book.py
@@ -1,6 +1,10 @@
 """How fast upstreams read prompts, learned from times to the first event."""
 
-__all__ = ["PaceBook"]
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from math import exp, log
+
+__all__ = ["PaceBook", "PaceFactors", "PaceSeen"]
 
 # Prompt tokens per second assumed of an engine until the first observations.
 START_TOKENS_PER_S = 44_000.0
@@ -9,11 +13,47 @@
 # Weight of one observation; about the last five count.
 WEIGHT = 0.2
 MIN_FACTOR, MAX_FACTOR = 0.1, 30.0
+# One observation speaks for a pace that is at most this many times slower or faster.
+MAX_RATIO = 8.0
 # The factors of a model and of an upstream are learned from the same observations. Shorter
 # expected times than this are mostly noise.
 MIN_EXPECTED_S = 0.02
 
 
+@dataclass(frozen=True)
+class PaceSeen:
+    """One observation: ``factor`` is the slowness of an upstream and a model together."""
+
+    instance: str
+    model: str
+    factor: float
+
+
+@dataclass(frozen=True)
+class PaceFactors:
+    """Slowness by upstream and by model."""
+
+    upstreams: Mapping[str, float] = field(default_factory=dict)
+    models: Mapping[str, float] = field(default_factory=dict)
+
+    def __bool__(self) -> bool:
+        return bool(self.upstreams or self.models)
+
+    def changed_since(self, told: "PaceFactors", share: float) -> "PaceFactors":
+        """Return the factors that differ by more than ``share`` from those told before."""
+        return PaceFactors(
+            _changed(self.upstreams, told.upstreams, share),
+            _changed(self.models, told.models, share),
+        )
+
+    def updated(self, news: "PaceFactors", known: "PaceFactors") -> "PaceFactors":
+        """Return these factors with newer ones in their place, without those not ``known`` now."""
+        return PaceFactors(
+            _updated(self.upstreams, news.upstreams, known.upstreams),
+            _updated(self.models, news.models, known.models),
+        )
+
+
 class PaceBook:
     """A slowness factor for each model and one for each upstream; 1 is the assumed rate.
 
@@ -26,20 +66,56 @@
         self._models: dict[str, float] = {}
         self._upstreams: dict[str, float] = {}
 
+    @property
+    def factors(self) -> PaceFactors:
+        """All factors that are known."""
+        return PaceFactors(dict(self._upstreams), dict(self._models))
+
+    def factor(self, instance: str, model: str) -> float:
+        """Return how many times slower than assumed an upstream reads prompts of a model."""
+        return self._models.get(model, 1.0) * self._upstreams.get(instance, 1.0)
+
     def expected_s(self, instance: str, model: str, prefill_tokens: float) -> float:
         """Return the time in which an upstream reads some prompt tokens of a model."""
-        factor = self._models.get(model, 1.0) * self._upstreams.get(instance, 1.0)
-        return BASE_S + prefill_tokens / START_TOKENS_PER_S * factor
+        return BASE_S + prefill_tokens / START_TOKENS_PER_S * self.factor(instance, model)
 
-    def note(self, instance: str, model: str, expected_s: float, observed_s: float) -> None:
-        """Take one time to the first event against the estimate at sending."""
+    def observe(
+        self, instance: str, model: str, factor: float, expected_s: float, observed_s: float
+    ) -> PaceSeen | None:
+        """Return what one time to the first event says, None where it says nothing. The estimate
+        was made at sending, with ``factor``.
+        """
         if expected_s - BASE_S < MIN_EXPECTED_S and observed_s < MIN_EXPECTED_S + BASE_S:
-            return
-        ratio = min(8.0, max(0.125, observed_s / max(expected_s, MIN_EXPECTED_S)))
-        for table, key in ((self._models, model), (self._upstreams, instance)):
-            factor = table.get(key, 1.0) * ratio ** (WEIGHT / 2.0)
-            table[key] = min(MAX_FACTOR, max(MIN_FACTOR, factor))
+            return None
+        ratio = observed_s / max(expected_s, MIN_EXPECTED_S)
+        return PaceSeen(instance, model, factor * min(MAX_RATIO, max(1.0 / MAX_RATIO, ratio)))
+
+    def note(self, seen: PaceSeen) -> None:
+        """Learn from one observation, of this node or of another."""
+        error = log(seen.factor / self.factor(seen.instance, seen.model))
+        step = exp(WEIGHT / 2.0 * error)
+        for table, key in ((self._models, seen.model), (self._upstreams, seen.instance)):
+            table[key] = min(MAX_FACTOR, max(MIN_FACTOR, table.get(key, 1.0) * step))
+
+    def take(self, factors: PaceFactors) -> None:
+        """Use factors that were learned from the observations of all nodes."""
+        self._upstreams.update(factors.upstreams)
+        self._models.update(factors.models)
 
     def forget(self, instance: str) -> None:
         """Drop what was learned about an upstream that is gone."""
         self._upstreams.pop(instance, None)
+
+
+def _updated(
+    told: Mapping[str, float], news: Mapping[str, float], known: Mapping[str, float]
+) -> dict[str, float]:
+    return {key: factor for key, factor in {**told, **news}.items() if key in known}
+
+
+def _changed(now: Mapping[str, float], told: Mapping[str, float], share: float) -> dict[str, float]:
+    return {
+        key: factor
+        for key, factor in now.items()
+        if abs(factor - told.get(key, 1.0)) > share * told.get(key, 1.0)
+    }
--- a/eelgrassferry/dispatch/upstream_choice.py
+++ b/eelgrassferry/dispatch/upstream_choice.py
@@ -111,6 +111,7 @@
             float(tokens),
             (prefill_s + load.ahead_s(job.route.priority)) * busy,
             is_assumed=assumed > 0.0,
+            pace=self.pace.factor(entry.instance, job.model),
         )
 
     def candidates(self, job: Job, now: float) -> list[UpstreamEntry]:
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -109,6 +109,7 @@
             boot_clock,
             self._metrics,
             self._mesh.publish,
+            self._dispatcher.choice.pace,
         )
         self._isolation = IsolationWatch(
             settings.domain,
@@ -224,6 +225,7 @@
         self._residency.set_ordered(view.residency, view.complete)
         self._dispatcher.set_other_loads(others, now)
         self._dispatcher.set_nodes(view.nodes)
+        self._dispatcher.choice.pace.take(view.paces)
         self._desk.perform(self._dispatcher.pump(now))
 
     def _make_status(self) -> NodeStatus:
@@ -236,19 +238,18 @@
                 Want(service, model, adapter, count, left_s)
                 for (service, model, adapter), (count, left_s) in wanted.items()
             ),
-            loads={
-                instance: UpstreamLoad(load.requests, load.cache_tokens, dict(load.backlog))
-                for instance, load in dispatcher.load.own().items()
-            },
+            loads={instance: load.rounded() for instance, load in dispatcher.load.own().items()},
             running=dict(dispatcher.load.own_running()),
             used=tuple(dispatcher.adapters_used),
             declined=tuple(dispatcher.declined),
             doubts=dict(dispatcher.doubts),
+            paces=tuple(dispatcher.paces_seen),
         )
         dispatcher.arrivals.clear()
         dispatcher.adapters_used.clear()
         dispatcher.declined.clear()
         dispatcher.doubts.clear()
+        dispatcher.paces_seen.clear()
         return status
 
     def _use_changes(self, changes: list[DirectoryChange]) -> None:
