--- a/eelgrassferry/dispatch/job.py
+++ b/eelgrassferry/dispatch/job.py
@@ -40,7 +40,8 @@
     """``give_up_at`` is the time by which a final answer is due, ``target_at`` the time within
     which an answer is worth most. ``ran_on`` are the upstreams that may have run the request.
     ``owner`` is the exchange that the answer belongs to. ``first_event_ms`` is the time from the
-    last sending to the first event.
+    last sending to the first event, ``longest_pause_ms`` the longest time between two parts of a
+    stream.
     """
 
     request_id: str
@@ -64,6 +65,7 @@
     last_event_id: str = ""
     stored_answer: Any = None
     first_event_ms: int | None = None
+    longest_pause_ms: int = 0
 
     @property
     def target_at(self) -> float:
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -56,6 +56,7 @@
         self._head: AnswerHead | None = None
         self._body = bytearray()
         self._events = EventBuffer()
+        self._part_at: float | None = None
         self._run = 0
         self._silence: asyncio.TimerHandle | None = None
         left_s = max(0.0, job.give_up_at - desk.clock() - ANSWER_MARGIN_S)
@@ -171,12 +172,21 @@
         if not self._passes_on:
             self._body += data
             return
+        self._note_part()
         if not self.job.route.resumable:
             self._caller.write(data)
             return
         self._caller.write(self._events.feed(data))
         self.job.last_event_id = self._events.last_id or self.job.last_event_id
 
+    def _note_part(self) -> None:
+        """Note the pause before a part of a stream, runs at several upstreams included."""
+        now = self._desk.clock()
+        if self._part_at is not None:
+            pause_ms = round((now - self._part_at) * 1000)
+            self.job.longest_pause_ms = max(self.job.longest_pause_ms, pause_ms)
+        self._part_at = now
+
     def on_end(self) -> None:
         """Take the end of a complete answer."""
         head = self._head
--- a/eelgrassferry/entry/front_desk.py
+++ b/eelgrassferry/entry/front_desk.py
@@ -285,6 +285,7 @@
             adapter=job.adapter,
             reason=reason,
             first_event_ms=job.first_event_ms,
+            longest_pause_ms=job.longest_pause_ms,
             took_ms=round(took_s * 1000),
             declined=job.not_run_tries,
             ran_on=len(job.ran_on),
--- a/eelgrassferry/platform/tests/standin_server.py
+++ b/eelgrassferry/platform/tests/standin_server.py
@@ -21,7 +21,7 @@
     before the answer, ``orders`` the bodies of accepted orders.
     ``status`` is what it answers to a plain request, ``decline`` the number of requests that it
     declines as not run, ``break_after`` the events after which it breaks off a stream, once it has
-    called ``on_break``.
+    called ``on_break``. ``event_pause_s`` is the time between two events.
     """
 
     def __init__(
@@ -38,6 +38,7 @@
         self.on_break: Callable[[], None] = lambda: None
         self.events = 3
         self.pause_s = 0.0
+        self.event_pause_s = 0.0
         self.models: dict[str, set[str]] = {model: set() for model in models}
         self._store = store
         self._service = service
@@ -174,5 +175,7 @@
                 self.on_break()
                 await out.write(b"id: torn")
                 raise ConnectionResetError("broken off")
+            if number > first:
+                await asyncio.sleep(self.event_pause_s)
             await out.write(f"id: {number}\ndata: {self.instance}\n\n".encode())
         await out.finish()
--- a/eelgrassferry/platform/tests/test_whole_path.py
+++ b/eelgrassferry/platform/tests/test_whole_path.py
@@ -245,6 +245,14 @@
         await self.eventually(is_served)
         self.assertLess(time.monotonic() - began, 4.0)  # a lease that is waited for takes 4.6 s
 
+    async def test_line_shows_the_longest_pause_of_a_stream(self):
+        """Guards against streams that are late by their pauses and look sound in the log."""
+        self.engine.event_pause_s = self.spare.event_pause_s = 0.2
+        res = await self.call("/chat/x", 61, Eelgrassferry_Model="m0")
+        self.assertEqual(res.status, 200)
+        (served,) = [x for x in self.lines("request served") if x["request_id"] == "id-61"]
+        self.assertGreaterEqual(served["longest_pause_ms"], 190)
+
     async def test_lines_lead_from_a_request_to_its_cause(self):
         """Guards against a failure that the log cannot explain."""
         for desk in self.desks:
