Keep long streams away from engines whose gaps would make them late

Change: nodes remember the longest gaps of their streams, divided by the engine's slowness, and add the chance of a late gap to an engine's cost.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -122,9 +122,12 @@
         if flight is not None:
             self.choice.health.note(flight.instance, False, now)
             self.choice.pauses.note_progress(flight.instance, flight.sent_at)
-            if not job.model:
-                took_s = now - flight.sent_at
-                self.choice.note_plain(flight.instance, took_s)
+            # A gap between two upstreams says nothing of either.
+            if job.model and len(job.ran_on) == 1:
+                gap_s = job.longest_pause_ms / 1000.0
+                self.choice.gaps.note(gap_s, flight.pace, job.max_output_tokens)
+            elif not job.model:
+                self.choice.note_plain(flight.instance, now - flight.sent_at)
         self._close(job)
         return self.pump(now)
 
--- a/eelgrassferry/dispatch/tests/test_patterns_of_load.py
+++ b/eelgrassferry/dispatch/tests/test_patterns_of_load.py
@@ -6,6 +6,7 @@
 from ...fleet import RequestKind
 from ...routing import UpstreamState
 from .. import FlightEnd, Refuse, RefuseReason, Send, UpstreamLoad
+from ..pace_book import PaceFactors
 from .fixtures import DispatchWorld
 
 
@@ -44,6 +45,51 @@
         self.assertLessEqual(sent[20:].count("e0"), 4)
 
 
+class SlowEngineBetweenLongPromptsTest(unittest.TestCase):
+    """One engine is slow, and all engines read long prompts between the events of streams."""
+
+    def setUp(self):
+        self.world = DispatchWorld()
+        choice = self.world.dispatcher.choice
+        choice.pace.take(PaceFactors({"e0": 2.5}))
+        busy = UpstreamLoad(requests=1, backlog={1: 0.1})
+        self.world.dispatcher.set_other_loads({"e1": busy, "e2": busy}, 0.0)
+        for _ in range(50):
+            choice.gaps.note(0.2, 1.0, 300)
+
+    def choices(self, tokens):
+        """Return where requests for ``tokens`` of output and a short prompt go."""
+        found = []
+        for _ in range(20):
+            job = self.world.make_job(tokens=200)
+            job.max_output_tokens = tokens
+            found.append(self.world.send(job))
+            self.world.dispatcher.cancel(job, 0.0)
+        return found
+
+    def test_long_streams_keep_away(self):
+        """Guards against streams that begin in time and are late by their gaps: on the slow engines
+        of grown trouble-2, half of them.
+        """
+        self.assertNotIn("e0", self.choices(300))
+
+    def test_short_streams_do_not(self):
+        """Guards against an engine that is left idle for a risk that short streams do not run."""
+        self.assertIn("e0", self.choices(1))
+
+    def test_gap_between_two_upstreams_says_nothing(self):
+        """Guards against engines that are avoided because another one has crashed."""
+        job = self.world.make_job(kind=RequestKind.STREAM)
+        job.max_output_tokens = 300
+        gaps = self.world.dispatcher.choice.gaps
+        before = gaps.chance(1.0, 300, 0.3)
+        instance = self.world.send(job)
+        job.ran_on.extend(["e9", instance])
+        job.longest_pause_ms = 4000
+        self.world.dispatcher.succeed(job, 1.0)
+        self.assertEqual(gaps.chance(1.0, 300, 0.3), before)
+
+
 class MoreWorkThanOneEngineDoesTest(unittest.TestCase):
     """A model in demand has one engine left, which cannot serve all in time."""
 
--- a/eelgrassferry/dispatch/upstream_choice.py
+++ b/eelgrassferry/dispatch/upstream_choice.py
@@ -7,6 +7,7 @@
 from ..routing import UpstreamState
 from ..routing.pauses import PauseBook
 from .fleet_residency import FleetResidency
+from .gap_book import GapBook
 from .health_book import HealthBook
 from .job import Flight, Job
 from .load_view import LoadView
@@ -51,6 +52,7 @@
         self.load = LoadView()
         self.pace = PaceBook()
         self.prefix = PrefixBook()
+        self.gaps = GapBook()
         self.health = HealthBook()
         self.pauses = PauseBook()
         self._domain = domain
@@ -73,11 +75,20 @@
                 cost_s += OTHER_DOMAIN_COST_S
             if entry.instance == owner:
                 cost_s -= PREFIX_OWNER_BONUS_S
+            cost_s += self._gap_cost_s(job, planned)
             cost_s += TIE_SPREAD_S * self._rng.random()
             if best is None or cost_s < best[0]:
                 best = (cost_s, planned)
         return best[1] if best is not None else None
 
+    def _gap_cost_s(self, job: Job, planned: Flight) -> float:
+        """Return what the chance of a gap that makes a stream late costs, in seconds: an answer
+        that is sure to be late by a gap is as bad as one that begins late.
+        """
+        route = job.route
+        chance = self.gaps.chance(planned.pace, job.max_output_tokens, route.gap_target_s)
+        return chance * route.target_latency_s
+
     def _plan(self, job: Job, entry: UpstreamEntry, now: float, is_owner: bool) -> Flight | None:
         """Return the run of a job at an upstream, None where it has no room. ``is_owner`` says that
         all nodes send prompts that begin like this one there.
