--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -19,8 +19,10 @@
 # only when a watch is overdue, and changes are to be in force within 2 s.
 WATCH_S = 2.0
 # Least time between the starts of two watches, in seconds: changes that come in quick succession
-# are taken together, which saves calls of the store. Seventy servers write sixty times a second.
-WATCH_PAUSE_S = 0.2
+# are taken together, which saves calls of the store. The pause doubles up to the second figure
+# while each watch is answered within it: seventy servers write sixty times a second.
+WATCH_PAUSE_S = 0.05
+LONG_WATCH_PAUSE_S = 0.2
 # While a peer passes changes on, the feed looks this often whether it still does, in seconds.
 RELAY_CHECK_S = 0.05
 # Time between two tries while the store does not answer, in seconds.
@@ -77,6 +79,7 @@
         self._listed = False
         self._away_since: float | None = None
         self._failed = False
+        self._pause_s = WATCH_PAUSE_S
 
     @property
     def away_s(self) -> float:
@@ -95,10 +98,13 @@
             if isinstance(res, Err):
                 await self._take_error(res.err_value)
                 continue
-            least_s = min(MAX_WATCH_PAUSE_S, WATCH_PAUSE_S * self.stretch())
-            pause_s = least_s - (self._clock() - began)
-            if pause_s > 0:
-                await self._sleep(pause_s)
+            took_s = self._clock() - began
+            least_s = min(MAX_WATCH_PAUSE_S, self._pause_s * self.stretch())
+            if took_s < least_s:
+                self._pause_s = min(LONG_WATCH_PAUSE_S, 2.0 * self._pause_s)
+                await self._sleep(least_s - took_s)
+            else:
+                self._pause_s = WATCH_PAUSE_S
 
     @property
     def age_s(self) -> float:
--- a/eelgrassferry/objects/tests/test_feed.py
+++ b/eelgrassferry/objects/tests/test_feed.py
@@ -46,6 +46,9 @@
 class ObjectFeedTest(unittest.IsolatedAsyncioTestCase):
     """One feed against scripted answers, on a clock that its pauses move."""
 
+    def setUp(self):
+        self.pauses = []
+
     async def follow(self, *answers):
         self.now = 0.0
         self.updates = []
@@ -62,6 +65,7 @@
         return store
 
     async def pause(self, seconds):
+        self.pauses.append(seconds)
         self.now += seconds
 
     async def test_watch_goes_on_from_the_listing(self):
@@ -165,6 +169,28 @@
             await self.feed.run()
         self.assertAlmostEqual(self.now - before, 3.0)
 
+    async def test_watches_that_are_answered_at_once_are_asked_less_often(self):
+        """Guards against twenty watches a second of servers that write all the time, and against
+        a rare change that waits (a node's registration just before the store goes down).
+        """
+        watched = [Ok(WatchResult(version, ())) for version in range(6, 14)]
+        await self.follow(Ok(Snapshot(5, ())), *watched)
+        self.assertAlmostEqual(self.pauses[0], 0.05)
+        self.assertAlmostEqual(self.pauses[-1], 0.2)
+        at_once = self.feed._store.watch
+
+        async def after_a_while(*args):
+            self.now += 1.0
+            self.feed._store.watch = at_once
+            return Ok(WatchResult(14, ()))
+
+        self.pauses.clear()
+        self.feed._store.watch = after_a_while
+        self.feed._store._store.answers = [Ok(WatchResult(15, ()))]
+        with self.assertRaises(asyncio.CancelledError):
+            await self.feed.run()
+        self.assertAlmostEqual(self.pauses[0], 0.05)
+
     async def test_store_is_not_asked_while_changes_are_relayed(self):
         """Guards against every node watching the store."""
         self.now = 0.0
