Load further copies on fast engines, and count a slow engine's time

Change: the planner knows the engines' paces; a further copy for overloaded ones costs more on a slow engine, and work counts by the engine's pace.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -281,7 +281,9 @@
         now = self._clock()
         self._epoch = term.epoch
         inherited = self._inheritance(term, now)
-        self.coordinator = Coordinator(self._directory, self._settings.bounds, inherited)
+        self.coordinator = Coordinator(
+            self._directory, self._settings.bounds, inherited, self._pace
+        )
         self._published, self._told_residency, self._told_loads = -1, {}, {}
         self._told_paces = PaceFactors()
         log.info(
--- a/eelgrassferry/dispatch/pace_book.py
+++ b/eelgrassferry/dispatch/pace_book.py
@@ -75,6 +75,10 @@
         """Return how many times slower than assumed an upstream reads prompts of a model."""
         return self._models.get(model, 1.0) * self._upstreams.get(instance, 1.0)
 
+    def upstream_factor(self, instance: str) -> float:
+        """Return how many times slower than assumed an upstream reads prompts of any model."""
+        return self._upstreams.get(instance, 1.0)
+
     def expected_s(self, instance: str, model: str, prefill_tokens: float) -> float:
         """Return the time in which an upstream reads some prompt tokens of a model."""
         return BASE_S + prefill_tokens / START_TOKENS_PER_S * self.factor(instance, model)
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..dispatch import OrderedResidency, UpstreamLoad
+from ..dispatch import OrderedResidency, PaceBook, UpstreamLoad
 from ..fleet import Engine, FleetConfig, ServiceBounds, UpstreamDirectory, UpstreamEntry
 from ..placement import OrderKind
 from ..routing import UpstreamState
@@ -46,8 +46,8 @@
 class Coordinator:
     """Plans and orders for all engines of all services, from the start of one lease term on.
 
-    ``inheritance`` tells what an earlier holder ordered. Books are kept by incarnation.
-    ``changes`` counts the changes of what nodes are told about engines.
+    ``inheritance`` tells what an earlier holder ordered, ``pace`` how fast engines are. Books are
+    kept by incarnation. ``changes`` counts the changes of what nodes are told about engines.
     """
 
     def __init__(
@@ -55,12 +55,14 @@
         directory: UpstreamDirectory,
         bounds: ServiceBounds,
         inheritance: Inheritance,
+        pace: PaceBook,
     ) -> None:
         self.changes = 0
         self.books: dict[str, EngineBook] = {}
         self._directory = directory
         self._bounds = bounds
         self._inheritance = inheritance
+        self._pace = pace
         self._config: FleetConfig | None = None
         self._demand = DemandBook()
         self._planners: dict[str, Planner] = {}
@@ -196,6 +198,7 @@
                 self._statuses.running,
                 self._statuses.loads,
                 self._demand,
+                self._pace,
                 now,
             )
             for step in planner.plan(state):
--- a/eelgrassferry/ordering/plan_state.py
+++ b/eelgrassferry/ordering/plan_state.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from functools import cached_property
 
-from ..dispatch import NO_LOAD, UpstreamLoad
+from ..dispatch import NO_LOAD, PaceBook, UpstreamLoad
 from .demand_book import DemandBook
 from .engine_book import CopyState, EngineBook
 
@@ -14,7 +14,8 @@
 @dataclass(frozen=True)
 class PlanState:
     """``waiting`` counts requests by model that no engine can take, ``running`` requests by
-    instance and model, ``loads`` all work by instance.
+    instance and model, ``loads`` all work by instance. ``pace`` is what is known of the speed of
+    engines.
     """
 
     service: str
@@ -23,6 +24,7 @@
     running: Mapping[tuple[str, str], int]
     loads: Mapping[str, UpstreamLoad]
     demand: DemandBook
+    pace: PaceBook
     now: float
 
     @cached_property
@@ -57,7 +59,7 @@
         return sum(self.loads.get(book.instance, NO_LOAD).backlog.values())
 
     def _busy(self, book: EngineBook) -> float:
-        return sum(
+        return self.pace.upstream_factor(book.instance) * sum(
             self.demand.busy(self.service, model, self.now) / max(1, self.copies(model))
             for model, copy in book.copies.items()
             if copy.state is CopyState.LIVE
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -42,6 +42,9 @@
 # Cost of a load on an engine for each adapter in use there, in seconds of a load: no adapter is
 # loaded meanwhile.
 ADAPTER_COST_S = 0.05
+# Cost of a further copy on a slow engine, in seconds of a load for each time that it is slower than
+# assumed. Models in demand belong on fast engines, rare ones are served by slow ones as well.
+SLOW_COST_S = 1.0
 # A copy is not evicted for this long after it was loaded, in seconds.
 MIN_RESIDENCE_S = 1.5
 # A model that was asked for within this time keeps its last copy, unless one that is waited for
@@ -64,12 +67,15 @@
 
 @dataclass(frozen=True)
 class ModelNeed:
-    """A model to load. ``spare`` says that the copy is only kept against a crash."""
+    """A model to load. ``spare`` says that the copy is only kept against a crash, ``further`` that
+    the other copies are overloaded.
+    """
 
     model: str
     reason: str
     worth: float
     spare: bool = False
+    further: bool = False
 
 
 @dataclass(frozen=True)
@@ -168,7 +174,7 @@
         if len(holders) == len(state.books) or is_growing:
             return None
         if rate > 0.0 and self._is_overloaded(live, state):
-            return ModelNeed(model, "engines too busy", rate)
+            return ModelNeed(model, "engines too busy", rate, further=True)
         if len(holders) == 1 and rate >= SPARE_COPY_RATE:
             return ModelNeed(model, "spare copy", rate / 10.0, spare=True)
         return None
@@ -207,6 +213,8 @@
             step, penalty = found
             cost = book.load_s(need.model) + penalty + BUSY_COST_S * state.busy[book.instance]
             cost += ADAPTER_COST_S * book.recent_adapters(state.now)
+            if need.further:
+                cost += SLOW_COST_S * state.pace.upstream_factor(book.instance)
             if best is None or cost < best[0]:
                 best = (cost, book, step)
         if best is None:
--- a/eelgrassferry/ordering/tests/fleet_model.py
+++ b/eelgrassferry/ordering/tests/fleet_model.py
@@ -5,7 +5,7 @@
 from itertools import count
 from random import Random
 
-from ...dispatch import UpstreamLoad
+from ...dispatch import PaceBook, UpstreamLoad
 from ...fleet import FleetConfig, Service, UpstreamDirectory, UpstreamEntry
 from ...placement import OrderKind
 from .. import (
@@ -61,11 +61,12 @@
         self._transit_s = transit_s
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._serial = count()
+        self.pace = PaceBook()
         self.coordinator = self.start_coordinator(Inheritance(cold_loads={}))
 
     def start_coordinator(self, inherited: Inheritance) -> Coordinator:
         """Replace the coordinator, as after the end of a lease."""
-        self.coordinator = Coordinator(self.directory, BOUNDS, inherited)
+        self.coordinator = Coordinator(self.directory, BOUNDS, inherited, self.pace)
         self.coordinator.set_config(self.config, self.now)
         self.coordinator.take_directory(self.now)
         return self.coordinator
--- a/eelgrassferry/ordering/tests/test_patterns_of_load.py
+++ b/eelgrassferry/ordering/tests/test_patterns_of_load.py
@@ -3,7 +3,7 @@
 import unittest
 from dataclasses import replace
 
-from ...dispatch import UpstreamLoad
+from ...dispatch import PaceFactors, UpstreamLoad
 from ...placement import OrderKind
 from .fixtures import make_entry, make_service
 from .fleet_model import FleetModel
@@ -58,6 +58,19 @@
         ordered = [order for _, _, order in fleet.orders if order.model == "m0"]
         self.assertEqual(len(ordered), 4)
 
+    def test_further_copies_go_to_fast_engines(self):
+        """Guards against a model in demand on the slowest engines, which serve it late (grown
+        trouble-2: three of its first four copies were on engines twice as slow as most).
+        """
+        entries = [make_entry("u0", "m0"), *(make_entry(f"u{number}") for number in range(1, 6))]
+        fleet = FleetModel(make_service(), entries)
+        fleet.pace.take(PaceFactors({"u1": 2.0, "u2": 2.5, "u3": 0.6, "u4": 2.0, "u5": 2.0}))
+        fleet.run(1.0)
+        late = {"u0": UpstreamLoad(5.0, 0.0, {0: 1.0})}
+        fleet.ask_for({}, {"m0": 10}, 0.01, loads=late)
+        fleet.run(0.2)
+        self.assertEqual([instance for _, instance, _ in fleet.orders], ["u3"])
+
     def test_steady_light_demand_moves_nothing(self):
         """Guards against churn: a copy that copes needs no other."""
         fleet = FleetModel(make_service(2), [make_entry("u0", "m0"), make_entry("u1", "m1")])
