--- a/eelgrassferry/dispatch/gap_book.py
+++ b/eelgrassferry/dispatch/gap_book.py
@@ -5,11 +5,12 @@
 
 __all__ = ["GapBook"]
 
-# Streams that are remembered. With fewer than the least number nothing is concluded.
+# Streams that are remembered, about the last minute of a busy node. With fewer than the least number
+# nothing is concluded: one late stream of twenty is a chance of 0.05.
 KEPT_STREAMS = 200
 LEAST_STREAMS = 20
-# Streams of fewer output tokens seldom meet a long prompt; they say nothing about the others, and
-# their own chance shrinks with their length.
+# Streams of fewer output tokens (about half a second) seldom meet a long prompt; they say nothing
+# about the others, and their own chance shrinks with their length.
 LONG_STREAM_TOKENS = 128
 
 
--- a/eelgrassferry/dispatch/pace_book.py
+++ b/eelgrassferry/dispatch/pace_book.py
@@ -13,7 +13,8 @@
 # Weight of one observation; about the last five count.
 WEIGHT = 0.2
 MIN_FACTOR, MAX_FACTOR = 0.1, 30.0
-# One observation speaks for a pace that is at most this many times slower or faster.
+# One observation speaks for a pace that is at most this many times slower or faster, because a
+# single time may also show a queue that was not known of.
 MAX_RATIO = 8.0
 # The factors of a model and of an upstream are learned from the same observations. Shorter
 # expected times than this are mostly noise.
