--- a/eelgrassferry/node/upstream_watch.py
+++ b/eelgrassferry/node/upstream_watch.py
@@ -29,10 +29,10 @@
 # One lost poll may be a slow engine; two in a row take it out of routing.
 MISSES_BEFORE_GONE = 2
 JITTER = 0.2
-# A question whose own connection breaks says nothing, because a process that crashes may take it
-# before it closes its listener. It is repeated this often, after a pause in seconds.
-ASK_TRIES = 3
-ASK_PAUSE_S = 0.05
+# A status request whose connection breaks proves nothing, because a crashing process may accept it
+# before its listener closes. It is sent up to this many times, with a pause in seconds.
+STATUS_TRIES = 3
+STATUS_RETRY_S = 0.05
 
 log = structlog.get_logger()
 
@@ -155,12 +155,12 @@
         return view.instance if view is not None else ""
 
     async def is_running(self, upstream: str, instance: str) -> bool:
-        """Ask an upstream at once whether it still answers, as the same instance.
+        """Read an upstream's status at once and return whether the same instance answers.
 
-        An engine may have crashed and be back before it is asked. An empty ``instance`` stands for
-        any.
+        An engine may have crashed and restarted before the status is read. An empty ``instance``
+        matches any.
         """
-        for _ in range(ASK_TRIES):
+        for _ in range(STATUS_TRIES):
             read = await read_engine_status(self._client, upstream, self.address_of(upstream))
             match read:
                 case Ok(view) if instance and view.instance != instance:
@@ -170,7 +170,7 @@
                     self._note_miss(upstream, MISSES_BEFORE_GONE)
                     return False
                 case Err(failure) if failure.step != "timeout":
-                    await asyncio.sleep(ASK_PAUSE_S)
+                    await asyncio.sleep(STATUS_RETRY_S)
                 case _:
                     return True
         return True
--- a/eelgrassferry/routing/isolation.py
+++ b/eelgrassferry/routing/isolation.py
@@ -59,8 +59,8 @@
         """Decide whether a job may run, and ask for the claims that it still needs.
 
         Answers for other jobs, or for this one, are among the actions as ``GrantClaim`` and
-        ``DenyClaim``. Two nodes that both grant the turn would let an innocent suspect run beside
-        the request that crashes upstreams, so an ``UNSETTLED`` job is to be admitted later.
+        ``DenyClaim``. An ``UNSETTLED`` job is to be admitted later: two nodes that both grant the
+        turn would let an innocent suspect run beside the request that crashes upstreams.
         """
         digest = job.request.digest
         verdict = self.suspects.verdict(digest)
