Review: one type a file for paces, and one piece for lease and order checks

Cause: reading the change again. pace_book.py held three types; the lease machine compared hosts and worked out the end of an unrenewed lease in two and three places; the coordinator filtered recent orders in two places; max() in _find_alone_since could not have an effect, as a lease lasts longer than its holder's early stop. Change: PaceSeen and PaceFactors have files of their own; _is_own_host, _lapses_at and _still_counting serve the places that repeated them. No behaviour changes; the tests change their imports only.

--- a/eelgrassferry/dispatch/__init__.py
+++ b/eelgrassferry/dispatch/__init__.py
@@ -5,7 +5,9 @@
 from .fleet_residency import FleetResidency, OrderedResidency
 from .job import Flight, Job
 from .load_view import NO_LOAD, UpstreamLoad
-from .pace_book import PaceBook, PaceFactors, PaceSeen
+from .pace_book import PaceBook
+from .pace_factors import PaceFactors
+from .pace_seen import PaceSeen
 
 __all__ = [
     "NO_LOAD",
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -13,7 +13,7 @@
 from .fleet_residency import FleetResidency
 from .job import Flight, Job
 from .load_view import UpstreamLoad
-from .pace_book import PaceSeen
+from .pace_seen import PaceSeen
 from .upstream_choice import PLAIN_START_S, UpstreamChoice
 
 __all__ = ["Dispatcher"]
--- a/eelgrassferry/dispatch/pace_book.py
+++ b/eelgrassferry/dispatch/pace_book.py
@@ -1,10 +1,11 @@
 """How fast upstreams read prompts, learned from times to the first event."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
 from math import exp, log
 
-__all__ = ["PaceBook", "PaceFactors", "PaceSeen"]
+from .pace_factors import PaceFactors
+from .pace_seen import PaceSeen
+
+__all__ = ["PaceBook"]
 
 # Prompt tokens per second assumed of an engine until the first observations.
 START_TOKENS_PER_S = 44_000.0
@@ -21,40 +22,6 @@
 MIN_EXPECTED_S = 0.02
 
 
-@dataclass(frozen=True)
-class PaceSeen:
-    """One observation: ``factor`` is the slowness of an upstream and a model together."""
-
-    instance: str
-    model: str
-    factor: float
-
-
-@dataclass(frozen=True)
-class PaceFactors:
-    """Slowness by upstream and by model."""
-
-    upstreams: Mapping[str, float] = field(default_factory=dict)
-    models: Mapping[str, float] = field(default_factory=dict)
-
-    def __bool__(self) -> bool:
-        return bool(self.upstreams or self.models)
-
-    def changed_since(self, told: "PaceFactors", share: float) -> "PaceFactors":
-        """Return the factors that differ by more than ``share`` from those told before."""
-        return PaceFactors(
-            _changed(self.upstreams, told.upstreams, share),
-            _changed(self.models, told.models, share),
-        )
-
-    def updated(self, news: "PaceFactors", known: "PaceFactors") -> "PaceFactors":
-        """Return these factors with newer ones in their place, without those not ``known`` now."""
-        return PaceFactors(
-            _updated(self.upstreams, news.upstreams, known.upstreams),
-            _updated(self.models, news.models, known.models),
-        )
-
-
 class PaceBook:
     """A slowness factor for each model and one for each upstream; 1 is the assumed rate.
 
@@ -110,17 +77,3 @@
     def forget(self, instance: str) -> None:
         """Drop what was learned about an upstream that is gone."""
         self._upstreams.pop(instance, None)
-
-
-def _updated(
-    told: Mapping[str, float], news: Mapping[str, float], known: Mapping[str, float]
-) -> dict[str, float]:
-    return {key: factor for key, factor in {**told, **news}.items() if key in known}
-
-
-def _changed(now: Mapping[str, float], told: Mapping[str, float], share: float) -> dict[str, float]:
-    return {
-        key: factor
-        for key, factor in now.items()
-        if abs(factor - told.get(key, 1.0)) > share * told.get(key, 1.0)
-    }
--- a/eelgrassferry/dispatch/tests/test_pace_book.py
+++ b/eelgrassferry/dispatch/tests/test_pace_book.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from ..pace_book import PaceBook, PaceFactors, PaceSeen
+from .. import PaceBook, PaceFactors, PaceSeen
 
 
 class PaceBookTest(unittest.TestCase):
--- a/eelgrassferry/dispatch/tests/test_patterns_of_load.py
+++ b/eelgrassferry/dispatch/tests/test_patterns_of_load.py
@@ -5,8 +5,7 @@
 
 from ...fleet import RequestKind
 from ...routing import UpstreamState
-from .. import FlightEnd, Refuse, RefuseReason, Send, UpstreamLoad
-from ..pace_book import PaceFactors
+from .. import FlightEnd, PaceFactors, Refuse, RefuseReason, Send, UpstreamLoad
 from .fixtures import DispatchWorld
 
 
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -304,11 +304,10 @@
         record = seen.record
         if record is None:
             return now - self._stop_early_s
-        if _host_of(record.holder) == _host_of(self.instance):
+        if self._is_own_host(record.holder):
             return seen.first_s - record.held_s
-        lapsed_at = seen.first_s + record.duration_s * self._takeover_factor
         # A holder whose term lapses has stopped ``stop_early_s`` before.
-        return max(seen.first_s, min(now, lapsed_at - self._stop_early_s))
+        return min(now, self._lapses_at(seen, record) - self._stop_early_s)
 
     def _is_held(self) -> bool:
         seen = self._state.seen
@@ -321,26 +320,27 @@
         assert seen is not None
         if seen.record is None or seen.record.released or self._is_former(seen.record.holder):
             return True
-        return now >= seen.first_s + seen.record.duration_s * self._takeover_factor
+        return now >= self._lapses_at(seen, seen.record)
 
     def _is_former(self, holder: str) -> bool:
         if holder in self._former:
             return True
-        return self._one_per_host and _host_of(holder) == _host_of(self.instance)
+        return self._one_per_host and self._is_own_host(holder)
+
+    def _is_own_host(self, holder: str) -> bool:
+        return holder.partition(":")[0] == self.instance.partition(":")[0]
+
+    def _lapses_at(self, seen: _Seen, record: LeaseRecord) -> float:
+        """Return when a lease may be taken that is not renewed, its holder being unheard."""
+        return seen.first_s + record.duration_s * self._takeover_factor
 
     def _poll_at(self, now: float) -> float:
         seen = self._state.seen
         assert seen is not None
         assert seen.record is not None
-        return min(
-            now + self._renew_s, seen.first_s + seen.record.duration_s * self._takeover_factor
-        )
+        return min(now + self._renew_s, self._lapses_at(seen, seen.record))
 
     def _term_end(self) -> float:
         term = self._state.term
         assert term is not None
         return term.valid_until
-
-
-def _host_of(instance: str) -> str:
-    return instance.partition(":")[0]
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -250,7 +250,8 @@
 
     def take_order_news(self, now: float) -> OrderNews:
         """Return what the nodes were not told yet of the orders, and count it as told."""
-        recent = self._recent_orders(now)
+        orders = {instance: book.last_order_at for instance, book in self.books.items()}
+        recent = self._still_counting(orders, now)
         changed = {i: at for i, at in recent.items() if self._told_orders.get(i) != at}
         begun: dict[str, tuple[float, ...]] = {}
         for name, planner in self._planners.items():
@@ -262,14 +263,13 @@
         opened = {name: planner.gate.open_loads for name, planner in self._planners.items()}
         changed_open = {n: count for n, count in opened.items() if self._told_open.get(n) != count}
         self._told_open = opened
-        self._told_orders = {i: book.last_order_at for i, book in self.books.items()}
+        self._told_orders = orders
         return OrderNews(changed, begun, changed_open)
 
     def told_order_news(self, now: float) -> OrderNews:
         """Return everything that the nodes were told of the orders and that still counts."""
-        oldest = now - 2.0 * self._bounds.order_handover_s
         return OrderNews(
-            {i: at for i, at in self._told_orders.items() if at >= oldest},
+            self._still_counting(self._told_orders, now),
             {
                 name: planner.gate.begun_since(0, self._told_begun.get(name, 0))
                 for name, planner in self._planners.items()
@@ -277,11 +277,10 @@
             dict(self._told_open),
         )
 
-    def _recent_orders(self, now: float) -> dict[str, float]:
+    def _still_counting(self, orders: dict[str, float], now: float) -> dict[str, float]:
+        """Return the times of last orders that a successor still has to know."""
         oldest = now - 2.0 * self._bounds.order_handover_s
-        return {
-            i: book.last_order_at for i, book in self.books.items() if book.last_order_at >= oldest
-        }
+        return {instance: at for instance, at in orders.items() if at >= oldest}
 
     @property
     def nodes(self) -> int:
