Limit the share of time that the coordinator plans

Cause: each status with waiting requests ran a plan within the frame handler. On 0.12 cores a plan with its views takes 10 ms and more, so statuses of 17 nodes kept the loop busy, the lease was renewed late and given up, all nodes connected again, and more requests waited. Change: plans are requested and coalesced; a pacer pauses three times as long as a plan took.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -29,15 +29,12 @@
 from .lease_holder import STEP_S, LeaseHolder
 from .messages import FleetView
 from .order_runner import OrderRunner
+from .plan_pacer import PlanPacer
 
 __all__ = ["Leadership"]
 
 log = structlog.get_logger()
 
-# Minimum time between two plans for up to six engines, and its upper limit for more engines, in
-# seconds. A plan for six engines takes about a third of a millisecond.
-MIN_PLAN_INTERVAL_S = 0.005
-MAX_PLAN_INTERVAL_S = 0.05
 # Minimum time between two updates of slowness factors, in seconds, and the relative change from
 # which on a factor is sent. Each update is sent to every node.
 SLOWNESS_INTERVAL_S = 0.5
@@ -82,7 +79,7 @@
         self._slowness = slowness
         self._sent_slowness = SlownessFactors()
         self._slowness_sent_at = float("-inf")
-        self._last_plan_at = float("-inf")
+        self._pacer = PlanPacer()
         self._plan_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -120,13 +117,13 @@
         if self.coordinator is not None:
             self.coordinator.set_config(config, self._clock())
             self.coordinator.apply_directory(self._clock())
-            self.plan()
+            self.request_plan()
 
     def apply_directory(self) -> None:
         """Apply the current state of the upstream directory."""
         if self.coordinator is not None:
             self.coordinator.apply_directory(self._clock())
-            self.plan()
+            self.request_plan()
 
     def update_status(self, status: NodeStatus) -> None:
         """Apply a node's status; plan at once if requests are waiting at the node."""
@@ -136,7 +133,7 @@
                 for sample in status.slowness_samples:
                     self._slowness.record(sample)
             if status.pending_demand:
-                self.plan()
+                self.request_plan()
 
     async def run(self) -> None:
         """Compete for the lease and plan while it is held, until cancelled.
@@ -152,7 +149,7 @@
         while True:
             self.lease.give_up_overdue_term()
             self._apply_term()
-            self.plan()
+            self.request_plan()
             await asyncio.sleep(STEP_S)
 
     async def resign(self) -> None:
@@ -160,23 +157,25 @@
         await self.lease.resign()
         self._apply_term()
 
-    def plan(self) -> None:
-        """Plan and start the actions that are due.
+    def request_plan(self) -> None:
+        """Plan as soon as the pause after the previous plan is over.
 
-        If the previous plan was too recent, planning is postponed with a timer.
+        The plan never runs within the caller, so the statuses that have arrived together lead to
+        one plan.
         """
+        if self.coordinator is None or self._plan_timer is not None:
+            return
+        delay_s = max(0.0, self._pacer.next_at - self._clock())
+        self._plan_timer = asyncio.get_running_loop().call_later(delay_s, self._plan)
+
+    def _plan(self) -> None:
+        """Plan, start the actions that are due and publish what has changed."""
+        self._plan_timer = None
         coordinator = self.coordinator
         term = self.term()
         if coordinator is None or term is None:
             return
         now = self._clock()
-        wait_s = self._last_plan_at + self._min_plan_interval_s(coordinator) - now
-        if wait_s > 0:
-            if self._plan_timer is None:
-                loop = asyncio.get_running_loop()
-                self._plan_timer = loop.call_later(wait_s, self._plan_postponed)
-            return
-        self._last_plan_at = now
         for action in coordinator.decide(now):
             match action:
                 case SendOrder():
@@ -187,20 +186,7 @@
         if ready_at is not None:
             asyncio.get_running_loop().call_later(ready_at - now + 0.0005, self._on_engine_ready)
         self._publish_view(coordinator, term, now)
-
-    def _plan_postponed(self) -> None:
-        self._plan_timer = None
-        self.plan()
-
-    def _min_plan_interval_s(self, coordinator: Coordinator) -> float:
-        """Return the minimum time between two plans, in seconds.
-
-        It grows with the number of engines and so with the cost of a plan, which limits the share
-        of the node's time that is spent on planning.
-        """
-        return min(
-            MAX_PLAN_INTERVAL_S, MIN_PLAN_INTERVAL_S * max(1.0, len(coordinator.trackers) / 6.0)
-        )
+        self._pacer.record_plan(now, self._clock(), len(coordinator.trackers))
 
     def _on_engine_ready(self) -> None:
         if self.coordinator is not None:
@@ -359,7 +345,7 @@
             if answer is None or self.coordinator is not coordinator:
                 return
             next_order = coordinator.on_answer(next_order, answer, self._clock())
-            self.plan()
+            self.request_plan()
 
     async def _read_report(self, coordinator: Coordinator, entry: UpstreamEntry) -> None:
         requested_at = self._clock()
@@ -387,4 +373,4 @@
             residents=sorted(read.ok_value.residents),
             running=read.ok_value.running,
         )
-        self.plan()
+        self.request_plan()
