Answer a request without an id with 400

Cause: the metadata for the log of such a request lacked its deadline, so a TypeError ended the connection without an answer. Change: the deadline is given as unknown. The test failed with a lost connection before.

--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -95,7 +95,9 @@
         decoded = self._protocol.decode_request(request.headers)
         if isinstance(decoded, Err) or not decoded.ok_value.request_id:
             detail = decoded.err_value.detail if isinstance(decoded, Err) else "no request id"
-            return self._reject(conn, RequestMetadata("", ""), 400, "malformed_request", detail)
+            return self._reject(
+                conn, RequestMetadata("", "", None), 400, "malformed_request", detail
+            )
         facts = decoded.ok_value
         if self.config is None:
             self._count_refusal(facts, RefuseReason.NO_CONFIG, NO_CONFIG_RETRY_S)
--- a/eelgrassferry/platform/tests/test_whole_path.py
+++ b/eelgrassferry/platform/tests/test_whole_path.py
@@ -161,9 +161,15 @@
         self.assertEqual(ids, [b"id: 1", b"id: 2", b"id: 3", b"id: 4"])
 
     async def test_unknown_route_and_missing_id(self):
-        """Guards against forwarding a request that matches no route."""
+        """Guards against forwarding a request that matches no route, or that has no id."""
         self.assertEqual((await self.call("/other/x", 13)).status, 404)
         self.assertEqual(self.log_lines("request refused")[0]["reason"], "no_route")
+        address = f"127.0.0.1:{self.front}"
+        sent = await self.client.request(
+            address, "POST", "/chat/x", headers=(("Host", HOST),), body=b"text"
+        )
+        self.assertEqual(sent.ok_value.status, 400)
+        self.assertEqual(self.log_lines("request refused")[1]["reason"], "malformed_request")
 
     async def test_new_configuration_is_applied(self):
         """Guards against a stale configuration: an added route is served, a removed one is not."""
