Bound the bytes that an upstream may send in place of an answer

Cause: an answer that is not streamed, or that lacks the upstream's seal, and an event that never ends were kept in memory until the caller's deadline: at 100 Mbit/s and 12 s that is 150 MB of the 160 MB of a small machine. A late answer to another request and informational responses could occupy a request until its deadline. Heads, chunk headers and trailers were bounded already (h11). Change: more than 4 MiB to be buffered, 1 MiB of a late answer or 20 informational responses end the attempt as broken, close the connection and count as a failure of the upstream; the request is repeated where it may be. Event ends are searched in new bytes only.

--- a/eelgrassferry/entry/event_buffer.py
+++ b/eelgrassferry/entry/event_buffer.py
@@ -17,18 +17,26 @@
 
     def __init__(self) -> None:
         self.last_id = ""
-        self._incomplete = b""
+        self._incomplete = bytearray()
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._incomplete)
 
     def feed(self, data: bytes) -> bytes:
         """Append ``data`` and return the events that are complete now."""
-        text = self._incomplete + data
+        # An end of an event that was not found before ends in ``data``, at most two bytes after its
+        # first one.
+        searched = max(0, len(self._incomplete) - 2)
+        self._incomplete += data
+        text = self._incomplete
         # An empty line ends an event; lines end with LF or CRLF. Without an empty line, both
         # searches return -1, and ``end`` is 2.
-        end = max(text.rfind(b"\n\n") + 2, text.rfind(b"\n\r\n") + 3)
+        end = max(text.rfind(b"\n\n", searched) + 2, text.rfind(b"\n\r\n", searched) + 3)
         if end < 3:
-            self._incomplete = text
             return b""
-        whole, self._incomplete = text[:end], text[end:]
+        whole, self._incomplete = bytes(text[:end]), text[end:]
         for line in whole.split(b"\n"):
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
@@ -36,9 +44,9 @@
 
     def pop_incomplete(self) -> bytes:
         """Remove and return the bytes after the last complete event."""
-        rest, self._incomplete = self._incomplete, b""
-        return rest
+        rest, self._incomplete = self._incomplete, bytearray()
+        return bytes(rest)
 
     def discard_incomplete(self) -> None:
         """Discard the bytes after the last complete event."""
-        self._incomplete = b""
+        self._incomplete = bytearray()
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -28,6 +28,10 @@
 
 # The final answer is sent this long before the deadline, so that it arrives in time, in seconds.
 ANSWER_MARGIN_S = 0.01
+# Limit of the bytes of one answer that a node buffers: a whole answer that is not streamed, or the
+# part of a stream after its last complete event. An upstream that sends more is treated as broken,
+# because bytes without end would use up the memory of the node.
+MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 
 
 class Exchange:
@@ -179,6 +183,8 @@
         """Relay or buffer a part of the answer's body."""
         if not self._is_relaying:
             self._body += data
+            if len(self._body) > MAX_BUFFERED_BYTES:
+                self._abandon_answer()
             return
         self._record_pause()
         if not self.job.route.resumable:
@@ -186,6 +192,15 @@
             return
         self._caller_conn.write(self._events.feed(data))
         self.job.last_event_id = self._events.last_id or self.job.last_event_id
+        if self._events.incomplete_bytes > MAX_BUFFERED_BYTES:
+            self._abandon_answer()
+
+    def _abandon_answer(self) -> None:
+        """Close the connection to an upstream whose answer cannot be buffered."""
+        if self._upstream_conn is not None:
+            self._upstream_conn.abort()
+        self._body.clear()
+        self.on_broken(f"more than {MAX_BUFFERED_BYTES} bytes have to be buffered")
 
     def _record_pause(self) -> None:
         """Update the longest pause between two parts of a stream, across all attempts."""
--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -13,6 +13,10 @@
 
 # An answer with a larger head is treated as broken.
 MAX_HEADER_BYTES = 64 * 1024
+# Limits of what an upstream may send before the answer to the request in progress: bytes of an
+# answer to an earlier request, and informational responses. An upstream that sends more is broken.
+MAX_SKIPPED_BYTES = 1024 * 1024
+MAX_INFORMATIONAL_RESPONSES = 20
 
 
 class AnswerListener(Protocol):
@@ -54,6 +58,8 @@
         self._request: h11.Request | None = None
         self._close_after_answer = False
         self._skipping_answer = False
+        self._skipped_bytes = 0
+        self._informational_responses = 0
         self._has_head = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -73,6 +79,7 @@
         self._listener = listener
         self._request = request
         self._has_head = False
+        self._skipped_bytes = self._informational_responses = 0
         data = self._h11.send(request) or b""
         if body:
             data += self._h11.send(h11.Data(data=body)) or b""
@@ -143,9 +150,16 @@
                     self.idle_limit_s = head.idle_limit_s
                     self._has_head = True
                     self._skipping_answer = not self._listener.on_head(head)
+                case h11.InformationalResponse():
+                    self._informational_responses += 1
+                    if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+                        self._fail("too many informational responses")
+                case h11.Data() if self._skipping_answer:
+                    self._skipped_bytes += len(event.data)
+                    if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                        self._fail("the answer to another request does not end")
                 case h11.Data():
-                    if not self._skipping_answer:
-                        self._listener.on_body(bytes(event.data))
+                    self._listener.on_body(bytes(event.data))
                 case h11.EndOfMessage() if self._skipping_answer:
                     self._restart_parser()
                 case h11.EndOfMessage():
--- a/eelgrassferry/platform/tests/test_upstream_conn.py
+++ b/eelgrassferry/platform/tests/test_upstream_conn.py
@@ -39,8 +39,8 @@
         self.broken = detail
 
 
-class UpstreamConnTest(unittest.TestCase):
-    """Handling of the bytes that an upstream may send after one request."""
+class UpstreamConnCase(unittest.TestCase):
+    """A connection on which one request was sent."""
 
     def setUp(self):
         self.idle = []
@@ -55,6 +55,10 @@
         request = h11.Request(method="GET", target="/x", headers=[("Host", "h")])
         self.conn.send(request, b"", self.listener)
 
+
+class UpstreamConnTest(UpstreamConnCase):
+    """Handling of the bytes that an upstream may send after one request."""
+
     def test_connection_is_reused_after_a_complete_answer(self):
         """Guards against opening a new connection for every request."""
         self.conn.data_received(STATUS_LINE + OWN_ID + b"Content-Length: 2\r\n\r\nhi")
@@ -131,3 +135,45 @@
             STATUS_LINE + OWN_ID + b"Connection: close\r\nContent-Length: 0\r\n\r\n"
         )
         self.assertEqual(self.idle, [])
+
+
+class EndlessBytesTest(UpstreamConnCase):
+    """Bytes without end where the answer to the request in progress is due."""
+
+    def test_head_without_end_fails(self):
+        """Guards against a head that grows in memory until the caller leaves."""
+        self.conn.data_received(STATUS_LINE)
+        for number in range(3000):
+            self.conn.data_received(b"x-%d: %s\r\n" % (number, b"y" * 100))
+        self.assertIn("invalid HTTP answer", self.listener.broken)
+
+    def test_header_line_without_end_fails(self):
+        """Guards against a header line that never ends."""
+        self.conn.data_received(STATUS_LINE + b"x-a: ")
+        for _ in range(100):
+            self.conn.data_received(b"y" * 1000)
+        self.assertIn("invalid HTTP answer", self.listener.broken)
+
+    def test_chunk_size_without_end_fails(self):
+        """Guards against a chunk header that never ends."""
+        self.conn.data_received(STATUS_LINE + OWN_ID + b"Transfer-Encoding: chunked\r\n\r\n")
+        for _ in range(100):
+            self.conn.data_received(b"0" * 1000)
+        self.assertTrue(self.listener.broken)
+        self.assertFalse(self.listener.ended)
+
+    def test_late_answer_without_end_fails(self):
+        """Guards against a late answer to an earlier request behind which the own one never
+        comes.
+        """
+        self.conn.data_received(STATUS_LINE + OTHER_ID + b"Content-Length: 900000000\r\n\r\n")
+        for _ in range(20):
+            self.conn.data_received(b"z" * 65_536)
+        self.assertIn("does not end", self.listener.broken)
+        self.assertEqual(self.listener.body, b"")
+
+    def test_informational_responses_without_end_fail(self):
+        """Guards against interim responses that keep a request busy until its deadline."""
+        for _ in range(50):
+            self.conn.data_received(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+        self.assertIn("informational", self.listener.broken)
