Do not take an answer without a request id on a connection in use again

Cause: a late second copy of an answer without a request id was taken for the answer to the next request on the connection. Change: such an answer ends the attempt as broken unless the connection has carried no other request. The new test on bytes fails before.

--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -38,7 +38,9 @@
 class UpstreamConn(asyncio.Protocol):
     """An HTTP/1.1 connection to one upstream.
 
-    An upstream may send the late answer to an earlier request first, which is read and dropped.
+    An upstream may send the late answer to an earlier request first, which is read and dropped. The
+    request id in the answer tells the two apart, so an answer without one is accepted only on a
+    connection that has carried no other request.
     Bytes that arrive while no request is in progress close the connection. ``on_idle`` is called
     after a complete answer if the connection can be reused.
     """
@@ -60,6 +62,7 @@
         self._skipping_answer = False
         self._skipped_bytes = 0
         self._informational_responses = 0
+        self._request_count = 0
         self._has_head = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -79,6 +82,7 @@
         self._listener = listener
         self._request = request
         self._has_head = False
+        self._request_count += 1
         self._skipped_bytes = self._informational_responses = 0
         data = self._h11.send(request) or b""
         if body:
@@ -146,6 +150,9 @@
             match event:
                 case h11.Response():
                     head = self._decode_head(event.status_code, event.headers.raw_items())
+                    if not head.request_id and self._request_count > 1:
+                        self._fail("an answer without a request id may be a late one")
+                        return
                     self._close_after_answer = head.closes
                     self.idle_limit_s = head.idle_limit_s
                     self._has_head = True
--- a/eelgrassferry/platform/tests/test_upstream_conn.py
+++ b/eelgrassferry/platform/tests/test_upstream_conn.py
@@ -137,6 +137,37 @@
         self.assertEqual(self.idle, [])
 
 
+class SecondCopyTest(UpstreamConnCase):
+    """A server sends an answer twice on a connection that is in use again."""
+
+    def setUp(self):
+        super().setUp()
+        self.conn.data_received(STATUS_LINE + OWN_ID + b"Content-Length: 2\r\n\r\nhi")
+        self.assertEqual(self.idle, [self.conn])
+        self.listener = RecordingListener()
+
+    def test_copy_before_the_next_request_closes_the_connection(self):
+        """Guards against a copy that waits in the buffers for the next request."""
+        self.conn.data_received(STATUS_LINE + OWN_ID + b"Content-Length: 2\r\n\r\nhi")
+        self.assertFalse(self.conn.is_open)
+
+    def test_copy_without_an_id_is_not_the_next_answer(self):
+        """Guards against a caller that gets the answer to another request, with the same status."""
+        self.send_request()
+        self.conn.data_received(STATUS_LINE + b"Content-Length: 2\r\n\r\nhi")
+        self.assertEqual((self.listener.heads, self.listener.ended), ([], False))
+        self.assertIn("without a request id", self.listener.broken)
+
+    def test_copy_split_across_reads_is_skipped(self):
+        """Guards against a copy whose head and body arrive in several reads."""
+        self.send_request()
+        copy = STATUS_LINE + OTHER_ID + b"Content-Length: 2\r\n\r\nno"
+        own = STATUS_LINE + OWN_ID + b"Content-Length: 3\r\n\r\nyes"
+        for position in range(len(copy) + len(own)):
+            self.conn.data_received((copy + own)[position : position + 1])
+        self.assertEqual((self.listener.body, self.listener.ended), (b"yes", True))
+
+
 class EndlessBytesTest(UpstreamConnCase):
     """Bytes without end where the answer to the request in progress is due."""
 
