--- a/eelgrassferry/coordination/lease_holder.py
+++ b/eelgrassferry/coordination/lease_holder.py
@@ -12,7 +12,7 @@
 from ..metrics import Metrics
 from ..objects import ObjectStore
 
-__all__ = ["FULL_CORES", "ORDER_TRANSIT_S", "STEP_S", "LeaseHolder"]
+__all__ = ["ORDER_TRANSIT_S", "STEP_S", "LeaseHolder"]
 
 log = structlog.get_logger()
 
@@ -39,11 +39,6 @@
 CLOCK_MARGIN = 1.02
 # Time within which an order arrives that was sent at the very end of a term, in seconds.
 ORDER_TRANSIT_S = 0.4
-# Nodes with at least this many cores compete for the lease at once; other nodes are delayed by
-# ``DELAY_PER_CORE_S`` seconds per missing core. A node with enough cores takes a free lease within
-# 0.1 s.
-FULL_CORES = 1.0
-DELAY_PER_CORE_S = 1.0
 # Delay for a node that has had no contact with a coordinator since its start, in seconds. Such a
 # node does not know the last orders and leaves the lease to a node that does.
 NO_HISTORY_DELAY_S = 0.4
@@ -56,11 +51,10 @@
 
     ``may_compete`` returns whether this node may take the lease: it may not while it is in contact
     with a coordinator, has promised one not to take the lease, or is isolated. ``delay_s`` returns
-    the time for which this node leaves a free lease to other nodes, 0 for the standby.
-    ``promised_until``
-    returns the time until which all other nodes have promised not to take it. ``announce_end``
-    notifies the other nodes that the term of an instance has ended. ``has_order_history`` returns
-    whether this node knows the orders of the previous coordinator.
+    the time for which this node leaves a free lease to other nodes. ``promised_until`` returns the
+    time until which all other nodes have promised not to take it. ``announce_end`` notifies the
+    other nodes that the term of an instance has ended. ``has_order_history`` returns whether this
+    node knows the orders of the previous coordinator.
 
     ``handover_s`` is the time after the last order of one coordinator until the first order of its
     successor, in seconds, including the time for which an order may be in transit.
@@ -76,7 +70,7 @@
         may_compete: Callable[[], bool],
         promised_until: Callable[[], float],
         has_order_history: Callable[[], bool],
-        delay_s: Callable[[], float] = lambda: 0.0,
+        delay_s: Callable[[], float],
     ) -> None:
         self.handover_s = settings.bounds.order_handover_s + ORDER_TRANSIT_S
         self.store = store
@@ -217,8 +211,8 @@
     def _should_compete(self) -> bool:
         """Return whether this node should try to take the lease now.
 
-        Nodes with few cores are delayed, because the coordinator's work grows with the fleet, and
-        so are nodes that do not know the orders of the previous coordinator.
+        Nodes are delayed in the order of succession, and further if they do not know the orders of
+        the previous coordinator.
         """
         now = self._clock()
         if not self._may_compete():
@@ -227,8 +221,6 @@
         if self._leaderless_since is None:
             self._leaderless_since = now
         delay_s = self._delay_s()
-        if delay_s:
-            delay_s += DELAY_PER_CORE_S * max(0.0, FULL_CORES - self._settings.cores)
         if not self._settings.first_start and not self._has_order_history():
             delay_s += NO_HISTORY_DELAY_S
         return now - self._leaderless_since >= delay_s
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -14,11 +14,9 @@
 from ..http import split_address
 from ..objects import MonitoredStore, ObjectFeed
 from ..ordering import NodeStatus
-from ..peers import rendezvous_owner
 from ..peers.frame import Frame, encode_frame
 from .connect_peer import connect_peer, fetch_process_id
 from .leadership import Leadership
-from .lease_holder import FULL_CORES
 from .messages import (
     CHANGES,
     COPY,
@@ -38,6 +36,7 @@
 from .node_registry import NodeRegistry
 from .object_relay import ObjectRelay
 from .peer_link import PeerLink
+from .succession import Succession
 
 __all__ = ["PeerMesh"]
 
@@ -67,12 +66,6 @@
 # Views arrive every ``EXCHANGE_INTERVAL_S`` and before each order. If the last view on a lost link
 # is older than this, in seconds, a later one may have been lost.
 MAX_VIEW_AGE_S = 0.35
-# A node that is not the standby leaves a free lease to it for this time, in seconds, plus a random
-# time of up to ``HEAD_START_SPREAD_S``. The standby takes the lease within some 10 ms.
-STANDBY_HEAD_START_S = 0.8
-HEAD_START_SPREAD_S = 0.6
-# Without a standby, nodes begin to compete at random times within this period, in seconds.
-START_SPREAD_S = 0.15
 # For this time after its start or the last contact with a coordinator, in seconds, a node expects a
 # coordinator to relay the store's changes and does not watch the store itself.
 RELAY_EXPECTED_S = 1.0
@@ -107,6 +100,7 @@
         self._make_status = make_status
         self._on_view = on_view
         self.registry = NodeRegistry(settings, store, clock, self._member_names)
+        self.succession = Succession(settings, self.registry)
         for feed in (*feeds, self.registry.feed):
             feed.interval_factor = self._poll_interval_factor
             feed.is_relay_expected = self._is_relay_expected
@@ -126,10 +120,7 @@
         self._leader_process_id = ""
         self._leader_gone = False
         self._find_attempts = 0
-        self._standby = ""
         self._early_members: set[PeerLink] = set()
-        self._standby_members: set[str] = set()
-        self._competes_after_s = random.random()
         self._last_contact_at = clock()
         self._tasks: set[asyncio.Task[None]] = set()
         self._last_view_at = float("-inf")
@@ -156,20 +147,6 @@
         """Whether this node has no contact with a coordinator and no promise to one in force."""
         return not self.has_leader and self._clock() >= self._own_promise_until
 
-    @property
-    def lease_delay_s(self) -> float:
-        """The time for which this node leaves a free lease to other nodes, in seconds."""
-        if not self._standby:
-            return START_SPREAD_S * self._competes_after_s
-        if self._standby == self._settings.name:
-            return 0.0
-        return STANDBY_HEAD_START_S + HEAD_START_SPREAD_S * self._competes_after_s
-
-    @property
-    def is_standby(self) -> bool:
-        """Whether the last coordinator has chosen this node as its successor."""
-        return self._standby == self._settings.name
-
     @property
     def promised_until(self) -> float:
         """The time until which all other registered nodes have promised not to take the lease."""
@@ -224,31 +201,11 @@
         """Send a view to all other nodes and apply it on this node."""
         now = self._clock()
         self._last_contact_at = now
-        self._standby = self._choose_standby()
-        view = replace(view, standby=self._standby)
+        standby = self.succession.choose_standby(link.peer for link in self._members)
+        view = replace(view, standby=standby)
         self._send_members(VIEW, encode_view(view, now))
         self._apply_view(view)
 
-    def _choose_standby(self) -> str:
-        """Return the member that is to succeed this coordinator, "" if there is none.
-
-        Members in other failure domains and with more cores are preferred.
-        """
-        names = {link.peer for link in self._members}
-        if self._standby in names and self._standby_members == names:
-            return self._standby
-        self._standby_members = names
-        ranks = {
-            name: (
-                self.registry.domain(name) != self._settings.domain,
-                min(FULL_CORES, self.registry.cores(name)),
-            )
-            for name in names
-        }
-        best = max(ranks.values(), default=None)
-        preferred = [name for name in names if ranks[name] == best]
-        return rendezvous_owner(self._settings.name, preferred) or ""
-
     def _send_members(self, kind: str, body: object) -> None:
         """Send one frame, encoded once, to all nodes that are linked to this coordinator."""
         if not self._members:
@@ -295,7 +252,7 @@
             return
         leadership = self.leadership
         if leadership is None or leadership.term() is None:
-            if self.is_standby and not self.has_leader:
+            if self.succession.is_standby and not self.has_leader:
                 # The sender expects this node to coordinate soon.
                 self._early_members.add(link)
                 return
@@ -317,7 +274,7 @@
     def _send_complete_view(self, link: PeerLink, leadership: Leadership) -> None:
         view = leadership.complete_view()
         if view is not None:
-            view = replace(view, standby=self._standby, holder=leadership.lease.holder)
+            view = replace(view, standby=self.succession.standby, holder=leadership.lease.holder)
             link.send(VIEW, encode_view(view, self._clock()))
 
     def _greet_early_members(self, leadership: Leadership) -> None:
@@ -427,7 +384,7 @@
         first one if the last coordinator has resigned or its link was closed.
         """
         holder = leadership.lease.holder.partition(":")[0]
-        names = ["" if leadership.lease.holder_has_ended else holder, self._standby]
+        names = ["" if leadership.lease.holder_has_ended else holder, self.succession.standby]
         if self._leader_gone:
             names.reverse()
         known = [name for name in dict.fromkeys(names) if name not in ("", self._settings.name)]
@@ -468,7 +425,7 @@
         process that is still sending orders.
         """
         # Other nodes need the proof only if the standby does not take the lease.
-        await asyncio.sleep(self.lease_delay_s if self._standby else 0.0)
+        await asyncio.sleep(self.succession.delay_s if self.succession.standby else 0.0)
         deadline = self._clock() + PROBE_DURATION_S
         while process_id and holder and self._clock() < deadline and not self.has_leader:
             answer = await fetch_process_id(self.registry.address(name))
@@ -543,7 +500,7 @@
                 self._leader.close()
             return
         self._last_view_at = self._last_contact_at = self._clock()
-        self._standby = decoded.ok_value.standby
+        self.succession.standby = decoded.ok_value.standby
         self._leader_gone, self._find_attempts = False, 0
         self._leader_holder = decoded.ok_value.holder or self._leader_holder
         self._last_view_sent_at = decoded.ok_value.sent_at
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -84,7 +84,7 @@
             lambda: self.mesh.may_take_lease,
             lambda: self.mesh.promised_until,
             lambda: self.leadership.has_order_history,
-            lambda: self.mesh.lease_delay_s,
+            lambda: self.mesh.succession.delay_s,
         )
         self.leadership = Leadership(
             self.settings,
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -121,7 +121,7 @@
             lambda: self._mesh.may_take_lease and not self._isolation.isolated,
             lambda: self._mesh.promised_until,
             lambda: self._leadership.has_order_history,
-            lambda: self._mesh.lease_delay_s,
+            lambda: self._mesh.succession.delay_s,
         )
         runner = OrderRunner(
             protocol.engines, client, settings.name, lease.term, boot_clock, self._metrics
