Reset the connection of a request that was given up

Change: a request that is cancelled or times out resets its connection, which drops bytes that are still on their way.

--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -10,6 +10,7 @@
 from .address import split_address
 from .liveness import set_liveness_options
 from .message import Headers, HttpResponse, find_header
+from .reset import reset_connection
 
 __all__ = ["HttpClient", "HttpError", "HttpStream"]
 
@@ -129,6 +130,9 @@
 
     The Host header is the address of the peer unless the headers of the request contain one.
 
+    A request that is cancelled or has timed out resets its connection, so that its bytes do not
+    reach the peer later.
+
     ``new_connection=True`` opens a new connection, so that a request that must not be repeated
     cannot fail on an idle connection that the peer has closed.
 
@@ -220,7 +224,8 @@
             conn.writer.close()
             return Err(HttpError(step, peer, True, str(exc) or type(exc).__name__))
         except BaseException:
-            conn.writer.close()
+            # A request that was given up must not reach the peer later.
+            reset_connection(conn.writer.transport)
             raise
         return Ok(HttpStream(self, peer, conn, status, received))
 
