--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -201,7 +201,10 @@
         """Send a view to all other nodes and apply it on this node."""
         now = self._clock()
         self._last_contact_at = now
+        previous = self.succession.standby
         standby = self.succession.choose_standby(link.peer for link in self._members)
+        if standby != previous:
+            log.info("standby chosen", step="choose_standby", peer=standby, previous=previous)
         view = replace(view, standby=standby)
         self._send_members(VIEW, encode_view(view, now))
         self._apply_view(view)
