Send a node that follows a new coordinator only what has changed

The version of a copy grows with each write of any kind, so every node that joined was sent the whole configuration, all servers and all nodes again. Change: a copy contains the objects that have changed since the version that the node has, and the keys of the others. A node that lacks one of these asks for everything.

--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -102,13 +102,15 @@
 class ObjectsCopy:
     """A node's copy of the objects under one prefix.
 
-    ``age_s`` is the time since the copy was last confirmed by the store, in seconds.
+    ``age_s`` is the time since the copy was last confirmed by the store, in seconds. ``unchanged``
+    are the keys of further objects, which have not changed since the version that the receiver has.
     """
 
     prefix: str
     version: int
     age_s: float
     objects: tuple[StoredObject, ...]
+    unchanged: tuple[str, ...] = ()
 
 
 def encode_status(status: NodeStatus, reply: ViewReply) -> Any:
@@ -238,15 +240,21 @@
         "version": copy.version,
         "age_s": copy.age_s,
         "objects": _encode_objects(copy.objects),
+        "unchanged": list(copy.unchanged),
     }
 
 
 def decode_copy(body: Any) -> Result[ObjectsCopy, MalformedMessage]:
     """Decode a frame's body into a copy of objects."""
     try:
-        objects = _decode_objects(body["objects"])
         return Ok(
-            ObjectsCopy(str(body["prefix"]), int(body["version"]), float(body["age_s"]), objects)
+            ObjectsCopy(
+                str(body["prefix"]),
+                int(body["version"]),
+                float(body["age_s"]),
+                _decode_objects(body["objects"]),
+                tuple(body["unchanged"]),
+            )
         )
     except (KeyError, TypeError, ValueError) as exc:
         return Err(MalformedMessage("decode_copy", "", repr(exc)))
--- a/eelgrassferry/coordination/object_relay.py
+++ b/eelgrassferry/coordination/object_relay.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from ..logs import to_whole_ms
-from ..objects import FeedUpdate, ObjectFeed
+from ..objects import FeedUpdate, ObjectFeed, StoredObject
 from ..peers.frame import Frame
 from .connect_peer import CONNECT_TIMEOUT_S, connect_peer
 from .messages import (
@@ -79,9 +79,7 @@
         if feed is None:
             link.send(COPY, None)
             return
-        newer = feed.version > int(body.get("version", 0))
-        objects = tuple(feed.objects.values()) if newer else ()
-        link.send(COPY, encode_copy(ObjectsCopy(feed.prefix, feed.version, feed.age_s, objects)))
+        link.send(COPY, encode_copy(_make_copy(feed, int(body.get("version", 0)))))
 
     def on_changes(self, link: PeerLink, frame: Frame) -> None:
         """Apply changes that the coordinator relays; request a copy if earlier ones are missing."""
@@ -94,14 +92,18 @@
         if feed is not None and not feed.apply_relayed_update(update):
             self._request_copy(link, feed)
 
-    def on_leader_copy(self, frame: Frame) -> None:
+    def on_leader_copy(self, link: PeerLink, frame: Frame) -> None:
         """Apply the coordinator's copy, after which its changes keep the feed up to date."""
         copy = self._decode_frame(frame)
         feed = self._feeds.get(copy.prefix) if copy is not None else None
         if copy is None or feed is None:
             return
         if copy.version >= feed.version:
-            feed.apply_relayed_update(FeedUpdate(True, copy.version, copy.objects, ()), copy.age_s)
+            objects = _all_objects(feed, copy)
+            if objects is None:
+                _send_pull(link, feed, 0)
+                return
+            feed.apply_relayed_update(FeedUpdate(True, copy.version, objects, ()), copy.age_s)
         self._relayed_prefixes.add(copy.prefix)
 
     async def run(self) -> None:
@@ -123,19 +125,19 @@
 
     def _request_copy(self, link: PeerLink, feed: ObjectFeed) -> None:
         self._relayed_prefixes.discard(feed.prefix)
-        _send_pull(link, feed)
+        _send_pull(link, feed, feed.version)
 
     async def _pull(self, address: str, feeds: list[ObjectFeed]) -> None:
         received = asyncio.Event()
         link = PeerLink(
-            lambda _link, frame: self._on_peer_copy(frame, received),
+            lambda link, frame: self._on_peer_copy(link, frame, received),
             lambda _link: received.set(),
         )
         if not await connect_peer(link, address):
             return
         for feed in feeds:
             received.clear()
-            _send_pull(link, feed)
+            _send_pull(link, feed, feed.version)
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await received.wait()
@@ -144,13 +146,18 @@
                 break
         link.close()
 
-    def _on_peer_copy(self, frame: Frame, received: asyncio.Event) -> None:
-        received.set()
+    def _on_peer_copy(self, link: PeerLink, frame: Frame, received: asyncio.Event) -> None:
         copy = self._decode_frame(frame)
         feed = self._feeds.get(copy.prefix) if copy is not None else None
         if copy is None or feed is None:
+            received.set()
+            return
+        objects = _all_objects(feed, copy) if copy.version > feed.version else ()
+        if objects is None:
+            _send_pull(link, feed, 0)
             return
-        if not feed.apply_peer_copy(copy.version, copy.objects, copy.age_s):
+        received.set()
+        if not feed.apply_peer_copy(copy.version, objects, copy.age_s):
             return
         log.info(
             "objects copied from peer",
@@ -170,6 +177,29 @@
         return decoded.ok_value
 
 
-def _send_pull(link: PeerLink, feed: ObjectFeed) -> None:
-    """Request a copy of a feed's objects if the peer has a newer version of them."""
-    link.send(PULL, {"prefix": feed.prefix, "version": feed.version})
+def _send_pull(link: PeerLink, feed: ObjectFeed, version: int) -> None:
+    """Request a copy of a feed's objects if the peer has a newer version than ``version``."""
+    link.send(PULL, {"prefix": feed.prefix, "version": version})
+
+
+def _make_copy(feed: ObjectFeed, version: int) -> ObjectsCopy:
+    """Return the objects for a node that has the given version of all objects.
+
+    Only objects that have changed since are sent whole: when a coordinator changes, hundreds of
+    nodes ask its successor at once.
+    """
+    changed, unchanged = [], []
+    if feed.version > version:
+        for stored in feed.objects.values():
+            if stored.version > version:
+                changed.append(stored)
+            else:
+                unchanged.append(stored.key)
+    return ObjectsCopy(feed.prefix, feed.version, feed.age_s, tuple(changed), tuple(unchanged))
+
+
+def _all_objects(feed: ObjectFeed, copy: ObjectsCopy) -> tuple[StoredObject, ...] | None:
+    """Return all objects of a copy, None if one that has not changed is missing here."""
+    if any(key not in feed.objects for key in copy.unchanged):
+        return None
+    return (*copy.objects, *(feed.objects[key] for key in copy.unchanged))
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -490,7 +490,7 @@
         if frame.kind == CHANGES:
             self._relay.on_changes(link, frame)
         if frame.kind == COPY:
-            self._relay.on_leader_copy(frame)
+            self._relay.on_leader_copy(link, frame)
         if frame.kind == VIEW:
             self._on_view_frame(frame)
 
