Try the last coordinator again after its link was closed

Change: the last coordinator is tried too, unless it has resigned; its instance is taken from its view. The new test fails before.

--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -118,7 +118,7 @@
         self._leader_name = ""
         self._leader_holder = ""
         self._leader_process_id = ""
-        self._leader_gone = False
+        self._leader_gone = self._leader_resigned = False
         self._find_attempts = 0
         self._early_members: set[PeerLink] = set()
         self._last_contact_at = clock()
@@ -363,9 +363,8 @@
         address = await self.registry.find_address(name)
         if not address:
             return
-        holder = leadership.lease.holder
-        if holder.partition(":")[0] != name:
-            holder = ""
+        instances = (leadership.lease.holder, self._leader_holder)
+        holder = next((i for i in instances if i.partition(":")[0] == name), "")
         link = PeerLink(self._on_leader_frame, self._on_leader_closed)
         if not await connect_peer(link, address):
             return
@@ -383,13 +382,18 @@
     def _next_leader_candidate(self, leadership: Leadership) -> str:
         """Return the node to try next as the coordinator, "" if none is known.
 
-        The holder of the lease, as last read, and the standby are tried in turn. The standby is the
-        first one if the last coordinator has resigned or its link was closed.
+        The last coordinator, unless it has resigned, the standby and the holder of the lease as
+        last read are tried in turn. The standby is the first one after the end of the last link,
+        which may also have been cut by a partition.
         """
         holder = leadership.lease.holder.partition(":")[0]
-        names = ["" if leadership.lease.holder_has_ended else holder, self.succession.standby]
+        names = [
+            "" if self._leader_resigned else self._leader_name,
+            self.succession.standby,
+            "" if leadership.lease.holder_has_ended else holder,
+        ]
         if self._leader_gone:
-            names.reverse()
+            names[:2] = names[1::-1]
         known = [name for name in dict.fromkeys(names) if name not in ("", self._settings.name)]
         self._find_attempts += 1
         return known[(self._find_attempts - 1) % len(known)] if known else ""
@@ -401,9 +405,9 @@
             link, self._leader = self._leader, None
             link.close()
 
-    def _record_leader_gone(self) -> None:
+    def _record_leader_gone(self, resigned: bool) -> None:
         self._leave_leader()
-        self._leader_gone = True
+        self._leader_gone, self._leader_resigned = True, resigned
         self._find_attempts = 0
 
     def _on_leader_closed(self, link: PeerLink) -> None:
@@ -412,7 +416,7 @@
         log.warning("coordinator lost", step="peer_link", peer=self._leader_name)
         up_to_date = self._clock() - self._last_view_at < MAX_VIEW_AGE_S
         self._leader = None
-        self._record_leader_gone()
+        self._record_leader_gone(resigned=False)
         self._start_task(
             self._probe_leader(
                 self._leader_name, self._leader_holder, self._leader_process_id, up_to_date
@@ -482,7 +486,7 @@
             return
         if frame.kind == RESIGN:
             log.info("coordinator resigned", step="peer_link", peer=self._leader_name)
-            self._record_leader_gone()
+            self._record_leader_gone(resigned=True)
             self._own_promise_until = float("-inf")
             if self.leadership is not None:
                 self.leadership.on_coordinator_ended(str(frame.body), up_to_date=True)
@@ -504,7 +508,8 @@
             return
         self._last_view_at = self._last_contact_at = self._clock()
         self.succession.standby = decoded.ok_value.standby
-        self._leader_gone, self._find_attempts = False, 0
+        self._leader_gone = self._leader_resigned = False
+        self._find_attempts = 0
         self._leader_holder = decoded.ok_value.holder or self._leader_holder
         self._last_view_sent_at = decoded.ok_value.sent_at
         self._on_store_state(decoded.ok_value.store_lost)
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -235,6 +235,24 @@
         await self.eventually(lambda: len(self.orders) > count)
         self.check_handover_gaps()
 
+    async def test_node_finds_its_coordinator_again_after_a_partition(self):
+        """Guards against nodes that look for the coordinator among nodes which no longer lead, and
+        ask the store instead (scenario trouble-1 of the large site: 32 nodes of a zone for 2 s).
+        """
+        old = self.leader()
+        others = [node for node in self.nodes if node is not old]
+        await self.eventually(lambda: all(n.views and n.views[-1].standby for n in others))
+        standby = next(n for n in others if n.name == n.views[-1].standby)
+        third = next(n for n in others if n is not standby)
+        third.leadership.lease.store = third_store = MemoryObjectStore()
+        await old.leadership.resign()
+        await self.eventually(lambda: standby.leads and third.mesh.has_leader)
+        await self.eventually(lambda: third.views[-1].standby not in ("", standby.name))
+        third.mesh._leader.close()
+        await self.eventually(lambda: not third.mesh.has_leader)
+        await self.eventually(lambda: third.mesh.has_leader)
+        self.assertEqual(third_store.reads + third_store.writes, 0)
+
     async def test_lease_is_taken_if_the_standby_is_frozen(self):
         """Guards against a fleet that waits for a standby which never takes the lease."""
         old = self.leader()
