Make a node a member with its first view from a new coordinator

Cause: a node that connected to the standby before it had the lease got a view but became a member with its next status, up to 0.5 s later. Orders in between were not notified to it, yet its view was recent, so it would have counted itself as informed of all orders (ONE). Change: such a node is a member from its first view on. The new test fails before.

--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -254,6 +254,8 @@
         if isinstance(decoded, Err):
             log.warning("status not used", step="decode_status", detail=decoded.err_value.detail)
             return
+        status, reply = decoded.ok_value
+        link.peer = status.node
         leadership = self.leadership
         if leadership is None or leadership.term() is None:
             if self.succession.is_standby and not self.has_leader:
@@ -263,32 +265,32 @@
             # The sender assumes that this node is the coordinator; closing the link corrects that.
             link.close()
             return
-        status, reply = decoded.ok_value
-        link.peer = status.node
         if reply.view_sent_at > 0.0:
             self._promises[status.node] = reply.view_sent_at + PROMISE_S
         if reply.store_reached:
             leadership.lease.on_store_reached()
         if link not in self._members:
-            self._members.add(link)
-            log.info("node joined", step="peer_link", peer=link.peer)
-            self._send_complete_view(link, leadership)
+            self._add_member(link, leadership)
         leadership.update_status(status)
 
-    def _send_complete_view(self, link: PeerLink, leadership: Leadership) -> None:
+    def _add_member(self, link: PeerLink, leadership: Leadership) -> None:
+        """Send a complete view to a node, and all views from now on."""
+        self._members.add(link)
+        log.info("node joined", step="peer_link", peer=link.peer)
         view = leadership.complete_view()
         if view is not None:
             view = replace(view, standby=self.succession.standby, holder=leadership.lease.holder)
             link.send(VIEW, encode_view(view, self._clock()))
 
-    def _greet_early_members(self, leadership: Leadership) -> None:
-        """Send a view to the nodes that connected before this node became the coordinator.
+    def _add_early_members(self, leadership: Leadership) -> None:
+        """Add the nodes that connected before this node became the coordinator.
 
-        They answer with a status and thereby become members.
+        A node that had a view without being a member would miss the next orders and yet count
+        itself as informed of all.
         """
-        for link in self._early_members:
-            self._send_complete_view(link, leadership)
-        self._early_members.clear()
+        early, self._early_members = self._early_members, set()
+        for link in early - self._members:
+            self._add_member(link, leadership)
 
     # Methods of all nodes
 
@@ -324,7 +326,7 @@
                 continue
             if leadership.term() is not None:
                 self._leave_leader()
-                self._greet_early_members(leadership)
+                self._add_early_members(leadership)
                 leadership.publish_loads()
                 self._send_status(False)
                 continue
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -4,16 +4,20 @@
 import socket
 import time
 import unittest
+from unittest.mock import Mock
 
 from result import Ok
 
 from ...dispatch import PrefillSlownessEstimator, UpstreamLoad
 from ...fleet import EntrySettings, FleetConfig, ServiceBounds, UpstreamDirectory
+from ...leases import LeaseTerm
 from ...metrics import Metrics
 from ...objects import MemoryObjectStore, MonitoredStore, ObjectFeed
 from ...ordering import EngineReport, NodeStatus, OrderAnswer, PendingDemand
 from ...ordering.tests.fixtures import make_entry, make_service
+from ...peers.frame import Frame
 from .. import Leadership, LeaseHolder, PeerMesh
+from ..messages import STATUS, FleetView, ViewReply, encode_status
 
 WAIT_S = 12.0
 HANDOVER_S = 0.6
@@ -378,6 +382,32 @@
         )
 
 
+class EarlyMemberTest(unittest.IsolatedAsyncioTestCase):
+    """A node connects to the standby before the standby has taken the lease."""
+
+    async def test_node_is_a_member_with_its_first_view(self):
+        """Guards against a violation of ONE: a node that had a view without being a member would
+        miss the next orders and count itself as informed of all.
+        """
+        mesh = Node("n9", MemoryObjectStore(), []).mesh
+        mesh.succession.standby = "n9"
+        mesh.leadership = leadership = Mock(coordinator=None)
+        leadership.complete_view.return_value = FleetView(2, 7, 2, complete=True)
+        leadership.lease.holder = "n9:a"
+        leadership.term.return_value = None
+        link = Mock(peer="")
+        status = encode_status(NodeStatus("n1"), ViewReply(0.0, False))
+        mesh._on_member_frame(link, Frame(STATUS, status))
+        link.close.assert_not_called()
+        leadership.term.return_value = LeaseTerm(2, float("inf"))
+        exchange = asyncio.ensure_future(mesh._exchange())
+        async with asyncio.timeout(WAIT_S):
+            while not link.send.called:
+                await asyncio.sleep(0.01)
+        exchange.cancel()
+        self.assertEqual(mesh._member_names(), {"n1"})
+
+
 class DownStore(MemoryObjectStore):
     """A store that fails every call."""
 
