Take needless work off the coordinator's plans, and reuse what exists

Found by reading the change again. The needs are now found first; the new test of a fleet at rest fails before. - A table of all models was filled again for each engine at every change of the directory; it is now filled when the specification changes. - The time of a load from memory, disk or the weight store was chosen in two places; it is ModelSpec.load_time_s now.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -543,14 +543,14 @@
         before. A job is refused as soon as its caller can be served after its return. Until then it
         waits, because the caller would return too early. It is refused at once if no wait helps.
         """
-        longest_wait_at = job.arrived_at + MAX_WAIT_SHARE * (job.start_deadline - job.arrived_at)
-        if now >= longest_wait_at or loaded_at >= job.give_up_at:
+        if self._has_waited_too_long(job, now) or loaded_at >= job.give_up_at:
             return True
+        longest_wait_at = _longest_wait_at(job)
         return _can_return(job, loaded_at, now) or not _can_return(job, loaded_at, longest_wait_at)
 
     def _has_waited_too_long(self, job: Job, now: float) -> bool:
         """Return whether a job has used up its share of the time until its start deadline."""
-        return now >= job.arrived_at + MAX_WAIT_SHARE * (job.start_deadline - job.arrived_at)
+        return now >= _longest_wait_at(job)
 
     @property
     def _retry_burst(self) -> float:
@@ -565,6 +565,11 @@
         return budget
 
 
+def _longest_wait_at(job: Job) -> float:
+    """Return the time until which a job may wait for a model or for capacity."""
+    return job.arrived_at + MAX_WAIT_SHARE * (job.start_deadline - job.arrived_at)
+
+
 def _can_return(job: Job, loaded_at: float, refused_at: float) -> bool:
     """Return whether a caller that is refused at a given time can be served after its return."""
     honoured_s = HONOURED_SHARE * (job.give_up_at - refused_at)
--- a/eelgrassferry/dispatch/load_forecast.py
+++ b/eelgrassferry/dispatch/load_forecast.py
@@ -1,6 +1,6 @@
 """Forecast of when a model that no upstream has loaded can be served."""
 
-from ..fleet import EngineSpec, ModelSpec, UpstreamDirectory, UpstreamEntry
+from ..fleet import EngineSpec, UpstreamDirectory
 from ..routing import UpstreamState
 from .fleet_residency import FleetResidency
 
@@ -40,11 +40,5 @@
             self._residency.is_resident(entry.instance, model, "", now) for entry in live
         ):
             return None
-        return now + ORDER_DELAY_S + min(_load_s(entry, spec) for entry in live)
-
-
-def _load_s(entry: UpstreamEntry, spec: ModelSpec) -> float:
-    """Return the duration of a load of a model on an engine, in seconds."""
-    if spec.name in entry.in_host_memory:
-        return spec.memory_load_s
-    return spec.disk_load_s if spec.name in entry.on_disk else spec.load_s
+        load_s = min(spec.load_time_s(entry.in_host_memory, entry.on_disk) for entry in live)
+        return now + ORDER_DELAY_S + load_s
--- a/eelgrassferry/fleet/service.py
+++ b/eelgrassferry/fleet/service.py
@@ -1,6 +1,6 @@
 """Services, their engines and the models that these can load."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
 
@@ -24,6 +24,12 @@
     adapters: int = 0
     adapter_mb: float = 0.0
 
+    def load_time_s(self, in_host_memory: Collection[str], on_disk: Collection[str]) -> float:
+        """Return the duration of a load on an upstream that has these models locally."""
+        if self.name in in_host_memory:
+            return self.memory_load_s
+        return self.disk_load_s if self.name in on_disk else self.load_s
+
 
 @dataclass(frozen=True)
 class EngineSpec:
--- a/eelgrassferry/ordering/engine_tracker.py
+++ b/eelgrassferry/ordering/engine_tracker.py
@@ -76,8 +76,8 @@
         self, entry: UpstreamEntry, spec: EngineSpec, last_order_at: float, orders_allowed_at: float
     ) -> None:
         self.entry = entry
-        self._weights_mb: dict[str, float] = {}
-        self.set_spec(spec)
+        self.spec = spec
+        self._weights_mb = {name: model.weights_mb for name, model in spec.models.items()}
         self.copies: dict[str, ModelCopy] = {}
         self.adapters: dict[tuple[str, str], float] = {}
         self.used_at: dict[tuple[str, str], float] = {}
@@ -99,6 +99,8 @@
 
     def set_spec(self, spec: EngineSpec) -> None:
         """Set the parameters of the engine, as of the current configuration."""
+        if spec is self.spec:
+            return
         self.spec = spec
         self._weights_mb.update((name, model.weights_mb) for name, model in spec.models.items())
 
@@ -161,10 +163,7 @@
 
     def load_s(self, model: str) -> float:
         """Return the expected duration of a load of a model here, in seconds."""
-        spec = self.spec.models[model]
-        if model in self.in_host_memory:
-            return spec.memory_load_s
-        return spec.disk_load_s if model in self.on_disk else spec.load_s
+        return self.spec.models[model].load_time_s(self.in_host_memory, self.on_disk)
 
     def is_cold(self, model: str) -> bool:
         """Return whether a model would be loaded here from the weight store."""
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -143,8 +143,9 @@
         steps = [
             step for tracker in state.trackers for step in self._continue_withdrawal(tracker, state)
         ]
-        options = self._find_options(state, {step.instance for step in steps})
-        for need in self._needs(state):
+        needs = self._needs(state)
+        options = self._find_options(state, {step.instance for step in steps}) if needs else {}
+        for need in needs:
             if not options:
                 break
             if need.spare and changing >= max(1, int(MAX_CHANGING_SHARE * len(state.trackers))):
--- a/eelgrassferry/ordering/tests/test_load_patterns.py
+++ b/eelgrassferry/ordering/tests/test_load_patterns.py
@@ -111,6 +111,18 @@
             fleet.coordinator.decide(fleet.now)
         self.assertLessEqual(valued.call_count, 2 * 78)
 
+    def test_a_plan_without_a_need_values_no_copy(self):
+        """Guards against work for all copies in every plan of a fleet at rest."""
+        entries = [make_entry(f"u{n}", f"m{2 * n}", f"m{2 * n + 1}") for n in range(78)]
+        fleet = SimulatedFleet(make_service(models=156), entries)
+        fleet.run(3.0)
+        fleet.report_demand({}, {})
+        with patch.object(
+            Planner, "_eviction_loss", autospec=True, side_effect=Planner._eviction_loss
+        ) as valued:
+            fleet.coordinator.decide(fleet.now)
+        valued.assert_not_called()
+
 
 class ModelIsRemovedTest(unittest.TestCase):
     """A configuration removes a model that engines still have loaded."""
