Log what a request contains and how much of its answer arrived

The lines of a crash could not tell whether the requests on the crashed engines had a prompt part in common, were the same request again, or neither. 'request sent' and 'run failed' now contain fingerprints of the shared prompt parts and of the whole request; 'run failed' also contains the received bytes and events. Events are now counted on streams that cannot be resumed, too.

--- a/eelgrassferry/dispatch/__init__.py
+++ b/eelgrassferry/dispatch/__init__.py
@@ -11,6 +11,7 @@
     Send,
 )
 from .dispatcher import Dispatcher
+from .fingerprints import request_fingerprint
 from .fleet_residency import CoordinatorResidency, FleetResidency
 from .job import Attempt, Job
 from .load_view import NO_LOAD, UpstreamLoad
@@ -37,4 +38,5 @@
     "SlownessFactors",
     "SlownessSample",
     "UpstreamLoad",
+    "request_fingerprint",
 ]
--- a/eelgrassferry/dispatch/job.py
+++ b/eelgrassferry/dispatch/job.py
@@ -1,9 +1,11 @@
 """State of a caller's request and of its attempts at upstreams."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Any
 
 from ..fleet import RequestKind, Route
+from .fingerprints import part_fingerprints
 
 __all__ = ["Attempt", "Job"]
 
@@ -46,6 +48,7 @@
     - ``give_up_at``: time by which a final answer is due.
     - ``prompt_parts``: keys and token counts of the prompt parts. All but the last may be shared
       with other requests.
+    - ``fingerprint``: fingerprint of the whole request, "" if it is not known.
     - ``exchange``: the exchange that carries out the actions for this request.
     - ``may_have_run_on``: upstreams that may have run the request.
     - ``excluded``: upstreams that the request is not sent to again.
@@ -65,6 +68,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     prompt_parts: tuple[tuple[str, int], ...] = ()
+    fingerprint: str = ""
     exchange: Any = None
     attempt: Attempt | None = None
     waiting: bool = False
@@ -100,6 +104,12 @@
         """Whether an upstream may have begun to run the request."""
         return bool(self.may_have_run_on)
 
+    @cached_property
+    def fingerprints(self) -> tuple[str, ...]:
+        """Fingerprints of the shared prompt parts, in order, then of the whole request."""
+        whole = (self.fingerprint,) if self.fingerprint else ()
+        return (*part_fingerprints(self.prompt_parts), *whole)
+
     @property
     def queue_key(self) -> tuple[int, float]:
         """Sort key of waiting jobs: priority, then start deadline."""
--- a/eelgrassferry/entry/event_buffer.py
+++ b/eelgrassferry/entry/event_buffer.py
@@ -1,7 +1,11 @@
 """Splitting of a stream of server-sent events into complete events."""
 
+import re
+
 __all__ = ["EventBuffer"]
 
+EVENT_END = re.compile(rb"\n\r?\n")
+
 
 class EventBuffer:
     r"""A buffer that releases complete events only and stores the id of the last one.
@@ -13,10 +17,13 @@
     b'id: 1\ndata: a\n\n'
     >>> buffer.last_id
     '1'
+    >>> buffer.count
+    1
     """
 
     def __init__(self) -> None:
         self.last_id = ""
+        self.count = 0
         self._incomplete = bytearray()
 
     @property
@@ -37,6 +44,7 @@
         if end < 3:
             return b""
         whole, self._incomplete = bytes(text[:end]), text[end:]
+        self.count += len(EVENT_END.findall(whole))
         for line in whole.split(b"\n"):
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -37,6 +37,8 @@
 class Exchange:
     """The forwarding of one request, as directed by the dispatcher.
 
+    ``answer_bytes`` is the number of bytes of the answer's body that the current attempt received.
+
     Streamed answers are relayed as they arrive. Other answers are read completely first, so that
     the request can still be retried or refused if the upstream's answer breaks off.
     """
@@ -52,6 +54,7 @@
         self.job = job
         self.facts = facts
         self.done = False
+        self.answer_bytes = 0
         self._handler = handler
         self._caller_conn = conn
         self._request = request
@@ -66,6 +69,11 @@
         remaining_s = max(0.0, job.give_up_at - handler.clock() - ANSWER_MARGIN_S)
         self._deadline_timer = handler.loop.call_later(remaining_s, self._on_deadline)
 
+    @property
+    def events(self) -> int:
+        """Number of complete events that were received of all attempts."""
+        return self._events.count
+
     # Actions of the dispatcher
 
     def carry_out(self, action: Action) -> None:
@@ -110,6 +118,7 @@
             return
         self._attempt_number += 1
         self._answer_head = None
+        self.answer_bytes = 0
         self._body.clear()
         self._handler.record_send(self, entry, repeat)
         conn = self._handler.pool.take_idle(instance)
@@ -181,17 +190,19 @@
 
     def on_body(self, data: bytes) -> None:
         """Relay or buffer a part of the answer's body."""
+        self.answer_bytes += len(data)
         if not self._is_relaying:
             self._body += data
             if len(self._body) > MAX_BUFFERED_BYTES:
                 self._abandon_answer()
             return
         self._record_pause()
-        if not self.job.route.resumable:
+        complete = self._events.feed(data)
+        if self.job.route.resumable:
+            self._caller_conn.write(complete)
+            self.job.last_event_id = self._events.last_id or self.job.last_event_id
+        else:
             self._caller_conn.write(data)
-            return
-        self._caller_conn.write(self._events.feed(data))
-        self.job.last_event_id = self._events.last_id or self.job.last_event_id
         if self._events.incomplete_bytes > MAX_BUFFERED_BYTES:
             self._abandon_answer()
 
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -14,6 +14,7 @@
     FailReason,
     Job,
     RefuseReason,
+    request_fingerprint,
 )
 from ..fleet import FleetConfig, Route, UpstreamDirectory, UpstreamEntry
 from ..forwarding import AnswerHead, CallerConn, CallerRequest, RequestMetadata, UpstreamPool
@@ -107,7 +108,7 @@
         if route is None:
             detail = f"no route for {facts.host}{request.path}"
             return self._reject(conn, facts, 404, "no_route", detail)
-        job = self._make_job(facts, route)
+        job = self._make_job(facts, route, request)
         exchange = Exchange(self, conn, request, facts, job)
         job.exchange = exchange
         conn.set_listener(exchange)
@@ -133,7 +134,7 @@
             action.job.exchange.carry_out(action)
             self._pending_actions.pop(0)
 
-    def _make_job(self, facts: RequestMetadata, route: Route) -> Job:
+    def _make_job(self, facts: RequestMetadata, route: Route, request: CallerRequest) -> Job:
         now = self.clock()
         remaining_s = route.timeout_s
         if facts.deadline_s is not None:
@@ -149,6 +150,13 @@
             prompt_tokens=facts.prompt_tokens,
             max_output_tokens=facts.max_output_tokens,
             prompt_parts=facts.prompt_parts,
+            fingerprint=request_fingerprint(
+                request.method,
+                request.target,
+                request.body,
+                f"{facts.model}/{facts.adapter}".encode(),
+                *(part_id.encode() for part_id, _ in facts.prompt_parts),
+            ),
         )
 
     def _choose_service(self, route: Route) -> str:
@@ -258,6 +266,7 @@
             left_ms=round((job.give_up_at - now) * 1000),
             expected_ms=round(attempt.expected_s * 1000) if attempt else None,
             load=round(self.dispatcher.load.total_at(entry.instance, now).requests),
+            fingerprints=job.fingerprints,
             **self._version_fields(),
         )
 
@@ -273,6 +282,9 @@
             end=end.value,
             detail=detail,
             after_ms=round((self.clock() - attempt.sent_at) * 1000) if attempt else None,
+            answer_bytes=exchange.answer_bytes,
+            events=exchange.events,
+            fingerprints=exchange.job.fingerprints,
             **self._version_fields(),
         )
 
