Reproduce engines that a prompt part crashes one after the other

A node with twelve stand-in engines gets twelve requests with one part that crashes the engine which answers it. All twelve engines end, the sound requests that share the other parts get 503.

--- a/eelgrassferry/platform/tests/standin_server.py
+++ b/eelgrassferry/platform/tests/standin_server.py
@@ -19,13 +19,14 @@
 
     These attributes record what the server did: ``runs``, the ids of the requests that it ran;
     ``abandoned``, the ids of those whose connection closed before the response; ``received``, all
-    requests; ``orders``, the bodies of the accepted orders.
+    requests; ``orders``, the bodies of the accepted orders; ``is_stopped``, whether it has ended.
 
     These attributes control its behaviour: ``status`` is the status of responses to plain requests.
     ``decline_count`` is the number of further requests that it declines as not run. ``events`` is
     the number of events of a stream. If ``break_after_events`` is set, it calls ``on_break`` and
     breaks off a stream after that many events. ``pause_s`` is the run time of a request and
-    ``event_pause_s`` the time between two events, both in seconds.
+    ``event_pause_s`` the time between two events, both in seconds. A stream whose prompt contains
+    ``deadly_part`` before its last part ends the server after the head of the answer.
     """
 
     def __init__(
@@ -41,6 +42,8 @@
         self.break_after_events: int | None = None
         self.on_break: Callable[[], None] = lambda: None
         self.events = 3
+        self.deadly_part = ""
+        self.is_stopped = False
         self.pause_s = 0.0
         self.event_pause_s = 0.0
         self.models: dict[str, set[str]] = {model: set() for model in models}
@@ -58,6 +61,7 @@
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
+        self.is_stopped = True
         await self._server.close(grace_s=0)
 
     @property
@@ -186,6 +190,10 @@
     ) -> None:
         first = int(req.header("last-event-id") or 0) + 1
         await responder.start(200, (id_header, SEAL, ("Content-Type", "text/event-stream")))
+        parts = (req.header("eelgrassferry-prompt-prefix") or "").split(",")[:-1]
+        if self.deadly_part and self.deadly_part in [part.partition(":")[0] for part in parts]:
+            self._start_task(self.stop())
+            await asyncio.sleep(60.0)
         for number in range(first, self.events + 1):
             if self.break_after_events is not None and number > self.break_after_events:
                 self.on_break()
