Break off a stream that ends inside an event

A stream may end with its connection, so the end of its bytes is no sign that it is complete. One that ended inside an event reached the caller as a whole answer: the torn event was passed on and the answer was ended properly. Now such an end is a broken run, whatever the framing; a resumable stream goes on at another upstream.

test_answers_without_length sends bytes on real sockets, streams and plain answers, ended, reset or torn.

--- a/eelgrassferry/entry/event_buffer.py
+++ b/eelgrassferry/entry/event_buffer.py
@@ -50,11 +50,6 @@
                 self.last_id = line[3:].strip().decode("latin-1")
         return whole
 
-    def pop_incomplete(self) -> bytes:
-        """Remove and return the bytes after the last complete event."""
-        rest, self._incomplete = self._incomplete, bytearray()
-        return bytes(rest)
-
     def discard_incomplete(self) -> None:
         """Discard the bytes after the last complete event."""
         self._incomplete = bytearray()
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -232,10 +232,10 @@
         assert head is not None
         self._upstream_conn = None
         self._cancel_response_timer()
-        if self._is_relaying:
-            self._caller_conn.finish(
-                self._events.pop_incomplete() if self.job.route.resumable else b""
-            )
+        if self._is_relaying and self._events.incomplete_bytes:
+            self.on_broken("the stream ended inside an event")
+        elif self._is_relaying:
+            self._caller_conn.finish()
             self._succeed()
         elif head.not_run:
             self._fail_attempt(self._classify_not_run(head), f"status {head.status}")
