Keep verdicts on crashing content in the store

The coordinator now reads one object at the beginning of its term and writes it when a verdict has changed; its views carry the verdicts to all nodes.

--- a/eelgrassferry/coordination/__init__.py
+++ b/eelgrassferry/coordination/__init__.py
@@ -8,6 +8,7 @@
 from .order_runner import OrderRunner
 from .peer_link import PeerLink
 from .peer_mesh import PeerMesh
+from .verdict_store import VerdictStore
 
 __all__ = [
     "EngineProtocol",
@@ -19,4 +20,5 @@
     "OrderRunner",
     "PeerLink",
     "PeerMesh",
+    "VerdictStore",
 ]
--- a/eelgrassferry/dispatch/crash_analyzer.py
+++ b/eelgrassferry/dispatch/crash_analyzer.py
@@ -19,6 +19,8 @@
 CRASH_VALID_S = 600.0
 # Limits the memory and the time of the search for causes.
 MAX_BROKEN_RUNS = 300
+# Limit of the verdicts that are kept; the oldest one is dropped first.
+MAX_BLOCKED = 1000
 # Number of prompt parts whose last answer a node remembers.
 MAX_ANSWERED_PARTS = 5000
 
@@ -138,6 +140,17 @@
             block.in_force and block.fingerprints <= contained for block in self._blocked.values()
         )
 
+    @property
+    def blocked_content(self) -> frozenset[frozenset[str]]:
+        """Content that is blocked now."""
+        return frozenset(b.fingerprints for b in self._blocked.values() if b.in_force)
+
+    def restore(self, blocked: Iterable[frozenset[str]], now: float) -> None:
+        """Block content on which an earlier process has decided, unless it is known here."""
+        new = tuple(BlockedContent(c, now) for c in blocked if c not in self._blocked)
+        if new:
+            self.merge(CrashEvidence(blocked=new), now)
+
     def begin_trial(self, fingerprints: Iterable[str], now: float) -> bool:
         """Return whether a blocked request may be sent as a trial; if so, record the trial."""
         contained = frozenset(fingerprints)
@@ -241,6 +254,8 @@
         if merged == known:
             return False
         self._blocked[block.fingerprints] = merged
+        if len(self._blocked) > MAX_BLOCKED:
+            del self._blocked[min(self._blocked, key=lambda c: self._blocked[c].blocked_at)]
         if known is None or known.in_force != merged.in_force:
             self.verdicts += 1
             self._new_verdicts.append(merged)
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -15,6 +15,7 @@
     LeaseHolder,
     OrderRunner,
     PeerMesh,
+    VerdictStore,
 )
 from ..dispatch import Dispatcher, FleetResidency, UpstreamLoad
 from ..fleet import DirectoryChange, EntrySettings, FleetConfig, UpstreamDirectory
@@ -139,6 +140,12 @@
             self._dispatcher.selector.slowness,
             self._dispatcher.crashes,
         )
+        self._verdicts = VerdictStore(
+            protocol.object_store,
+            self._dispatcher.crashes,
+            boot_clock,
+            lambda: self._leadership.term() is not None,
+        )
         self._isolation = IsolationDetector(
             settings.domain,
             self._directory,
@@ -173,6 +180,7 @@
                 self._mesh.run(),
                 self._leadership.run(),
                 self._isolation.run(),
+                self._verdicts.run(),
                 self._tick(),
             )
         ]
