--- a/eelgrassferry/coordination/tests/test_verdict_store.py
+++ b/eelgrassferry/coordination/tests/test_verdict_store.py
@@ -1,5 +1,6 @@
 """Tests of the verdicts on crashing content that are kept in the store."""
 
+import asyncio
 import time
 import unittest
 
@@ -22,11 +23,14 @@
 
     def setUp(self):
         self.memory = MemoryObjectStore()
+        self.leads = True
 
     def start_process(self) -> tuple[CrashAnalyzer, VerdictStore]:
         crashes = CrashAnalyzer()
         store = MonitoredStore(self.memory, time.monotonic)
-        return crashes, VerdictStore(store, crashes, lambda: 3.0, lambda: True)
+        return crashes, VerdictStore(
+            store, crashes, lambda: 3.0, lambda: self.leads, restarted=True
+        )
 
     async def test_verdict_outlasts_all_processes(self):
         """Guards against a restart of all nodes after which the part crashes engines again."""
@@ -40,6 +44,16 @@
         self.assertTrue(crashes.is_blocked(DEADLY))
         self.assertTrue(crashes.pop_updates().blocked)
 
+    async def test_restarted_node_does_not_wait_for_a_coordinator(self):
+        """Guards against crashes between the restart of all nodes and the first coordination."""
+        await self.memory.put(KEY, b'{"blocked": [["part:deadly"]]}', 0)
+        self.leads = False
+        crashes, verdicts = self.start_process()
+        task = asyncio.ensure_future(verdicts.run())
+        await asyncio.sleep(0.05)
+        task.cancel()
+        self.assertTrue(crashes.is_blocked(DEADLY))
+
     async def test_lifted_verdict_does_not_return(self):
         """Guards against a restart that blocks content which has been answered since."""
         crashes, verdicts = self.start_process()
--- a/eelgrassferry/coordination/verdict_store.py
+++ b/eelgrassferry/coordination/verdict_store.py
@@ -24,7 +24,8 @@
 
     The object is read at the beginning of each term and written when a verdict has changed. Other
     nodes learn the verdicts from the coordinator's views. ``is_coordinator`` returns whether this
-    node coordinates.
+    node coordinates. With ``restarted``, the object is also read at the start, because after a
+    restart of all nodes callers' requests arrive before there is a coordinator.
     """
 
     def __init__(
@@ -33,16 +34,20 @@
         crashes: CrashAnalyzer,
         clock: Callable[[], float],
         is_coordinator: Callable[[], bool],
+        restarted: bool,
     ) -> None:
         self._store = store
         self._crashes = crashes
         self._clock = clock
         self._is_coordinator = is_coordinator
+        self._restarted = restarted
         self._version: int | None = None
         self._stored: frozenset[frozenset[str]] = frozenset()
 
     async def run(self) -> None:
         """Read and write the object while this node coordinates, until cancelled."""
+        if self._restarted:
+            await self._load()
         while True:
             if self._is_coordinator():
                 await self.synchronize()
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -145,6 +145,7 @@
             self._dispatcher.crashes,
             boot_clock,
             lambda: self._leadership.term() is not None,
+            restarted=not settings.first_start,
         )
         self._isolation = IsolationDetector(
             settings.domain,
