--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -47,8 +47,8 @@
 
     It plans, sends orders to engines and reads their reports. ``publish`` is called with each new
     view, which is to be sent to all nodes. ``slowness`` is this node's own estimator; while this
-    node coordinates, it also receives the samples of all other nodes. The same holds for
-    ``crashes`` and the observations on crashed upstreams.
+    node coordinates, it also receives the samples of all other nodes. ``crashes`` contains the
+    observations on crashed upstreams to publish.
     """
 
     def __init__(
@@ -140,8 +140,6 @@
             if status.node != self._settings.name:
                 for sample in status.slowness_samples:
                     self._slowness.record(sample)
-                if status.crashes:
-                    self._crashes.merge(status.crashes, self._clock())
             if status.pending_demand:
                 self.request_plan()
 
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -259,6 +259,9 @@
             return
         status, reply = decoded.ok_value
         link.peer = status.node
+        if status.crashes:
+            # Also before this node's term begins: the sender does not repeat them on this link.
+            self._crashes.merge(status.crashes, self._clock())
         leadership = self.leadership
         if leadership is None or leadership.term() is None:
             if self.succession.is_standby and not self.has_leader:
