Share only the first answer that exonerates a prompt part

While a crash was remembered, each answer with one of its prompt parts was shared at once: on a busy fleet a status for each answer, for up to ten minutes. The new test counted 100 messages for 100 answers before, 1 now.

--- a/eelgrassferry/dispatch/crash_analyzer.py
+++ b/eelgrassferry/dispatch/crash_analyzer.py
@@ -51,7 +51,7 @@
         self._crashed: set[str] = set()
         self._ended: dict[str, float] = {}
         self._alive: dict[str, float] = {}
-        self._suspected: set[str] = set()
+        self._suspected: dict[str, float] = {}
         self._served: dict[str, float] = {}
         self._answered: OrderedDict[str, float] = OrderedDict()
         self._blocked: dict[frozenset[str], BlockedContent] = {}
@@ -76,12 +76,19 @@
             self.merge(CrashEvidence(alive={process: sent_at}), now)
 
     def record_served(self, fingerprints: Sequence[str], now: float) -> None:
-        """Record that the answer to a request has begun."""
+        """Record that the answer to a request has begun.
+
+        Only the first answer after the last broken run with a fingerprint is shared.
+        """
         self._remember_answer(fingerprints, now)
         if not self._suspected and not self._blocked:
             return
         contained = frozenset(fingerprints)
-        served = {name: now for name in sorted(contained & self._suspected)}
+        served = {
+            name: now
+            for name in sorted(contained & self._suspected.keys())
+            if self._served_at(name) <= self._suspected[name]
+        }
         refuted = tuple(
             replace(block, served_at=now)
             for block in self._blocked.values()
@@ -277,7 +284,10 @@
         ]
         self._runs = dict(kept[-MAX_BROKEN_RUNS:])
         self._crashed &= {run.process for run in self._runs.values()}
-        self._suspected = {name for run in self._runs.values() for name in run.fingerprints}
+        self._suspected = {}
+        for run in self._runs.values():
+            for name in run.fingerprints:
+                self._suspected[name] = max(run.at, self._suspected.get(name, run.at))
         self._served = {n: at for n, at in self._served.items() if n in self._suspected}
         self._ended = _recent(self._ended, now)
         self._alive = _recent(self._alive, now)
--- a/eelgrassferry/dispatch/tests/test_crash_analyzer.py
+++ b/eelgrassferry/dispatch/tests/test_crash_analyzer.py
@@ -259,3 +259,15 @@
         for number in range(2000):
             analyzer.record_broken(f"u{number}/1", request(number, SESSION), 1.0)
         self.assertLessEqual(len(analyzer.all_evidence().broken_runs), 300)
+
+    def test_only_the_first_answer_after_a_crash_is_shared(self):
+        """Guards against a message for each answer while a crash is remembered."""
+        analyzer = CrashAnalyzer()
+        analyzer.record_broken("u1/1", request(1, SHARED), 1.0)
+        analyzer.record_ended("u1/1", 1.2)
+        analyzer.pop_updates()
+        shared = 0
+        for number in range(100):
+            analyzer.record_served(request(10 + number, SHARED), 2.0 + number)
+            shared += bool(analyzer.pop_updates())
+        self.assertEqual(shared, 1)
