Search for causes of crashes in time proportional to the runs

Each fingerprint in two crashes was compared with all runs of all crashes, at each process that ended; the loss of a third of a large fleet could keep a weak node busy for seconds. Runs are now indexed by fingerprint and the candidates of each crash counted once. Runs whose parts were all answered before no longer count as candidates beside a part that never was.

--- a/eelgrassferry/dispatch/crash_causes.py
+++ b/eelgrassferry/dispatch/crash_causes.py
@@ -50,67 +50,93 @@
     does not tell which of the parts are to blame, so repetitions of one request blame no part.
     """
     known = frozenset(blocked)
+    runs_by_name: dict[str, dict[str, list[BrokenRun]]] = {}
+    for process, runs in crashes.items():
+        for run in runs:
+            for name in run.fingerprints:
+                runs_by_name.setdefault(name, {}).setdefault(process, []).append(run)
+    search = _Search(crashes, served_at)
     causes = [
         cause
-        for name in _repeated_fingerprints(crashes)
-        if (cause := _examine(name, crashes, served_at)) is not None and cause.content not in known
+        for name, suspected in runs_by_name.items()
+        if len(suspected) >= MIN_CRASHES_IF_PROBABLE
+        and (cause := search.examine(name, suspected)) is not None
+        and cause.content not in known
     ]
     return max(causes, key=lambda cause: (len(cause.content), cause.probability_sum), default=None)
 
 
-def _repeated_fingerprints(crashes: Mapping[str, Sequence[BrokenRun]]) -> list[str]:
-    """Return the fingerprints that are candidates in more than one crash, in a fixed order."""
-    counts: dict[str, int] = {}
-    for runs in crashes.values():
-        for name in sorted({name for run in runs for name in run.fingerprints}):
-            counts[name] = counts.get(name, 0) + 1
-    return [name for name, count in counts.items() if count > 1]
-
-
-def _examine(
-    name: str, crashes: Mapping[str, Sequence[BrokenRun]], served_at: Callable[[str], float]
-) -> Cause | None:
-    """Return the cause that contains a fingerprint, None if the evidence is too weak."""
-    whole = is_whole_request(name)
-    suspected: dict[str, list[BrokenRun]] = {}
-    probability_sum = 0.0
-    for process, runs in crashes.items():
-        candidates = [run for run in runs if _is_candidate(run, whole, served_at)]
-        matching = [r for r in candidates if name in r.fingerprints and served_at(name) < r.at]
-        if matching:
-            suspected[process] = matching
-            probability_sum += len(matching) / len(candidates)
-    requests = [run for runs in suspected.values() for run in runs]
-    distinct = {next(filter(is_whole_request, run.fingerprints), "") for run in requests}
-    if not requests or (not whole and len(distinct) < MIN_CRASHES_IF_PROBABLE):
-        return None
-    count = _count_separate(min(run.at for run in runs) for runs in suspected.values())
-    is_probable = count >= MIN_CRASHES_IF_PROBABLE and probability_sum >= MIN_PROBABILITY_SUM
-    if served_at(name) > float("-inf"):
-        if count < MIN_CRASHES_IF_ANSWERED:
+class _Search:
+    """Examination of single fingerprints, with the number of candidates for each crash."""
+
+    def __init__(
+        self, crashes: Mapping[str, Sequence[BrokenRun]], served_at: Callable[[str], float]
+    ) -> None:
+        self._crashes = crashes
+        self._served_at = served_at
+        self._candidate_counts: dict[tuple[str, bool, bool], int] = {}
+
+    def examine(self, name: str, runs: Mapping[str, Sequence[BrokenRun]]) -> Cause | None:
+        """Return the cause that contains a fingerprint, None if the evidence is too weak.
+
+        ``runs`` are those with the fingerprint, by the process that has crashed.
+        """
+        is_whole, was_answered = is_whole_request(name), self._was_answered(name)
+        suspected = {
+            process: matching
+            for process, ran in runs.items()
+            if (matching := [run for run in ran if self._served_at(name) < run.at])
+        }
+        requests = [run for matching in suspected.values() for run in matching]
+        distinct = {next(filter(is_whole_request, run.fingerprints), "") for run in requests}
+        if not is_whole and len(distinct) < MIN_CRASHES_IF_PROBABLE:
             return None
-    elif count < MIN_CRASHES and not is_probable:
-        return None
-    if whole:
-        return Cause(frozenset((name,)), tuple(suspected), probability_sum)
-    common = frozenset.intersection(*(frozenset(run.fingerprints) for run in requests))
-    content = frozenset(
-        other
-        for other in common
-        if not is_whole_request(other) and served_at(other) == float("-inf")
-    )
-    return Cause(content | {name}, tuple(suspected), probability_sum)
-
-
-def _is_candidate(run: BrokenRun, whole: bool, served_at: Callable[[str], float]) -> bool:
-    """Return whether a run may have caused a crash, by any of its parts or as a whole request.
-
-    A run with parts is a candidate for a part only if one of its parts is not exonerated.
-    """
-    parts = [name for name in run.fingerprints if not is_whole_request(name)]
-    if whole or not parts:
-        parts = list(run.fingerprints)
-    return any(served_at(name) < run.at for name in parts)
+        count = _count_separate(min(run.at for run in matching) for matching in suspected.values())
+        probability_sum = sum(
+            len(matching) / self._count_candidates(process, is_whole, was_answered)
+            for process, matching in suspected.items()
+        )
+        is_probable = count >= MIN_CRASHES_IF_PROBABLE and probability_sum >= MIN_PROBABILITY_SUM
+        if was_answered:
+            if count < MIN_CRASHES_IF_ANSWERED:
+                return None
+        elif count < MIN_CRASHES and not is_probable:
+            return None
+        content = {name}
+        if not is_whole:
+            common = frozenset.intersection(*(frozenset(run.fingerprints) for run in requests))
+            content.update(
+                other
+                for other in common
+                if not is_whole_request(other) and not self._was_answered(other)
+            )
+        return Cause(frozenset(content), tuple(suspected), probability_sum)
+
+    def _count_candidates(self, process: str, is_whole: bool, was_answered: bool) -> int:
+        """Return the number of runs that may have ended a process."""
+        key = (process, is_whole, was_answered)
+        if key not in self._candidate_counts:
+            self._candidate_counts[key] = sum(
+                self._is_candidate(run, is_whole, was_answered) for run in self._crashes[process]
+            )
+        return self._candidate_counts[key]
+
+    def _is_candidate(self, run: BrokenRun, is_whole: bool, was_answered: bool) -> bool:
+        """Return whether a run may have ended its process.
+
+        Whole requests are compared with all runs. Parts are compared with runs that have suspected
+        parts or no parts at all: those that were never answered or, for a part that was answered
+        before, those that were not answered since.
+        """
+        parts = [name for name in run.fingerprints if not is_whole_request(name)]
+        if is_whole or not parts:
+            return True
+        if was_answered:
+            return any(self._served_at(name) < run.at for name in parts)
+        return any(not self._was_answered(name) for name in parts)
+
+    def _was_answered(self, name: str) -> bool:
+        return self._served_at(name) > float("-inf")
 
 
 def _count_separate(times: Iterable[float]) -> int:
--- a/eelgrassferry/dispatch/tests/test_crash_analyzer.py
+++ b/eelgrassferry/dispatch/tests/test_crash_analyzer.py
@@ -3,8 +3,9 @@
 import doctest
 import random
 import unittest
+from unittest.mock import patch
 
-from .. import CrashAnalyzer, CrashEvidence, crash_analyzer, fingerprints
+from .. import CrashAnalyzer, CrashEvidence, crash_analyzer, crash_causes, fingerprints
 
 SHARED = "part:shared"
 SESSION = "part:session"
@@ -271,3 +272,18 @@
             analyzer.record_served(request(10 + number, SHARED), 2.0 + number)
             shared += bool(analyzer.pop_updates())
         self.assertEqual(shared, 1)
+
+    def test_search_takes_time_in_proportion_to_the_runs(self):
+        """Guards against a node of little processor time that searches for causes for seconds when
+        a third of a large fleet is lost.
+        """
+        analyzer = CrashAnalyzer()
+        with patch.object(crash_causes._Search, "examine", return_value=None) as examine:
+            for process in range(30):
+                for number in range(8):
+                    names = request(8 * process + number, SHARED, f"part:{process}-{number}")
+                    analyzer.record_broken(f"u{process}/1", names, 1.0)
+            for process in range(30):
+                analyzer.record_ended(f"u{process}/1", 1.2)
+        # Only the shared part is in more than one crash, so each process that ends adds one step.
+        self.assertLessEqual(examine.call_count, 30)
