Send a new member the changes since its copies

Two nodes had linked to the standby and copied its objects before its term; the next change was relayed to members only, which they became 50 ms later, and they noticed the gap with the change after that, 2.1 s later. The same gap was there between any copy and the first status on a link. A node that becomes a member now gets what has changed since its copies.

The new test in EarlyMemberTest failed before.

--- a/eelgrassferry/coordination/object_relay.py
+++ b/eelgrassferry/coordination/object_relay.py
@@ -73,13 +73,23 @@
         """Read from the store itself again."""
         self._relayed_prefixes.clear()
 
-    def on_pull(self, link: PeerLink, body: object) -> None:
-        """Respond to a node's request for the objects under a prefix."""
+    def on_pull(self, link: PeerLink, body: object) -> tuple[str, int] | None:
+        """Respond to a node's request for the objects under a prefix.
+
+        Return the prefix and the version of the copy that was sent, None if there is none.
+        """
         feed = self._feeds.get(body.get("prefix", "")) if isinstance(body, dict) else None
         if feed is None:
             link.send(COPY, None)
-            return
+            return None
         link.send(COPY, encode_copy(_make_copy(feed, int(body.get("version", 0)))))
+        return feed.prefix, feed.version
+
+    def send_changes_since(self, link: PeerLink, prefix: str, version: int) -> None:
+        """Send a further copy to a node that has a version, if there is a newer one."""
+        feed = self._feeds[prefix]
+        if feed.version > version:
+            link.send(COPY, encode_copy(_make_copy(feed, version)))
 
     def on_changes(self, link: PeerLink, frame: Frame) -> None:
         """Apply changes that the coordinator relays; request a copy if earlier ones are missing."""
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -125,6 +125,7 @@
         self._leader_gone = False
         self._find_attempts = 0
         self._early_members: set[PeerLink] = set()
+        self._copied_versions: dict[PeerLink, dict[str, int]] = {}
         self._last_contact_at = clock()
         self._tasks: set[asyncio.Task[None]] = set()
         self._last_view_at = float("-inf")
@@ -239,6 +240,7 @@
     def _on_member_closed(self, link: PeerLink) -> None:
         self._members.discard(link)
         self._early_members.discard(link)
+        self._copied_versions.pop(link, None)
         self._links.discard(link)
         if link.peer and self.leadership is not None and self.leadership.coordinator is not None:
             self.leadership.coordinator.remove_node(link.peer)
@@ -248,7 +250,10 @@
         if frame.kind == STATUS:
             self._on_status(link, frame)
         elif frame.kind == PULL:
-            self._relay.on_pull(link, frame.body)
+            copied = self._relay.on_pull(link, frame.body)
+            if copied is not None and link not in self._members:
+                prefix, version = copied
+                self._copied_versions.setdefault(link, {})[prefix] = version
         elif frame.kind == WHO:
             link.send(WHO, self._process_id)
 
@@ -280,8 +285,14 @@
         leadership.update_status(status)
 
     def _add_member(self, link: PeerLink, leadership: Leadership) -> None:
-        """Send a complete view to a node, and all views from now on."""
+        """Send a complete view to a node, and all views and changes from now on.
+
+        The changes since the node's copies of the objects are sent as well, because changes are
+        relayed to members only.
+        """
         self._members.add(link)
+        for prefix, version in self._copied_versions.pop(link, {}).items():
+            self._relay.send_changes_since(link, prefix, version)
         log.info("node joined", step="peer_link", peer=link.peer)
         view = leadership.complete_view()
         if view is not None:
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -12,12 +12,12 @@
 from ...fleet import EntrySettings, FleetConfig, ServiceBounds, UpstreamDirectory
 from ...leases import LeaseTerm
 from ...metrics import Metrics
-from ...objects import MemoryObjectStore, MonitoredStore, ObjectFeed
+from ...objects import FeedUpdate, MemoryObjectStore, MonitoredStore, ObjectFeed, StoredObject
 from ...ordering import EngineReport, NodeStatus, OrderAnswer, PendingDemand
 from ...ordering.tests.fixtures import make_entry, make_service
 from ...peers.frame import Frame
 from .. import Leadership, LeaseHolder, PeerMesh
-from ..messages import STATUS, FleetView, ViewReply, encode_status
+from ..messages import COPY, PULL, STATUS, FleetView, ViewReply, decode_copy, encode_status
 
 WAIT_S = 12.0
 HANDOVER_S = 0.6
@@ -414,6 +414,26 @@
         exchange.cancel()
         self.assertEqual(mesh._member_names(), {"n1"})
 
+    async def test_change_between_the_request_for_a_copy_and_the_membership_is_sent(self):
+        """Guards against a violation of CONFIG: a node that has asked the standby for its copy gets
+        no changes before it is a member, and missed a configuration for 2 s (hunt-dbdf-7).
+        """
+        node = Node("n9", MemoryObjectStore(), [])
+        mesh, link = node.mesh, Mock(peer="")
+        mesh.leadership = Mock(coordinator=None)
+        mesh.leadership.term.return_value = None
+        pull = {"prefix": "things/", "version": 0}
+        mesh._on_member_frame(link, Frame(PULL, pull))
+        stored = StoredObject("things/a", 7, b"new")
+        node.feed.apply_relayed_update(FeedUpdate(True, 7, (stored,), ()))
+        link.send.reset_mock()
+        mesh.leadership.term.return_value = LeaseTerm(2, float("inf"))
+        mesh.leadership.complete_view.return_value = None
+        status = encode_status(NodeStatus("n1"), ViewReply(0.0, False), 0.0)
+        mesh._on_member_frame(link, Frame(STATUS, status))
+        (sent,) = [call.args for call in link.send.call_args_list if call.args[0] == COPY]
+        self.assertEqual(decode_copy(sent[1]).unwrap().objects, (stored,))
+
 
 class DownStore(MemoryObjectStore):
     """A store that fails every call."""
