--- a/eelgrassferry/dispatch/actions.py
+++ b/eelgrassferry/dispatch/actions.py
@@ -28,7 +28,7 @@
     TOO_LARGE = "too_large"
     UNKNOWN_MODEL = "unknown_model"
     NOT_RUN_UPSTREAM = "not_run_upstream"
-    CRASHES_UPSTREAMS = "crashes_upstreams"
+    CRASHED_UPSTREAMS = "crashed_upstreams"
     STOPPING = "stopping"
 
 
@@ -38,7 +38,7 @@
     CONNECTION_LOST = "connection_lost"
     BAD_ANSWER = "bad_answer"
     DEADLINE = "deadline"
-    CRASHES_UPSTREAMS = "crashes_upstreams"
+    CRASHED_UPSTREAMS = "crashed_upstreams"
 
 
 class AttemptFailure(Enum):
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -476,8 +476,8 @@
         """Close a job that crashes upstreams and return its final answer."""
         self._close(job)
         if job.may_have_run:
-            return Fail(job, FailReason.CRASHES_UPSTREAMS)
-        return Refuse(job, RefuseReason.CRASHES_UPSTREAMS, None)
+            return Fail(job, FailReason.CRASHED_UPSTREAMS)
+        return Refuse(job, RefuseReason.CRASHED_UPSTREAMS, None)
 
     def _record_crash_evidence(
         self, job: Job, attempt: Attempt, failure: AttemptFailure, now: float
@@ -557,7 +557,7 @@
     def _permanent_refusal(self, job: Job, now: float) -> RefuseReason | None:
         """Return the reason why no upstream can ever serve a job, None if one could."""
         if self._is_blocked(job, now):
-            return RefuseReason.CRASHES_UPSTREAMS
+            return RefuseReason.CRASHED_UPSTREAMS
         engine = self.selector.engine(job.service)
         if engine is None or not job.model:
             return None
--- a/eelgrassferry/dispatch/tests/test_crashing_requests.py
+++ b/eelgrassferry/dispatch/tests/test_crashing_requests.py
@@ -41,7 +41,7 @@
         self.crash_twice()
         job = self.make_job(SHARED, DEADLY, now=5.0)
         (action,) = self.dispatcher.submit(job, 5.0)
-        self.assertEqual(action, Refuse(job, RefuseReason.CRASHES_UPSTREAMS, None))
+        self.assertEqual(action, Refuse(job, RefuseReason.CRASHED_UPSTREAMS, None))
         self.assertFalse(job.may_have_run)
 
     def test_sound_request_is_still_sent(self):
@@ -60,7 +60,7 @@
             self.fixture.send(job, 1.0)
         self.crash(first, 1.0)
         actions = self.crash(second, 2.0)
-        self.assertIn(Fail(third, FailReason.CRASHES_UPSTREAMS), actions)
+        self.assertIn(Fail(third, FailReason.CRASHED_UPSTREAMS), actions)
         self.assertTrue(third.closed)
 
     def test_waiting_request_is_refused_by_the_verdict(self):
@@ -73,7 +73,7 @@
         self.dispatcher._waiting.append(waiting)
         self.crash(jobs[0], 1.0)
         actions = self.crash(jobs[1], 2.0)
-        self.assertIn(Refuse(waiting, RefuseReason.CRASHES_UPSTREAMS, None), actions)
+        self.assertIn(Refuse(waiting, RefuseReason.CRASHED_UPSTREAMS, None), actions)
 
     def test_repeatable_request_is_not_repeated_after_the_verdict(self):
         """Guards against a retry that crashes one more upstream."""
@@ -85,7 +85,7 @@
         actions = self.crash(job, 2.0)
         # The second crash is certain only once nothing listens there, after the retry has begun.
         self.assertEqual([a.job for a in actions if isinstance(a, Send)], [job])
-        self.assertEqual(actions[-1], Fail(job, FailReason.CRASHES_UPSTREAMS))
+        self.assertEqual(actions[-1], Fail(job, FailReason.CRASHED_UPSTREAMS))
 
     def test_broken_run_is_followed_by_a_probe(self):
         """Guards against a crash that is noticed only when the next request is sent there."""
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -37,13 +37,13 @@
     RefuseReason.UNKNOWN_MODEL: "the service has no such model",
     RefuseReason.NOT_RUN_UPSTREAM: "the upstreams declined the request",
     RefuseReason.STOPPING: "this node is stopping",
-    RefuseReason.CRASHES_UPSTREAMS: "requests with this content crash upstreams",
+    RefuseReason.CRASHED_UPSTREAMS: "requests with this content crash upstreams",
 }
 FAILURE_DETAILS = {
     FailReason.CONNECTION_LOST: "the connection to the upstream was lost",
     FailReason.BAD_ANSWER: "the upstream's answer could not be used",
     FailReason.DEADLINE: "no complete answer before the deadline",
-    FailReason.CRASHES_UPSTREAMS: "requests with this content crash upstreams",
+    FailReason.CRASHED_UPSTREAMS: "requests with this content crash upstreams",
 }
 # Time between a broken run and the check whether its upstream still listens, in seconds.
 PROBE_DELAY_S = 0.1
