Trust whole requests that were answered before, as prompt parts are

Callers may send the same request all the time, such as a query of a status. If two upstreams failed one after the other while it ran, and no answer came between, it was blocked as a request that crashes upstreams. The new test failed before and passes now.

--- a/eelgrassferry/dispatch/crash_analyzer.py
+++ b/eelgrassferry/dispatch/crash_analyzer.py
@@ -21,8 +21,8 @@
 MAX_BROKEN_RUNS = 300
 # Limit of the verdicts that are kept; the oldest one is dropped first.
 MAX_BLOCKED = 1000
-# Number of prompt parts whose last answer a node remembers.
-MAX_ANSWERED_PARTS = 5000
+# Number of fingerprints whose last answer a node remembers.
+MAX_ANSWERED = 10_000
 
 
 class CrashAnalyzer:
@@ -226,14 +226,13 @@
 
     def _remember_answer(self, fingerprints: Sequence[str], now: float) -> None:
         for name in fingerprints:
-            if not is_whole_request(name):
-                self._answered[name] = max(now, self._answered.get(name, now))
-                self._answered.move_to_end(name)
-        while len(self._answered) > MAX_ANSWERED_PARTS:
+            self._answered[name] = max(now, self._answered.get(name, now))
+            self._answered.move_to_end(name)
+        while len(self._answered) > MAX_ANSWERED:
             self._answered.popitem(last=False)
 
     def _recall_answers(self, runs: Iterable[BrokenRun]) -> None:
-        """Share when this node last had answers to the prompt parts of broken runs."""
+        """Share when this node last had answers to the content of broken runs."""
         names = {name for run in runs for name in run.fingerprints}
         recalled = {name: self._answered[name] for name in sorted(names & self._answered.keys())}
         new = _merge_times(self._served, recalled)
--- a/eelgrassferry/dispatch/tests/test_crash_analyzer.py
+++ b/eelgrassferry/dispatch/tests/test_crash_analyzer.py
@@ -139,6 +139,16 @@
         self.assertTrue(fleet.analyzer.is_blocked(request(1, SHARED, SESSION)))
         self.assertFalse(fleet.analyzer.is_blocked(request(2, SHARED, SESSION)))
 
+    def test_request_that_all_callers_send_alike_is_not_blocked_by_an_outage(self):
+        """Guards against refusing a request without content of its own, such as a query of a
+        status, because it was running when its upstreams failed one after the other.
+        """
+        fleet = CrashingFleet()
+        fleet.serve("request:1")
+        for _ in range(4):
+            fleet.crash(("request:1",))
+        self.assertFalse(fleet.analyzer.is_blocked(("request:1",)))
+
     def test_request_without_parts_is_blocked(self):
         """Guards against a plain request that crashes one upstream after the other."""
         fleet = CrashingFleet()
