Look up the verdicts on a request in one place

The verdicts in force on the content of a request were searched by the same expression in four methods of the crash analyzer; the list of blocked content was built again beside its property. RawServer no longer counts requests that no test reads.

--- a/eelgrassferry/dispatch/crash_analyzer.py
+++ b/eelgrassferry/dispatch/crash_analyzer.py
@@ -89,11 +89,7 @@
             for name in sorted(contained & self._suspected.keys())
             if self._served_at(name) <= self._suspected[name]
         }
-        refuted = tuple(
-            replace(block, served_at=now)
-            for block in self._blocked.values()
-            if block.in_force and block.fingerprints <= contained
-        )
+        refuted = tuple(replace(b, served_at=now) for b in self._blocks_in(fingerprints))
         if served or refuted:
             self.merge(CrashEvidence(served=served, blocked=refuted), now)
 
@@ -140,12 +136,7 @@
 
     def is_blocked(self, fingerprints: Iterable[str]) -> bool:
         """Return whether requests with these fingerprints crash upstreams."""
-        if not self._blocked:
-            return False
-        contained = frozenset(fingerprints)
-        return any(
-            block.in_force and block.fingerprints <= contained for block in self._blocked.values()
-        )
+        return bool(self._blocks_in(fingerprints))
 
     @property
     def blocked_content(self) -> frozenset[frozenset[str]]:
@@ -160,12 +151,7 @@
 
     def begin_trial(self, fingerprints: Iterable[str], now: float) -> bool:
         """Return whether a blocked request may be sent as a trial; if so, record the trial."""
-        contained = frozenset(fingerprints)
-        blocks = [
-            block
-            for block in self._blocked.values()
-            if block.in_force and block.fingerprints <= contained
-        ]
+        blocks = self._blocks_in(fingerprints)
         if any(now < block.next_trial_at for block in blocks):
             return False
         tried = tuple(replace(b, blocked_at=now, trials=b.trials + 1) for b in blocks)
@@ -194,8 +180,7 @@
                 for process, runs in crashes.items()
                 if not any(self._is_explained(run) for run in runs)
             }
-            in_force = [block.fingerprints for block in self._blocked.values() if block.in_force]
-            cause = find_cause(unexplained, self._served_at, in_force)
+            cause = find_cause(unexplained, self._served_at, self.blocked_content)
             if cause is None:
                 return
             block = BlockedContent(cause.content, now, crashed=cause.crashed)
@@ -214,14 +199,18 @@
 
         A blocked whole request does not, because one of its parts may be the cause.
         """
-        fingerprints = frozenset(run.fingerprints)
         return any(
-            block.in_force
-            and block.fingerprints <= fingerprints
-            and not any(is_whole_request(name) for name in block.fingerprints)
-            for block in self._blocked.values()
+            not any(map(is_whole_request, block.fingerprints))
+            for block in self._blocks_in(run.fingerprints)
         )
 
+    def _blocks_in(self, fingerprints: Iterable[str]) -> list[BlockedContent]:
+        """Return the verdicts in force on content of a request with these fingerprints."""
+        if not self._blocked:
+            return []
+        contained = frozenset(fingerprints)
+        return [b for b in self._blocked.values() if b.in_force and b.fingerprints <= contained]
+
     # State
 
     def _remember_answer(self, fingerprints: Sequence[str], now: float) -> None:
--- a/eelgrassferry/platform/tests/raw_server.py
+++ b/eelgrassferry/platform/tests/raw_server.py
@@ -16,14 +16,13 @@
     """Registered server that sends ``head``, then each of ``parts``, and ends the connection.
 
     ``{id}`` in the head is replaced by the request's id. With ``reset``, the connection is reset
-    after the last part. ``requests`` counts the requests.
+    after the last part.
     """
 
     def __init__(self, store: StandinStore, service: str, instance: str) -> None:
         self.head = ""
         self.parts: tuple[bytes, ...] = ()
         self.reset = False
-        self.requests = 0
         self._store = store
         self._service = service
         self._instance = instance
@@ -78,8 +77,6 @@
         )
         await reader.readexactly(int(headers.get("content-length", 0)))
         request_id = headers.get("eelgrassferry-request-id")
-        if request_id is not None:
-            self.requests += 1
         writer.write(self.head.replace("{id}", request_id or "").encode("latin-1"))
         for part in self.parts:
             writer.write(part)
