Derive the end of a process and a suspicion in one place each

EntryNode tested twice whether a directory change ends a process, and the dispatcher added the weight of a suspicion in two methods.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -206,9 +206,7 @@
             AttemptFailure.SILENT,
         ):
             job.may_have_run_on.remove(instance)
-        weight = SUSPICION_WEIGHTS.get(failure, 0)
-        if weight:
-            self.suspicions[instance] = self.suspicions.get(instance, 0) + weight
+        self._record_suspicion(instance, failure)
         self._record_crash_evidence(job, attempt, failure, now)
         is_unanswered = failure is AttemptFailure.BROKEN and not attempt.answered
         match failure:
@@ -327,8 +325,7 @@
         instance = entry.instance
         self.crashes.record_ended(entry.process_id, now)
         self.selector.backoffs.record_crash(instance, now)
-        weight = SUSPICION_WEIGHTS[AttemptFailure.NO_LISTENER]
-        self.suspicions[instance] = self.suspicions.get(instance, 0) + weight
+        self._record_suspicion(instance, AttemptFailure.NO_LISTENER)
         return self.enforce_verdicts()
 
     def record_process_end(self, process_id: str, now: float) -> list[Action]:
@@ -479,6 +476,12 @@
             return Fail(job, FailReason.CRASHED_UPSTREAMS)
         return Refuse(job, RefuseReason.CRASHED_UPSTREAMS, None)
 
+    def _record_suspicion(self, instance: str, failure: AttemptFailure) -> None:
+        """Add the weight of a failure as evidence that an upstream no longer runs."""
+        weight = SUSPICION_WEIGHTS.get(failure, 0)
+        if weight:
+            self.suspicions[instance] = self.suspicions.get(instance, 0) + weight
+
     def _record_crash_evidence(
         self, job: Job, attempt: Attempt, failure: AttemptFailure, now: float
     ) -> None:
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -18,7 +18,13 @@
     VerdictStore,
 )
 from ..dispatch import Dispatcher, FleetResidency, UpstreamLoad
-from ..fleet import DirectoryChange, EntrySettings, FleetConfig, UpstreamDirectory
+from ..fleet import (
+    DirectoryChange,
+    EntrySettings,
+    FleetConfig,
+    UpstreamDirectory,
+    UpstreamEntry,
+)
 from ..forwarding import CallerServer, UpstreamPool
 from ..http import HttpClient, HttpRequest, HttpResponse, HttpServer, Responder, split_address
 from ..metrics import CONTENT_TYPE, Metrics, format_metrics
@@ -304,8 +310,8 @@
 
     def _apply_directory_changes(self, changes: list[DirectoryChange]) -> None:
         for change in changes:
-            self._record_process_end(change)
             if change.before is not None and (change.after is None or change.restarted):
+                self._record_process_end(change.before)
                 self._dispatcher.forget(change.before.instance)
                 self._pool.close_idle(change.before.instance)
             elif change.before is not None and change.after is not None:
@@ -314,14 +320,11 @@
         self._leadership.apply_directory()
         self._handler.perform(self._dispatcher.dispatch_waiting(boot_clock()))
 
-    def _record_process_end(self, change: DirectoryChange) -> None:
-        """Record that a process ended which had not announced it."""
-        before = change.before
-        if before is None or before.state is not UpstreamState.LIVE:
-            return
-        if change.after is None or change.restarted:
-            now = boot_clock()
-            self._handler.perform(self._dispatcher.record_process_end(before.process_id, now))
+    def _record_process_end(self, entry: UpstreamEntry) -> None:
+        """Record that the process of an upstream has ended, unless it had announced to leave."""
+        if entry.state is UpstreamState.LIVE:
+            actions = self._dispatcher.record_process_end(entry.process_id, boot_clock())
+            self._handler.perform(actions)
 
     def _exchange_crash_evidence(self) -> None:
         """Share new observations on crashes at once, and log the verdicts that have changed."""
