Find a missed change of the store's objects with the next view

Views, which are sent up to ten times a second, now contain the versions of the coordinator's copies. Frames of a link arrive in order, so a node with an older copy has missed a change and requests it at once; a copy that does not arrive is requested again after 0.5 s. This holds for the configuration, the registrations of upstreams and the registry of nodes alike.

--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -73,6 +73,9 @@
     ``standby`` is the node that is to coordinate next, "" if there is none. ``holder`` is the
     instance that holds the lease; only a complete view contains it.
 
+    ``versions`` are the versions of the coordinator's copies of the store's objects, by prefix. All
+    changes up to them were sent before the view, so a node with an older copy has missed one.
+
     ``store_lost`` asks the nodes to check whether they reach the store. ``sent_at`` is a time on
     the coordinator's clock, which nodes send back. All other times are encoded as seconds relative
     to the time of sending.
@@ -91,6 +94,7 @@
     standby: str = ""
     holder: str = ""
     crashes: CrashEvidence = field(default_factory=CrashEvidence)
+    versions: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -186,6 +190,7 @@
         "nodes": view.nodes,
         "loads": _encode_loads(view.loads),
         "standby": view.standby,
+        "versions": dict(view.versions),
     }
     if view.holder:
         body["holder"] = view.holder
@@ -243,7 +248,12 @@
         slowness = SlownessFactors(*body.get("paces", ()))
         names = (str(body.get("standby", "")), str(body.get("holder", "")))
         crashes = decode_crash_evidence(body.get("crashes"), now)
-        return Ok(FleetView(*counters, loads, residency, orders, *flags, slowness, *names, crashes))
+        versions = {str(prefix): int(n) for prefix, n in body.get("versions", {}).items()}
+        return Ok(
+            FleetView(
+                *counters, loads, residency, orders, *flags, slowness, *names, crashes, versions
+            )
+        )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Err(MalformedMessage("decode_view", "", repr(exc)))
 
--- a/eelgrassferry/coordination/object_relay.py
+++ b/eelgrassferry/coordination/object_relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 import structlog
@@ -32,6 +32,9 @@
 # seconds, and again every ``PULL_INTERVAL_S`` seconds.
 PULL_AFTER_S = 0.4
 PULL_INTERVAL_S = 0.4
+# A copy that the coordinator has not sent this long after it was requested is requested again, in
+# seconds.
+COPY_TIMEOUT_S = 0.5
 
 
 class ObjectRelay:
@@ -59,6 +62,7 @@
         self._leader = leader
         self._peers = peers
         self._relayed_prefixes: set[str] = set()
+        self._copy_requested_at: dict[str, float] = {}
         self._rng = random.Random()
         for feed in feeds:
             feed.is_relayed = partial(self._is_relayed, feed)
@@ -72,6 +76,33 @@
     def stop_following(self) -> None:
         """Read from the store itself again."""
         self._relayed_prefixes.clear()
+        self._copy_requested_at.clear()
+
+    @property
+    def versions(self) -> dict[str, int]:
+        """The versions of this node's copies, by prefix."""
+        return {prefix: feed.version for prefix, feed in self._feeds.items()}
+
+    def request_missing_changes(self, link: PeerLink, versions: Mapping[str, int]) -> None:
+        """Request a copy of each prefix of which the coordinator has sent changes up to a version
+        that this node does not have.
+        """
+        now = self._clock()
+        for prefix, version in versions.items():
+            feed = self._feeds.get(prefix)
+            requested_at = self._copy_requested_at.get(prefix, float("-inf"))
+            if feed is None or now - requested_at < COPY_TIMEOUT_S:
+                continue
+            is_missing_copy = requested_at > float("-inf")
+            if is_missing_copy or feed.version < version:
+                log.warning(
+                    "changes missed",
+                    step="relay_changes",
+                    prefix=prefix,
+                    version=feed.version,
+                    missing=version,
+                )
+                self._request_copy(link, feed)
 
     def on_pull(self, link: PeerLink, body: object) -> tuple[str, int] | None:
         """Respond to a node's request for the objects under a prefix.
@@ -115,6 +146,7 @@
                 return
             feed.apply_relayed_update(FeedUpdate(True, copy.version, objects, ()), copy.age_s)
         self._relayed_prefixes.add(copy.prefix)
+        self._copy_requested_at.pop(copy.prefix, None)
 
     async def run(self) -> None:
         """Copy objects from peers while the store is unreachable, until cancelled."""
@@ -135,6 +167,7 @@
 
     def _request_copy(self, link: PeerLink, feed: ObjectFeed) -> None:
         self._relayed_prefixes.discard(feed.prefix)
+        self._copy_requested_at[feed.prefix] = self._clock()
         _send_pull(link, feed, feed.version)
 
     async def _pull(self, address: str, feeds: list[ObjectFeed]) -> None:
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -210,7 +210,7 @@
         standby = self.succession.choose_standby(link.peer for link in self._members)
         if standby != previous:
             log.info("standby chosen", step="choose_standby", peer=standby, previous=previous)
-        view = replace(view, standby=standby)
+        view = replace(view, standby=standby, versions=self._relay.versions)
         self._send_members(VIEW, encode_view(view, now))
         self._apply_view(view)
 
@@ -296,7 +296,12 @@
         log.info("node joined", step="peer_link", peer=link.peer)
         view = leadership.complete_view()
         if view is not None:
-            view = replace(view, standby=self.succession.standby, holder=leadership.lease.holder)
+            view = replace(
+                view,
+                standby=self.succession.standby,
+                holder=leadership.lease.holder,
+                versions=self._relay.versions,
+            )
             link.send(VIEW, encode_view(view, self._clock()))
 
     def _add_early_members(self, leadership: Leadership) -> None:
@@ -539,6 +544,8 @@
         self._last_holder = self._leader_holder
         self._last_view_sent_at = decoded.ok_value.sent_at
         self._on_store_state(decoded.ok_value.store_lost)
+        if self._leader is not None and not self._store_lost:
+            self._relay.request_missing_changes(self._leader, decoded.ok_value.versions)
         if self.leadership is not None:
             self.leadership.record_view(decoded.ok_value)
         self._apply_view(decoded.ok_value)
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -140,12 +140,8 @@
         return self.leadership.term() is not None
 
 
-class CoordinationTest(unittest.IsolatedAsyncioTestCase):
-    """Coordination of three nodes.
-
-    ONE is the guarantee that orders of two coordinators to one engine are at least the handover
-    time apart.
-    """
+class CoordinationCase(unittest.IsolatedAsyncioTestCase):
+    """Three nodes that share one store, one of which leads."""
 
     async def asyncSetUp(self):
         self.store = MemoryObjectStore()
@@ -164,6 +160,14 @@
     def leader(self):
         return next((node for node in self.nodes if node.leads), None)
 
+
+class CoordinationTest(CoordinationCase):
+    """Coordination of three nodes.
+
+    ONE is the guarantee that orders of two coordinators to one engine are at least the handover
+    time apart.
+    """
+
     def check_handover_gaps(self):
         """Check that orders of two nodes to one engine are at least the handover time apart."""
         last = {}
--- a/eelgrassferry/coordination/tests/test_messages.py
+++ b/eelgrassferry/coordination/tests/test_messages.py
@@ -45,6 +45,15 @@
         self.assertLess((sizes[1] - sizes[0]) / 60, 32)
 
 
+class VersionsTest(unittest.TestCase):
+    """The versions of the coordinator's copies of the store's objects, in each view."""
+
+    def test_versions_are_decoded_as_they_were_encoded(self):
+        """Guards against a node that does not notice that it has missed a change."""
+        view = FleetView(1, 2, 3, versions={"config/": 44, "servers/": 47})
+        self.assertEqual(decode_view(encode_view(view, 5.0), 5.0).unwrap().versions, view.versions)
+
+
 class CrashEvidenceTest(unittest.TestCase):
     """Observations on crashed upstreams, in statuses and views."""
 
