Send no more requests to an upstream that says in its answers that it leaves

What callers saw or would see: requests sent to a server that ends (DRAIN). Cause: the head of an answer was read for status, id, seal and framing only, so Server-Leaving was dropped; an upstream counted as leaving by its registration alone. Class of fault: what an upstream says of itself has no home.

AnswerHead now has a notice, which the platform's codec decodes. The dispatcher keeps the notices by process (dispatch/upstream_notices.py), nodes exchange them with statuses and views, and an upstream that leaves is marked so in the directory, for routing and placement alike; a restart of the upstream ends that.

The bytes of the header are tested in test_notice_headers.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -14,6 +14,7 @@
     PrefillSlownessEstimator,
     SlownessFactors,
     UpstreamLoad,
+    UpstreamNotices,
 )
 from ..fleet import EntrySettings, FleetConfig, UpstreamDirectory, UpstreamEntry
 from ..leases import LeaseTerm
@@ -48,7 +49,7 @@
     It plans, sends orders to engines and reads their reports. ``publish`` is called with each new
     view, which is to be sent to all nodes. ``slowness`` is this node's own estimator; while this
     node coordinates, it also receives the samples of all other nodes. ``crashes`` contains the
-    observations on crashed upstreams to publish.
+    observations on crashed upstreams to publish, and ``notices`` what upstreams say of themselves.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         publish: Callable[[FleetView], None],
         slowness: PrefillSlownessEstimator,
         crashes: CrashAnalyzer,
+        notices: UpstreamNotices,
     ) -> None:
         self.lease = lease
         self.coordinator: Coordinator | None = None
@@ -82,6 +84,7 @@
         self._sent_loads: dict[str, UpstreamLoad] = {}
         self._slowness = slowness
         self._crashes = crashes
+        self._notices = notices
         self._sent_slowness = SlownessFactors()
         self._slowness_sent_at = float("-inf")
         self._pacer = PlanPacer()
@@ -236,7 +239,8 @@
         self._sent_loads = loads
         view = self._make_view(coordinator, term, changed, {})
         slowness, crashes = self._pop_slowness_updates(), self._crashes.pop_updates()
-        self._publish(replace(view, slowness=slowness, crashes=crashes))
+        notices = self._notices.pop_updates()
+        self._publish(replace(view, slowness=slowness, crashes=crashes, notices=notices))
 
     def _pop_slowness_updates(self) -> SlownessFactors:
         """Return the slowness factors that are due to be sent, and mark them as sent."""
@@ -261,8 +265,13 @@
         orders = coordinator.full_order_update(self._clock())
         sent = (self._sent_loads, self._sent_residency)
         view = self._make_view(coordinator, term, *sent, orders)
-        crashes = self._crashes.all_evidence()
-        return replace(view, complete=True, slowness=self._sent_slowness, crashes=crashes)
+        return replace(
+            view,
+            complete=True,
+            slowness=self._sent_slowness,
+            crashes=self._crashes.all_evidence(),
+            notices=self._notices.all(),
+        )
 
     def _make_view(
         self,
--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -9,6 +9,7 @@
 from ..dispatch import (
     CoordinatorResidency,
     CrashEvidence,
+    ProcessNotice,
     SlownessFactors,
     SlownessSample,
     UpstreamLoad,
@@ -67,8 +68,9 @@
 
     ``loads`` are the sums over all nodes, ``residency`` lists the models on each engine, ``orders``
     is the order history that a successor needs, and ``slowness`` contains the prefill slowness
-    factors of upstreams, and ``crashes`` the observations on crashed upstreams. These five contain
-    only the changes since the previous view, except in a ``complete`` view.
+    factors of upstreams, ``crashes`` the observations on crashed upstreams and ``notices`` what
+    upstreams say of themselves. These six contain only the changes since the previous view, except
+    in a ``complete`` view.
 
     ``standby`` is the node that is to coordinate next, "" if there is none. ``holder`` is the
     instance that holds the lease; only a complete view contains it.
@@ -95,6 +97,7 @@
     holder: str = ""
     crashes: CrashEvidence = field(default_factory=CrashEvidence)
     versions: Mapping[str, int] = field(default_factory=dict)
+    notices: tuple[ProcessNotice, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -148,6 +151,8 @@
     }
     if status.crashes:
         body["crashes"] = encode_crash_evidence(status.crashes, now)
+    if status.notices:
+        body["notices"] = _encode_notices(status.notices, now)
     return body
 
 
@@ -171,6 +176,7 @@
                         SlownessSample(i, m, float(f)) for i, m, f in body["paces"]
                     ),
                     crashes=decode_crash_evidence(body.get("crashes"), now),
+                    notices=_decode_notices(body.get("notices", ()), now),
                 ),
                 ViewReply(float(body["seen"]), bool(body["reached"])),
             )
@@ -211,6 +217,8 @@
         ]
     if view.crashes:
         body["crashes"] = encode_crash_evidence(view.crashes, now)
+    if view.notices:
+        body["notices"] = _encode_notices(view.notices, now)
     if view.orders is not None:
         update = view.orders
         body["orders"] = [
@@ -249,11 +257,8 @@
         names = (str(body.get("standby", "")), str(body.get("holder", "")))
         crashes = decode_crash_evidence(body.get("crashes"), now)
         versions = {str(prefix): int(n) for prefix, n in body.get("versions", {}).items()}
-        return Ok(
-            FleetView(
-                *counters, loads, residency, orders, *flags, slowness, *names, crashes, versions
-            )
-        )
+        news = (crashes, versions, _decode_notices(body.get("notices", ()), now))
+        return Ok(FleetView(*counters, loads, residency, orders, *flags, slowness, *names, *news))
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Err(MalformedMessage("decode_view", "", repr(exc)))
 
@@ -322,6 +327,17 @@
     return tuple(StoredObject(key, version, value) for key, version, value in body)
 
 
+def _encode_notices(notices: tuple[ProcessNotice, ...], now: float) -> list[list[Any]]:
+    return [[notice.process_id, notice.seen_at - now, notice.leaving] for notice in notices]
+
+
+def _decode_notices(body: Any, now: float) -> tuple[ProcessNotice, ...]:
+    return tuple(
+        ProcessNotice(str(process_id), now + ago_s, bool(leaving))
+        for process_id, ago_s, leaving in body
+    )
+
+
 def _round_factors(factors: Mapping[str, float]) -> dict[str, float]:
     return {key: round(factor, 3) for key, factor in factors.items()}
 
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -9,7 +9,7 @@
 import structlog
 from result import Err
 
-from ..dispatch import NO_LOAD, CrashAnalyzer, UpstreamLoad
+from ..dispatch import NO_LOAD, CrashAnalyzer, UpstreamLoad, UpstreamNotices
 from ..fleet import EntrySettings
 from ..http import split_address
 from ..objects import MonitoredStore, ObjectFeed
@@ -79,8 +79,8 @@
 
     ``make_status`` returns this node's status. ``on_view`` is called with each view of the
     coordinator and with the loads that other nodes cause at each upstream. ``crashes`` contains the
-    observations on crashed upstreams to exchange. No statuses are exchanged until ``leadership`` is
-    set.
+    observations on crashed upstreams to exchange, and ``notices`` what upstreams say of themselves.
+    No statuses are exchanged until ``leadership`` is set.
     """
 
     def __init__(
@@ -92,6 +92,7 @@
         make_status: Callable[[], NodeStatus],
         on_view: Callable[[FleetView, dict[str, UpstreamLoad]], None],
         crashes: CrashAnalyzer,
+        notices: UpstreamNotices,
     ) -> None:
         self.leadership: Leadership | None = None
         self._settings = settings
@@ -102,6 +103,7 @@
         self._make_status = make_status
         self._on_view = on_view
         self._crashes = crashes
+        self._notices = notices
         self.registry = NodeRegistry(settings, store, clock, self._member_names)
         self.succession = Succession(settings, self.registry)
         for feed in (*feeds, self.registry.feed):
@@ -267,6 +269,7 @@
         if status.crashes:
             # Also before this node's term begins: the sender does not repeat them on this link.
             self._crashes.merge(status.crashes, self._clock())
+        self._notices.merge(status.notices)
         leadership = self.leadership
         if leadership is None or leadership.term() is None:
             if self.succession.is_standby and not self.has_leader:
@@ -373,7 +376,9 @@
             return
         assert self._leader is not None
         now = self._clock()
-        status = replace(status, crashes=self._crashes.pop_updates())
+        status = replace(
+            status, crashes=self._crashes.pop_updates(), notices=self._notices.pop_updates()
+        )
         sent_status = (status, self._store_reached)
         if sent_status == self._last_status_sent and now - self._status_sent_at < HEARTBEAT_S:
             return
@@ -405,6 +410,7 @@
         self._relay.follow(link)
         # A new coordinator may lack observations that were sent to the previous one.
         self._crashes.share_all()
+        self._notices.share_all()
         log.info("coordinator found", step="peer_link", peer=name, address=address)
 
     def _next_leader_candidate(self, leadership: Leadership) -> str:
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -8,7 +8,7 @@
 
 from result import Ok
 
-from ...dispatch import CrashAnalyzer, PrefillSlownessEstimator, UpstreamLoad
+from ...dispatch import CrashAnalyzer, PrefillSlownessEstimator, UpstreamLoad, UpstreamNotices
 from ...fleet import EntrySettings, FleetConfig, ServiceBounds, UpstreamDirectory
 from ...leases import LeaseTerm
 from ...metrics import Metrics
@@ -72,6 +72,7 @@
         self.loads = {}
         self.feed = ObjectFeed(store, "things/", self.updates.append, time.monotonic)
         self.crashes = CrashAnalyzer()
+        self.notices = UpstreamNotices()
         self.mesh = PeerMesh(
             self.settings,
             store,
@@ -80,6 +81,7 @@
             self.make_status,
             self.on_view,
             self.crashes,
+            self.notices,
         )
         lease = LeaseHolder(
             self.settings,
@@ -102,6 +104,7 @@
             self.mesh.publish,
             PrefillSlownessEstimator(),
             self.crashes,
+            self.notices,
         )
         self.mesh.leadership = self.leadership
         service = make_service()
@@ -111,6 +114,7 @@
     def on_view(self, view: FleetView, _others) -> None:
         self.views.append(view)
         self.crashes.merge(view.crashes, time.monotonic(), share=False)
+        self.notices.merge(view.notices, share=False)
 
     def make_status(self) -> NodeStatus:
         wants = (PendingDemand("chat", "m5", "", 1, 2.0),) if self.wants else ()
--- a/eelgrassferry/coordination/tests/test_leadership.py
+++ b/eelgrassferry/coordination/tests/test_leadership.py
@@ -8,6 +8,7 @@
     CrashAnalyzer,
     PrefillSlownessEstimator,
     SlownessSample,
+    UpstreamNotices,
 )
 from ...fleet import EntrySettings, FleetConfig, UpstreamDirectory
 from ...leases import LeaseTerm
@@ -42,6 +43,7 @@
         publish,
         PrefillSlownessEstimator(),
         CrashAnalyzer(),
+        UpstreamNotices(),
     )
     leadership.set_config(FleetConfig(1, (), {"chat": make_service()}))
     return leadership
--- a/eelgrassferry/coordination/tests/test_weak_machines.py
+++ b/eelgrassferry/coordination/tests/test_weak_machines.py
@@ -5,7 +5,7 @@
 from itertools import pairwise
 from unittest.mock import Mock
 
-from ...dispatch import CrashAnalyzer, PrefillSlownessEstimator
+from ...dispatch import CrashAnalyzer, PrefillSlownessEstimator, UpstreamNotices
 from ...fleet import EntrySettings, UpstreamDirectory
 from ...leases import LeaseTerm
 from ...metrics import Metrics
@@ -55,6 +55,7 @@
             lambda _view: None,
             PrefillSlownessEstimator(),
             CrashAnalyzer(),
+            UpstreamNotices(),
         )
         self.coordinator = SlowCoordinator(self.loop, self.PLAN_S)
         self.leadership.coordinator = self.coordinator
--- a/eelgrassferry/dispatch/__init__.py
+++ b/eelgrassferry/dispatch/__init__.py
@@ -21,6 +21,7 @@
 from .prefill_slowness_estimator import PrefillSlownessEstimator
 from .slowness_factors import SlownessFactors
 from .slowness_sample import SlownessSample
+from .upstream_notices import ProcessNotice, UpstreamNotices
 
 __all__ = [
     "NO_LOAD",
@@ -40,11 +41,13 @@
     "Job",
     "PrefillSlownessEstimator",
     "Probe",
+    "ProcessNotice",
     "Refuse",
     "RefuseReason",
     "Send",
     "SlownessFactors",
     "SlownessSample",
     "UpstreamLoad",
+    "UpstreamNotices",
     "request_fingerprint",
 ]
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -8,7 +8,13 @@
 from collections.abc import Mapping
 from random import Random
 
-from ..fleet import FleetConfig, ServiceBounds, UpstreamDirectory, UpstreamEntry
+from ..fleet import (
+    FleetConfig,
+    ServiceBounds,
+    UpstreamDirectory,
+    UpstreamEntry,
+    UpstreamNotice,
+)
 from ..routing import RetryBudget
 from .actions import (
     Action,
@@ -27,6 +33,7 @@
 from .load_forecast import LoadForecast
 from .load_view import UpstreamLoad
 from .slowness_sample import SlownessSample
+from .upstream_notices import UpstreamNotices
 from .upstream_selector import INITIAL_PLAIN_LATENCY_S, UpstreamSelector
 
 __all__ = ["Dispatcher"]
@@ -92,6 +99,7 @@
 
     ``crashes`` decides which requests are refused because they crash upstreams. ``tries_blocked``
     is set on the one node that sends such a request from time to time, to test the verdict.
+    ``notices`` contains what the upstreams say of themselves in their answers.
     """
 
     def __init__(
@@ -110,6 +118,7 @@
         self.suspicions: dict[str, int] = {}
         self.slowness_samples: list[SlownessSample] = []
         self.crashes = CrashAnalyzer()
+        self.notices = UpstreamNotices()
         self.tries_blocked = False
         self._directory = directory
         self._residency = residency
@@ -145,6 +154,11 @@
             job.attempt.on_wire = True
             job.may_have_run_on.append(job.attempt.instance)
 
+    def record_notice(self, job: Job, notice: UpstreamNotice, now: float) -> None:
+        """Record what the upstream of a job says of itself in the head of its answer."""
+        if job.attempt is not None:
+            self.notices.record(job.attempt.process_id, notice, now)
+
     def record_first_event(self, job: Job, now: float) -> None:
         """Record the time to the first event of an answer."""
         attempt = job.attempt
@@ -319,6 +333,7 @@
     def forget(self, instance: str) -> None:
         """Remove all statistics of an upstream that has stopped or restarted."""
         self.selector.forget(instance)
+        self.notices.forget(instance)
 
     def record_no_listener(self, entry: UpstreamEntry, now: float) -> list[Action]:
         """Record that nothing listens at the address of an upstream."""
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -120,6 +120,7 @@
             self._make_status,
             self._apply_view,
             self._dispatcher.crashes,
+            self._dispatcher.notices,
         )
         lease = LeaseHolder(
             settings,
@@ -145,6 +146,7 @@
             self._mesh.publish,
             self._dispatcher.selector.slowness,
             self._dispatcher.crashes,
+            self._dispatcher.notices,
         )
         self._verdicts = VerdictStore(
             protocol.object_store,
@@ -238,6 +240,7 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self._registry.expire()
             self._exchange_crash_evidence()
+            self._apply_notices()
             self._handler.perform(self._dispatcher.dispatch_waiting(boot_clock()))
             if boot_clock() - last_idle_check >= IDLE_CHECK_INTERVAL_S:
                 last_idle_check = boot_clock()
@@ -279,6 +282,7 @@
         self._dispatcher.selector.slowness.update(view.slowness)
         if view.crashes:
             self._dispatcher.crashes.merge(view.crashes, now, share=False)
+        self._dispatcher.notices.merge(view.notices, share=False)
         self._handler.perform(self._dispatcher.enforce_verdicts())
         self._handler.perform(self._dispatcher.dispatch_waiting(now))
 
@@ -341,6 +345,26 @@
                 crashed=verdict.crashed,
             )
 
+    def _apply_notices(self) -> None:
+        """Share and log new notices of upstreams, and send no more requests to those that leave."""
+        notices = self._dispatcher.notices
+        if notices.has_updates:
+            self._mesh.send_status_soon()
+        for notice in notices.pop_changed():
+            log.info(
+                "upstream notice",
+                step="read_notice",
+                upstream=notice.process_id,
+                leaving=notice.leaving,
+            )
+        changes = [
+            change
+            for process_id in notices.leaving
+            for change in self._directory.mark_leaving(process_id)
+        ]
+        if changes:
+            self._apply_directory_changes(changes)
+
     def _reload(self) -> None:
         result = self._load_settings()
         if isinstance(result, Err):
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -183,6 +183,8 @@
             self._handler.record_mismatched_answer(self, head)
             return False
         self._answer_head = head
+        if not self._handler.is_from_other_instance(head, self.job):
+            self._handler.dispatcher.record_notice(self.job, head.notice, self._handler.clock())
         if self._is_stream and self._is_success:
             self._cancel_response_timer()
             self._handler.dispatcher.record_first_event(self.job, self._handler.clock())
--- a/eelgrassferry/fleet/__init__.py
+++ b/eelgrassferry/fleet/__init__.py
@@ -7,8 +7,10 @@
 from .service import EngineSpec, ModelSpec, Service
 from .upstream_directory import DirectoryChange, UpstreamDirectory
 from .upstream_entry import UpstreamEntry
+from .upstream_notice import NO_NOTICE, UpstreamNotice
 
 __all__ = [
+    "NO_NOTICE",
     "Backend",
     "CallerLimits",
     "DirectoryChange",
@@ -22,4 +24,5 @@
     "ServiceBounds",
     "UpstreamDirectory",
     "UpstreamEntry",
+    "UpstreamNotice",
 ]
--- a/eelgrassferry/fleet/tests/test_upstream_directory.py
+++ b/eelgrassferry/fleet/tests/test_upstream_directory.py
@@ -76,3 +76,31 @@
         self.directory.update("u2", replace(ENTRY, instance="u2"))
         self.assertEqual(len(self.directory.update("u1", None)), 1)
         self.assertIsNotNone(self.directory.get("u2"))
+
+
+class LeavingNoticeTest(unittest.TestCase):
+    """A live upstream whose process has said that it leaves."""
+
+    def setUp(self):
+        self.directory = UpstreamDirectory()
+        self.directory.replace({"u1": ENTRY}, now=0.0)
+
+    def test_upstream_is_marked_as_leaving(self):
+        """Guards against requests to it although its registration says that it is live."""
+        (change,) = self.directory.mark_leaving(ENTRY.process_id)
+        self.assertIs(change.after.state, UpstreamState.LEAVING)
+        self.assertIs(self.directory.get("u1").state, UpstreamState.LEAVING)
+        self.assertEqual(self.directory.mark_leaving(ENTRY.process_id), [])
+
+    def test_later_registration_of_the_process_changes_nothing(self):
+        """Guards against a heartbeat that makes the upstream live again."""
+        self.directory.mark_leaving(ENTRY.process_id)
+        self.directory.update("u1", replace(ENTRY, residents={"m1": frozenset()}))
+        self.assertIs(self.directory.get("u1").state, UpstreamState.LEAVING)
+
+    def test_other_process_is_not_marked(self):
+        """Guards against giving up a restarted upstream because of its predecessor."""
+        restarted = replace(ENTRY, started_ms=ENTRY.started_ms + 1)
+        self.directory.update("u1", restarted)
+        self.assertEqual(self.directory.mark_leaving(ENTRY.process_id), [])
+        self.assertEqual(self.directory.mark_leaving("unknown/1"), [])
--- a/eelgrassferry/fleet/upstream_directory.py
+++ b/eelgrassferry/fleet/upstream_directory.py
@@ -1,7 +1,7 @@
 """A node's directory of the registered upstreams."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..routing import UpstreamState
 from .upstream_entry import UpstreamEntry
@@ -94,6 +94,20 @@
         change = self._mark_missing(instance, now)
         return [change] if change else []
 
+    def mark_leaving(self, process_id: str) -> list[DirectoryChange]:
+        """Mark the upstream with a process as leaving and return the changes.
+
+        There are none if the process is not registered, or as leaving already.
+        """
+        before = self._entries.get(process_id.rpartition("/")[0])
+        if before is None or before.process_id != process_id:
+            return []
+        if before.state is not UpstreamState.LIVE:
+            return []
+        after = replace(before, state=UpstreamState.LEAVING)
+        self._entries[before.instance] = after
+        return [DirectoryChange(before, after)]
+
     def expire(self, now: float) -> list[DirectoryChange]:
         """Drop the missing entries whose grace period is over and return the changes."""
         expired = [instance for instance, until in self._missing_until.items() if now >= until]
--- a/eelgrassferry/forwarding/facts.py
+++ b/eelgrassferry/forwarding/facts.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ..fleet import NO_NOTICE, UpstreamNotice
+
 __all__ = ["AnswerHead", "RawHeaders", "RequestMetadata"]
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
@@ -37,6 +39,7 @@
     after which the upstream closes an idle connection, or None. ``closes`` is true if the
     upstream closes the connection after this answer. ``forwarded_headers`` are the headers to send
     to the caller, and ``instance`` is the id of the answering upstream, or empty.
+    ``notice`` is what the upstream says of itself.
     """
 
     status: int
@@ -48,6 +51,7 @@
     closes: bool
     forwarded_headers: tuple[tuple[bytes, bytes], ...]
     instance: str = ""
+    notice: UpstreamNotice = NO_NOTICE
 
     @property
     def succeeded(self) -> bool:
--- a/eelgrassferry/ordering/node_status.py
+++ b/eelgrassferry/ordering/node_status.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from ..dispatch import CrashEvidence, SlownessSample, UpstreamLoad
+from ..dispatch import CrashEvidence, ProcessNotice, SlownessSample, UpstreamLoad
 
 __all__ = ["NodeStatus", "PendingDemand"]
 
@@ -34,7 +34,8 @@
     status. ``declined_by`` lists the instances that refused a request because the model or adapter
     was not loaded there. ``suspicions`` maps instances to the weight of the evidence that they have
     failed. ``slowness_samples`` are samples of the prefill slowness of upstreams. ``crashes`` are
-    the new observations on crashed upstreams.
+    the new observations on crashed upstreams, and ``notices`` what upstreams have newly said of
+    themselves.
     """
 
     node: str
@@ -47,3 +48,4 @@
     suspicions: Mapping[str, int] = field(default_factory=dict)
     slowness_samples: tuple[SlownessSample, ...] = ()
     crashes: CrashEvidence = field(default_factory=CrashEvidence)
+    notices: tuple[ProcessNotice, ...] = ()
--- a/eelgrassferry/platform/request_codec.py
+++ b/eelgrassferry/platform/request_codec.py
@@ -2,6 +2,7 @@
 
 from result import Err, Ok, Result
 
+from ..fleet import UpstreamNotice
 from ..forwarding import AnswerHead, RawHeaders, RequestMetadata
 from .codec_error import CodecError
 
@@ -16,6 +17,7 @@
 NOT_EXECUTED = b"eelgrassferry-not-executed"
 INSTANCE = b"eelgrassferry-instance-id"
 LAST_EVENT_ID = b"last-event-id"
+SERVER_LEAVING = b"server-leaving"
 
 # Headers that only the system may set. Those sent by a caller are removed.
 SYSTEM_HEADERS = frozenset(
@@ -132,6 +134,7 @@
             for name, value in headers
             if name.lower() not in CONNECTION_HEADERS and name.lower() not in connection_names
         ),
+        notice=UpstreamNotice(leaving=values.get(SERVER_LEAVING, b"").strip() == b"1"),
     )
 
 
--- /dev/null
+++ b/eelgrassferry/platform/tests/node_fleet.py
@@ -0,0 +1,117 @@
+"""Several node processes on loopback, for tests with stand-in servers."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from result import Result
+
+from ...http import HttpClient, HttpError, HttpResponse
+from .documents import HOST, make_config, make_settings
+from .soak.free_ports import free_ports
+from .spawn_node import spawn_node
+from .standin_server import StandinServer
+from .standin_store import StandinStore
+
+__all__ = ["NodeFleetCase"]
+
+WAIT_S = 20.0
+
+
+class NodeFleetCase(unittest.IsolatedAsyncioTestCase):
+    """``NODES`` node processes, a store and servers that a test adds."""
+
+    NODES = 3
+
+    async def asyncSetUp(self):
+        self.store = StandinStore()
+        self.store_address = await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        await self.store.write("config", "main", make_config())
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.client = HttpClient()
+        self.addCleanup(self.client.close)
+        self.fronts: list[int] = []
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.addAsyncCleanup(self.stop_nodes)
+        self._count = 0
+
+    async def add_server(self, service: str, name: str, *models: str) -> StandinServer:
+        """Start a registered server."""
+        server = StandinServer(self.store, service, name, models)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        return server
+
+    async def start_nodes(self) -> None:
+        """Start the nodes and wait until each has served a request and all are linked."""
+        for number in range(self.NODES):
+            await self.start_node(number)
+        async with asyncio.timeout(WAIT_S):
+            for front in self.fronts:
+                while not await self.is_serving(front):
+                    await asyncio.sleep(0.05)
+            while self.log_count("node joined") < self.NODES - 1:
+                await asyncio.sleep(0.05)
+
+    async def start_node(self, number: int) -> None:
+        """Start a node process with a number, which gives its name."""
+        front, ready, control = free_ports(3)
+        settings = self.folder / f"node{number}.conf"
+        name = f"front-{number + 1}"
+        settings.write_text(make_settings(self.store_address, front, ready, control, name))
+        self.fronts.append(front)
+        with (self.folder / f"log{number}").open("ab") as log:
+            self.processes.append(await spawn_node(settings, stdout=log))
+
+    async def stop_nodes(self) -> None:
+        """Kill the nodes that still run."""
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+    def log_count(self, event: str) -> int:
+        """Return how many lines of all logs have an event."""
+        logs = [path.read_text() for path in self.folder.glob("log*")]
+        return sum(log.count(f'"{event}"') for log in logs)
+
+    async def is_serving(self, front: int) -> bool:
+        """Return whether a node answers a plain request with 200."""
+        sent = await self.send(front, "/look/x", "")
+        return sent.is_ok() and sent.ok_value.status == 200
+
+    async def call(self, front: int, path: str, model: str = "") -> HttpResponse:
+        """Send one request to a node as a caller, and return the response."""
+        return (await self.send(front, path, model)).unwrap()
+
+    async def send(self, front: int, path: str, model: str) -> Result[HttpResponse, HttpError]:
+        """Send one request to a node, and return the response or the error of the connection."""
+        self._count += 1
+        headers = [
+            ("Host", HOST),
+            ("Eelgrassferry-Request-Id", f"id-{self._count}"),
+            ("Eelgrassferry-Deadline-Ms", "4000"),
+        ]
+        if model:
+            headers += [("Eelgrassferry-Model", model), ("Eelgrassferry-Token-Counts", "10,5")]
+        return await self.client.request(
+            f"127.0.0.1:{front}", "POST", path, headers=tuple(headers), body=b"text"
+        )
+
+    async def call_steadily(self, path: str, per_s: float, for_s: float, model: str = "") -> list:
+        """Send requests at a rate to the nodes in turn, and return (sent at, response) pairs."""
+        loop = asyncio.get_running_loop()
+        tasks = []
+
+        async def call(front: int):
+            sent_at = loop.time()
+            return sent_at, await self.call(front, path, model)
+
+        for number in range(round(per_s * for_s)):
+            tasks.append(asyncio.ensure_future(call(self.fronts[number % len(self.fronts)])))
+            await asyncio.sleep(1.0 / per_s)
+        return await asyncio.gather(*tasks)
--- a/eelgrassferry/platform/tests/standin_server.py
+++ b/eelgrassferry/platform/tests/standin_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -19,14 +20,16 @@
 
     These attributes record what the server did: ``runs``, the ids of the requests that it ran;
     ``abandoned``, the ids of those whose connection closed before the response; ``received``, all
-    requests; ``orders``, the bodies of the accepted orders; ``is_stopped``, whether it has ended.
+    requests, and ``received_at``, their times in seconds; ``orders``, the bodies of the accepted
+    orders; ``is_stopped``, whether it has ended.
 
     These attributes control its behaviour: ``status`` is the status of responses to plain requests.
     ``decline_count`` is the number of further requests that it declines as not run. ``events`` is
     the number of events of a stream. If ``break_after_events`` is set, it calls ``on_break`` and
     breaks off a stream after that many events. ``pause_s`` is the run time of a request and
     ``event_pause_s`` the time between two events, both in seconds. A stream whose prompt contains
-    ``deadly_part`` before its last part ends the server after the head of the answer.
+    ``deadly_part`` before its last part ends the server after the head of the answer. While
+    ``is_leaving``, all its answers say so, but its registration does not.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         self.runs: list[str] = []
         self.abandoned: list[str] = []
         self.received: list[HttpRequest] = []
+        self.received_at: list[float] = []
         self.orders: list[dict[str, Any]] = []
         self.status = 200
         self.decline_count = 0
@@ -43,6 +47,7 @@
         self.on_break: Callable[[], None] = lambda: None
         self.events = 3
         self.deadly_part = ""
+        self.is_leaving = False
         self.is_stopped = False
         self.pause_s = 0.0
         self.event_pause_s = 0.0
@@ -153,24 +158,21 @@
 
     async def _run(self, req: HttpRequest, responder: Responder) -> None:
         self.received.append(req)
+        self.received_at.append(time.monotonic())
         request_id = req.header("eelgrassferry-request-id") or ""
-        id_header = ("Eelgrassferry-Request-Id", request_id)
+        headers = (("Eelgrassferry-Request-Id", request_id), *self._notice_headers())
         if self._expects_other_instance(req):
             instance_header = ("Eelgrassferry-Instance-Id", self.instance)
-            await responder.send(HttpResponse(421, (id_header, instance_header)))
+            await responder.send(HttpResponse(421, (*headers, instance_header)))
             return
         model, _, adapter = (req.header("eelgrassferry-model") or "").partition("/")
         missing = model and adapter and adapter not in self.models.get(model, ())
         if model and (model not in self.models or missing):
-            await responder.send(
-                HttpResponse(421, (id_header, ("Eelgrassferry-Not-Executed", "1")))
-            )
+            await responder.send(HttpResponse(421, (*headers, ("Eelgrassferry-Not-Executed", "1"))))
             return
         if self.decline_count:
             self.decline_count -= 1
-            await responder.send(
-                HttpResponse(503, (id_header, ("Eelgrassferry-Not-Executed", "1")))
-            )
+            await responder.send(HttpResponse(503, (*headers, ("Eelgrassferry-Not-Executed", "1"))))
             return
         self.record_run(req, request_id)
         try:
@@ -180,16 +182,20 @@
             raise
         if not model:
             await responder.send(
-                HttpResponse(self.status, (id_header, SEAL), b"done by " + req.body)
+                HttpResponse(self.status, (*headers, SEAL), b"done by " + req.body)
             )
             return
-        await self._stream(req, responder, id_header)
+        await self._stream(req, responder, headers)
+
+    def _notice_headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers in which the server speaks of itself."""
+        return (("Server-Leaving", "1"),) if self.is_leaving else ()
 
     async def _stream(
-        self, req: HttpRequest, responder: Responder, id_header: tuple[str, str]
+        self, req: HttpRequest, responder: Responder, headers: tuple[tuple[str, str], ...]
     ) -> None:
         first = int(req.header("last-event-id") or 0) + 1
-        await responder.start(200, (id_header, SEAL, ("Content-Type", "text/event-stream")))
+        await responder.start(200, (*headers, SEAL, ("Content-Type", "text/event-stream")))
         parts = (req.header("eelgrassferry-prompt-prefix") or "").split(",")[:-1]
         if self.deadly_part and self.deadly_part in [part.partition(":")[0] for part in parts]:
             self._start_task(self.stop())
--- /dev/null
+++ b/eelgrassferry/platform/tests/test_notice_headers.py
@@ -0,0 +1,45 @@
+"""Tests of what upstreams say of themselves in the bytes of their answers."""
+
+from ...fleet import UpstreamNotice
+from .test_upstream_conn import OWN_ID, UpstreamConnCase
+
+
+class NoticeHeadersCase(UpstreamConnCase):
+    """A connection on which an upstream answers with further header lines."""
+
+    def read_notice(self, *lines: bytes, status: bytes = b"200 OK") -> UpstreamNotice:
+        """Receive an answer in two parts, at each place, and return its notice."""
+        head = b"HTTP/1.1 " + status + b"\r\n" + OWN_ID
+        answer = head + b"".join(line + b"\r\n" for line in lines) + b"Content-Length: 0\r\n\r\n"
+        notices = set()
+        for cut in range(1, len(answer)):
+            self.setUp()
+            self.conn.data_received(answer[:cut])
+            self.conn.data_received(answer[cut:])
+            self.assertTrue(self.listener.ended)
+            notices.update(head.notice for head in self.listener.heads)
+        (notice,) = notices
+        return notice
+
+
+class LeavingHeaderTest(NoticeHeadersCase):
+    """The header ``Server-Leaving``."""
+
+    def test_header_is_read(self):
+        """Guards against a violation of DRAIN: requests to a server that says only in its answers
+        that it leaves.
+        """
+        for line in (b"Server-Leaving: 1", b"server-leaving:1", b"SERVER-LEAVING:  1 "):
+            with self.subTest(line=line):
+                self.assertTrue(self.read_notice(line).leaving)
+
+    def test_header_is_read_whatever_the_status(self):
+        """Guards against reading it in successes only."""
+        for status in (b"500 Error", b"503 Unavailable", b"421 Misdirected"):
+            self.assertTrue(self.read_notice(b"Server-Leaving: 1", status=status).leaving)
+
+    def test_other_values_are_ignored(self):
+        """Guards against giving up a server because of a value that nobody has defined."""
+        for line in (b"Server-Leaving: 0", b"Server-Leaving:", b"Server-Leaving: no", b"X: 1"):
+            with self.subTest(line=line):
+                self.assertFalse(self.read_notice(line).leaving)
