Send no requests to an upstream in a pause that it has asked for

What callers saw or would see: requests sent to a server that has answered 503 with Retry-After, which declines them again (BUDGET), and refusals with a Retry-After of 1 s whatever the servers had said. Cause: Retry-After of an upstream was dropped with the rest of the head; the backoff after refusals is 0.25 s.

A notice now contains the pause. It concerns this node alone, ends with the upstream's process and cannot be shortened by a later answer. Requests go to other upstreams; if all of them pause, a request waits for the first one as it waits for a load, or is refused at once with the end of that pause as Retry-After (reason upstream_limit).

--- a/eelgrassferry/dispatch/actions.py
+++ b/eelgrassferry/dispatch/actions.py
@@ -25,6 +25,7 @@
     NO_UPSTREAM = "no_upstream"
     NOT_RESIDENT = "not_resident"
     NO_CAPACITY = "no_capacity"
+    UPSTREAM_LIMIT = "upstream_limit"
     TOO_LARGE = "too_large"
     UNKNOWN_MODEL = "unknown_model"
     NOT_RUN_UPSTREAM = "not_run_upstream"
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -110,7 +110,8 @@
         bounds: ServiceBounds,
         rng: Random,
     ) -> None:
-        self.selector = UpstreamSelector(domain, directory, residency, rng)
+        self.notices = UpstreamNotices()
+        self.selector = UpstreamSelector(domain, directory, residency, rng, self.notices)
         self.load = self.selector.load
         self.arrivals: dict[tuple[str, str], tuple[int, float]] = {}
         self.adapters_used: set[tuple[str, str, str]] = set()
@@ -118,7 +119,6 @@
         self.suspicions: dict[str, int] = {}
         self.slowness_samples: list[SlownessSample] = []
         self.crashes = CrashAnalyzer()
-        self.notices = UpstreamNotices()
         self.tries_blocked = False
         self._directory = directory
         self._residency = residency
@@ -380,6 +380,8 @@
             return RefuseReason.NO_UPSTREAM
         if job.model and not self.selector.has_capable_upstream(job, now):
             return RefuseReason.NOT_RESIDENT
+        if self.selector.available_at(job, now) > now:
+            return RefuseReason.UPSTREAM_LIMIT
         return RefuseReason.NO_CAPACITY
 
     @property
@@ -543,8 +545,24 @@
                 retry_after_s = max(0.05, loaded_at - now)
             retry_after_s = retry_after_s or DEFAULT_RETRY_AFTER_S
             retry_after_s += self._rng.uniform(0.0, RETURN_SPREAD_S)
+        elif not final and reason in (RefuseReason.UPSTREAM_LIMIT, RefuseReason.NOT_RUN_UPSTREAM):
+            retry_after_s = self._limited_retry_after_s(job, now) or retry_after_s
         return Refuse(job, reason, retry_after_s)
 
+    def _limited_retry_after_s(self, job: Job, now: float) -> float | None:
+        """Return when a caller may return whose upstreams accept no requests now, in seconds.
+
+        None if they do. A further copy of the job's model may be loaded before they do again.
+        """
+        available_at = self.selector.available_at(job, now)
+        if available_at <= now:
+            return None
+        if job.model:
+            loaded_at = self._residency.expected_load_time(job.service, job.model)
+            if loaded_at is not None:
+                available_at = min(available_at, max(now, loaded_at))
+        return available_at - now + self._rng.uniform(0.0, RETURN_SPREAD_S)
+
     def _close(self, job: Job) -> None:
         """Remove a job from the queue and its attempt from the load."""
         if job.closed:
@@ -605,6 +623,7 @@
 
     def _cannot_start_in_time(self, job: Job, now: float) -> bool:
         """Return whether waiting is useless: the job cannot start by its deadline at this node."""
+        available_at = now
         if job.model and not self.selector.has_capable_upstream(job, now):
             if self.selector.isolated:
                 return True
@@ -613,14 +632,19 @@
                 if self._has_waited_too_long(job, now):
                     return True
             elif loaded_at >= job.start_deadline:
-                return self._should_refuse_during_load(job, loaded_at, now)
-        elif job.model and (self._has_waited_too_long(job, now) or self._is_crowded_out(job, now)):
-            return True
+                return self._should_refuse_until(job, loaded_at, now)
+        else:
+            available_at = self.selector.available_at(job, now)
+            is_crowded = self._has_waited_too_long(job, now) or self._is_crowded_out(job, now)
+            if available_at <= now and job.model and is_crowded:
+                return True
         if job.model:
             min_start_s = self.selector.slowness.expected_s("", job.model, job.prompt_tokens) / 2.0
         else:
             min_start_s = INITIAL_PLAIN_LATENCY_S / 2.0
-        return now + min_start_s >= job.start_deadline
+        if available_at + min_start_s < job.start_deadline:
+            return False
+        return available_at <= now or self._should_refuse_until(job, available_at, now)
 
     def _is_crowded_out(self, job: Job, now: float) -> bool:
         """Return whether a job misses its target and the engines of its model are overloaded.
@@ -639,17 +663,19 @@
             return None
         return self._forecast.ready_at(job.service, engine, job.model, now)
 
-    def _should_refuse_during_load(self, job: Job, loaded_at: float, now: float) -> bool:
-        """Return whether to refuse a job now whose model is loaded after its start deadline.
+    def _should_refuse_until(self, job: Job, available_at: float, now: float) -> bool:
+        """Return whether to refuse a job now that can be sent after its start deadline only.
 
         Callers honour Retry-After up to a share of their time left, and then wait as long as
         before. A job is refused as soon as its caller can be served after its return. Until then it
         waits, because the caller would return too early. It is refused at once if no wait helps.
         """
-        if self._has_waited_too_long(job, now) or loaded_at >= job.give_up_at:
+        if self._has_waited_too_long(job, now) or available_at >= job.give_up_at:
             return True
         longest_wait_at = _longest_wait_at(job)
-        return _can_return(job, loaded_at, now) or not _can_return(job, loaded_at, longest_wait_at)
+        return _can_return(job, available_at, now) or not _can_return(
+            job, available_at, longest_wait_at
+        )
 
     def _has_waited_too_long(self, job: Job, now: float) -> bool:
         """Return whether a job has used up its share of the time until its start deadline."""
--- a/eelgrassferry/dispatch/upstream_notices.py
+++ b/eelgrassferry/dispatch/upstream_notices.py
@@ -33,22 +33,31 @@
     """The latest notices of all upstreams.
 
     Nodes exchange them: ``pop_updates`` returns what other nodes may not know, and ``merge`` adds
-    what they know. A notice that changes nothing is not sent.
+    what they know. A notice that changes nothing is not sent. The pauses that upstreams ask for
+    concern one node each and are not exchanged.
 
     >>> notices = UpstreamNotices()
     >>> notices.record("u1/5", UpstreamNotice(leaving=True), now=2.0)
     >>> notices.leaving
     ['u1/5']
+    >>> notices.record("u2/7", UpstreamNotice(pause_s=1.5), now=2.0)
+    >>> notices.paused_until("u2/7")
+    3.5
     """
 
     def __init__(self) -> None:
         self._known: dict[str, ProcessNotice] = {}
         self._updates: dict[str, ProcessNotice] = {}
         self._changed: dict[str, ProcessNotice] = {}
+        self._paused_until: dict[str, float] = {}
 
     def record(self, process_id: str, notice: UpstreamNotice, now: float) -> None:
         """Record what a process says of itself in an answer."""
         self._apply(ProcessNotice(process_id, now, notice.leaving), share=True)
+        if notice.pause_s > 0.0:
+            self._paused_until[process_id] = max(
+                now + notice.pause_s, self.paused_until(process_id)
+            )
 
     def merge(self, notices: Iterable[ProcessNotice], share: bool = True) -> None:
         """Add the notices of another node; with ``share``, they are sent on to other nodes."""
@@ -60,6 +69,13 @@
         """The ids of the processes that leave."""
         return [notice.process_id for notice in self._known.values() if notice.leaving]
 
+    def paused_until(self, process_id: str) -> float:
+        """Return the time until which a process asks this node for no requests, in seconds.
+
+        It is minus infinity if the process has not asked for a pause.
+        """
+        return self._paused_until.get(process_id, float("-inf"))
+
     @property
     def has_updates(self) -> bool:
         """Whether there are notices that have not been sent to other nodes."""
@@ -86,8 +102,8 @@
     def forget(self, instance: str) -> None:
         """Remove the notices of an upstream that has stopped or restarted."""
         for process_id in [key for key in self._known if key.rpartition("/")[0] == instance]:
-            for notices in (self._known, self._updates, self._changed):
-                notices.pop(process_id, None)
+            for entries in (self._known, self._updates, self._changed, self._paused_until):
+                entries.pop(process_id, None)
 
     def _apply(self, notice: ProcessNotice, share: bool) -> None:
         """Merge one notice; share the result if it says something new here or to the sender."""
--- a/eelgrassferry/dispatch/upstream_selector.py
+++ b/eelgrassferry/dispatch/upstream_selector.py
@@ -13,6 +13,7 @@
 from .prefill_slowness_estimator import PrefillSlownessEstimator
 from .prefix_cache_tracker import PrefixCacheTracker
 from .token_gap_estimator import TokenGapEstimator
+from .upstream_notices import UpstreamNotices
 
 __all__ = ["INITIAL_PLAIN_LATENCY_S", "UpstreamSelector"]
 
@@ -48,7 +49,12 @@
     """
 
     def __init__(
-        self, domain: str, directory: UpstreamDirectory, residency: FleetResidency, rng: Random
+        self,
+        domain: str,
+        directory: UpstreamDirectory,
+        residency: FleetResidency,
+        rng: Random,
+        notices: UpstreamNotices,
     ) -> None:
         self.isolated = False
         self.config: FleetConfig | None = None
@@ -62,6 +68,7 @@
         self._directory = directory
         self._residency = residency
         self._rng = rng
+        self._notices = notices
         self._plain_latency_s: dict[str, float] = {}
 
     def choose(self, job: Job, now: float) -> Attempt | None:
@@ -145,6 +152,7 @@
             entry
             for entry in self.capable_upstreams(job, now)
             if not self.backoffs.is_backing_off(entry.instance, now)
+            and now >= self._notices.paused_until(entry.process_id)
         ]
         untried = [entry for entry in available if entry.instance not in job.excluded]
         if not untried and available and not job.may_have_run:
@@ -164,6 +172,17 @@
         entries = self._directory.of_service(job.service)
         return any(self._is_capable(entry, job, now) for entry in entries)
 
+    def available_at(self, job: Job, now: float) -> float:
+        """Return when the first upstream that can run a job accepts requests again, in seconds.
+
+        That is ``now`` unless all of them have asked this node for a pause.
+        """
+        times = [
+            max(now, self._notices.paused_until(entry.process_id))
+            for entry in self.capable_upstreams(job, now)
+        ]
+        return min(times, default=now)
+
     def _is_capable(self, entry: UpstreamEntry, job: Job, now: float) -> bool:
         """Return whether an upstream is live and can run a job.
 
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -33,6 +33,7 @@
     RefuseReason.NO_UPSTREAM: "the service has no upstream",
     RefuseReason.NOT_RESIDENT: "no upstream holds the model or adapter",
     RefuseReason.NO_CAPACITY: "no upstream has room before the deadline",
+    RefuseReason.UPSTREAM_LIMIT: "the upstreams accept no further requests at present",
     RefuseReason.TOO_LARGE: "the request is larger than an upstream's memory",
     RefuseReason.UNKNOWN_MODEL: "the service has no such model",
     RefuseReason.NOT_RUN_UPSTREAM: "the upstreams declined the request",
--- a/eelgrassferry/fleet/upstream_notice.py
+++ b/eelgrassferry/fleet/upstream_notice.py
@@ -9,10 +9,12 @@
 class UpstreamNotice:
     """What an upstream says of itself in the head of an answer.
 
-    ``leaving`` is true if it leaves soon and is to get no further requests.
+    ``leaving`` is true if it leaves soon and is to get no further requests. ``pause_s`` is the time
+    in seconds for which it asks this node for no further requests, 0 if it does not ask.
     """
 
     leaving: bool = False
+    pause_s: float = 0.0
 
 
 NO_NOTICE = UpstreamNotice()
--- a/eelgrassferry/platform/request_codec.py
+++ b/eelgrassferry/platform/request_codec.py
@@ -18,6 +18,10 @@
 INSTANCE = b"eelgrassferry-instance-id"
 LAST_EVENT_ID = b"last-event-id"
 SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
+
+# Statuses with which a server turns a request away, and may add for how long.
+TURNED_AWAY = (429, 503)
 
 # Headers that only the system may set. Those sent by a caller are removed.
 SYSTEM_HEADERS = frozenset(
@@ -134,7 +138,10 @@
             for name, value in headers
             if name.lower() not in CONNECTION_HEADERS and name.lower() not in connection_names
         ),
-        notice=UpstreamNotice(leaving=values.get(SERVER_LEAVING, b"").strip() == b"1"),
+        notice=UpstreamNotice(
+            leaving=values.get(SERVER_LEAVING, b"").strip() == b"1",
+            pause_s=_parse_positive(values.get(RETRY_AFTER, b"")) if status in TURNED_AWAY else 0.0,
+        ),
     )
 
 
@@ -167,6 +174,19 @@
     return tuple(parts)
 
 
+def _parse_positive(value: bytes) -> float:
+    """Return a decimal number that is greater than 0, or 0 for any other value.
+
+    Retry-After may also be a date, which is ignored: the clocks of two hosts may differ by more
+    than the time it means.
+    """
+    try:
+        number = float(value)
+    except ValueError:
+        return 0.0
+    return number if 0.0 < number < float("inf") else 0.0
+
+
 def _parse_keep_alive_s(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
--- a/eelgrassferry/platform/tests/node_fleet.py
+++ b/eelgrassferry/platform/tests/node_fleet.py
@@ -89,11 +89,14 @@
         return (await self.send(front, path, model)).unwrap()
 
     async def send(self, front: int, path: str, model: str) -> Result[HttpResponse, HttpError]:
-        """Send one request to a node, and return the response or the error of the connection."""
+        """Send one request to a node, and return the response or the error of the connection.
+
+        The request's id begins with the port of the node.
+        """
         self._count += 1
         headers = [
             ("Host", HOST),
-            ("Eelgrassferry-Request-Id", f"id-{self._count}"),
+            ("Eelgrassferry-Request-Id", f"{front}-{self._count}"),
             ("Eelgrassferry-Deadline-Ms", "4000"),
         ]
         if model:
--- a/eelgrassferry/platform/tests/standin_server.py
+++ b/eelgrassferry/platform/tests/standin_server.py
@@ -20,8 +20,9 @@
 
     These attributes record what the server did: ``runs``, the ids of the requests that it ran;
     ``abandoned``, the ids of those whose connection closed before the response; ``received``, all
-    requests, and ``received_at``, their times in seconds; ``orders``, the bodies of the accepted
-    orders; ``is_stopped``, whether it has ended.
+    requests, and ``received_at``, their times in seconds; ``declined``, the times and ids of those
+    that it declined; ``orders``, the bodies of the accepted orders; ``is_stopped``, whether it has
+    ended.
 
     These attributes control its behaviour: ``status`` is the status of responses to plain requests.
     ``decline_count`` is the number of further requests that it declines as not run. ``events`` is
@@ -29,7 +30,8 @@
     breaks off a stream after that many events. ``pause_s`` is the run time of a request and
     ``event_pause_s`` the time between two events, both in seconds. A stream whose prompt contains
     ``deadly_part`` before its last part ends the server after the head of the answer. While
-    ``is_leaving``, all its answers say so, but its registration does not.
+    ``is_leaving``, all its answers say so, but its registration does not. With ``decline_pause_s``,
+    it asks for a pause of this many seconds when it declines a request.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         self.abandoned: list[str] = []
         self.received: list[HttpRequest] = []
         self.received_at: list[float] = []
+        self.declined: list[tuple[float, str]] = []
         self.orders: list[dict[str, Any]] = []
         self.status = 200
         self.decline_count = 0
@@ -48,6 +51,7 @@
         self.events = 3
         self.deadly_part = ""
         self.is_leaving = False
+        self.decline_pause_s = 0.0
         self.is_stopped = False
         self.pause_s = 0.0
         self.event_pause_s = 0.0
@@ -172,6 +176,9 @@
             return
         if self.decline_count:
             self.decline_count -= 1
+            self.declined.append((time.monotonic(), request_id))
+            if self.decline_pause_s:
+                headers += (("Retry-After", str(self.decline_pause_s)),)
             await responder.send(HttpResponse(503, (*headers, ("Eelgrassferry-Not-Executed", "1"))))
             return
         self.record_run(req, request_id)
--- a/eelgrassferry/platform/tests/test_notice_headers.py
+++ b/eelgrassferry/platform/tests/test_notice_headers.py
@@ -43,3 +43,29 @@
         for line in (b"Server-Leaving: 0", b"Server-Leaving:", b"Server-Leaving: no", b"X: 1"):
             with self.subTest(line=line):
                 self.assertFalse(self.read_notice(line).leaving)
+
+
+class RetryAfterHeaderTest(NoticeHeadersCase):
+    """The header ``Retry-After`` of an upstream that turns a request away."""
+
+    def test_header_is_read(self):
+        """Guards against a violation of BUDGET: requests to a server that has asked for none."""
+        for value, pause_s in ((b"2", 2.0), (b"0.75", 0.75), (b" 1.5 ", 1.5)):
+            with self.subTest(value=value):
+                line = b"Retry-After: " + value
+                notice = self.read_notice(line, status=b"503 Unavailable")
+                self.assertEqual(notice.pause_s, pause_s)
+
+    def test_other_statuses_ask_for_no_pause(self):
+        """Guards against giving up a server for the Retry-After of an answer that it has run."""
+        for status in (b"200 OK", b"500 Error", b"301 Moved"):
+            self.assertEqual(self.read_notice(b"Retry-After: 2", status=status).pause_s, 0.0)
+
+    def test_malformed_values_are_ignored(self):
+        """Guards against an exception, and against a pause without end."""
+        values = (b"", b"soon", b"-1", b"nan", b"inf", b"1e999", b"Fri, 04 Dec 2026 20:00:00 GMT")
+        for value in values:
+            with self.subTest(value=value):
+                line = b"Retry-After: " + value
+                notice = self.read_notice(line, status=b"503 Unavailable")
+                self.assertEqual(notice.pause_s, 0.0)
