Share out among the nodes the rate of requests that an upstream names

Cause: the header was dropped with the rest of the head, so requests went where they would go without it.

A notice now contains the limit, which the nodes exchange. A node that wants to send a request to a limited upstream asks the coordinator for a turn first; the coordinator books the turns of all nodes one interval apart, up to one second of unused ones at once (dispatch/turn_book.py, upstream_turns.py). A turn costs one small message to the coordinator and back; a share of the limit for each node was weighed and is the fallback only, because with seven nodes and 1 to 7 requests a second it wastes most of the limit or delays requests by seconds. Without a coordinator or a reply, a node books its share by itself, beginning at a random time; the coordinator books the share of the nodes that are linked to it. Turns are booked 0.4 s ahead at most, so that patient requests do not take them from urgent ones. What cannot be sent in time goes elsewhere, or is refused at once with the time of the next turn as Retry-After (reason upstream_limit). An upstream gets a request every 4 s at least, since its answers alone tell when the limit ends.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -1,7 +1,7 @@
 """The driver of the coordinator on the node that holds the lease."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from dataclasses import replace
 
 import structlog
@@ -13,6 +13,9 @@
     CrashAnalyzer,
     PrefillSlownessEstimator,
     SlownessFactors,
+    TurnBook,
+    TurnReply,
+    TurnRequest,
     UpstreamLoad,
     UpstreamNotices,
 )
@@ -87,6 +90,7 @@
         self._notices = notices
         self._sent_slowness = SlownessFactors()
         self._slowness_sent_at = float("-inf")
+        self._turns = TurnBook()
         self._pacer = PlanPacer()
         self._plan_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -146,6 +150,24 @@
             if status.pending_demand:
                 self.request_plan()
 
+    def book_turns(self, requests: Iterable[TurnRequest], share: float) -> list[TurnReply]:
+        """Book turns at upstreams that limit their rate.
+
+        ``share`` is the share of the limits that the coordinator books; nodes without contact to
+        it use the rest by themselves. An upstream whose limit is not known here has none, or its
+        first notice is on the way: it gets the requests at once.
+        """
+        now = self._clock()
+        replies = []
+        for request in requests:
+            limit_per_s = self._notices.limit_per_s(request.process_id)
+            if limit_per_s is None:
+                turns = (now,) * request.count
+                replies.append(TurnReply(request.process_id, request.count, turns, now))
+            else:
+                replies.append(self._turns.book(request, share * limit_per_s, now))
+        return replies
+
     async def run(self) -> None:
         """Compete for the lease and plan while it is held, until cancelled.
 
@@ -312,6 +334,7 @@
         )
         self._published_changes, self._sent_residency, self._sent_loads = -1, {}, {}
         self._sent_slowness = SlownessFactors()
+        self._turns = TurnBook()
         log.info(
             "coordination begun",
             step="lease",
--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -1,6 +1,6 @@
 """Messages between nodes and the encoding of their bodies."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,6 +12,8 @@
     ProcessNotice,
     SlownessFactors,
     SlownessSample,
+    TurnReply,
+    TurnRequest,
     UpstreamLoad,
 )
 from ..objects import FeedUpdate, StoredObject
@@ -26,6 +28,7 @@
     "PULL",
     "RESIGN",
     "STATUS",
+    "TURNS",
     "VIEW",
     "WHO",
     "FleetView",
@@ -34,10 +37,14 @@
     "decode_changes",
     "decode_copy",
     "decode_status",
+    "decode_turn_replies",
+    "decode_turn_requests",
     "decode_view",
     "encode_changes",
     "encode_copy",
     "encode_status",
+    "encode_turn_replies",
+    "encode_turn_requests",
     "encode_view",
 ]
 
@@ -48,6 +55,7 @@
 # - CHANGES: changes of the store's objects, relayed by the coordinator, so that only one node has
 #   to watch the store.
 # - RESIGN: sent by a coordinator that will send no more orders.
+# - TURNS: a request to the coordinator for turns at upstreams that limit their rate, and the reply.
 # - WHO: a request to any node for the id of its process, and the response.
 STATUS = "status"
 VIEW = "view"
@@ -55,6 +63,7 @@
 COPY = "copy"
 CHANGES = "changes"
 RESIGN = "resign"
+TURNS = "turns"
 WHO = "who"
 
 # A node that replies to a view promises not to take the lease for this time after the view, in
@@ -319,6 +328,50 @@
         return Err(MalformedMessage("decode_changes", "", repr(exc)))
 
 
+def encode_turn_requests(requests: Sequence[TurnRequest]) -> Any:
+    """Encode requests for turns as the body of a frame."""
+    return [[request.process_id, request.count, request.max_wait_s] for request in requests]
+
+
+def decode_turn_requests(body: Any) -> Result[list[TurnRequest], MalformedMessage]:
+    """Decode a frame's body into requests for turns."""
+    try:
+        return Ok(
+            [
+                TurnRequest(str(process_id), int(count), float(max_wait_s))
+                for process_id, count, max_wait_s in body
+            ]
+        )
+    except (TypeError, ValueError) as exc:
+        return Err(MalformedMessage("decode_turns", "", repr(exc)))
+
+
+def encode_turn_replies(replies: Sequence[TurnReply], now: float) -> Any:
+    """Encode replies to requests for turns as the body of a frame sent at ``now``."""
+    return [
+        [reply.process_id, reply.count, [at - now for at in reply.turns], reply.next_at - now]
+        for reply in replies
+    ]
+
+
+def decode_turn_replies(body: Any, now: float) -> Result[list[TurnReply], MalformedMessage]:
+    """Decode a frame's body, received at ``now``, into replies to requests for turns."""
+    try:
+        return Ok(
+            [
+                TurnReply(
+                    str(process_id),
+                    int(count),
+                    tuple(now + wait_s for wait_s in waits),
+                    now + next_in_s,
+                )
+                for process_id, count, waits, next_in_s in body
+            ]
+        )
+    except (TypeError, ValueError) as exc:
+        return Err(MalformedMessage("decode_turns", "", repr(exc)))
+
+
 def _encode_objects(objects: tuple[StoredObject, ...]) -> list[list[Any]]:
     return [[obj.key, obj.version, obj.value] for obj in objects]
 
@@ -328,13 +381,21 @@
 
 
 def _encode_notices(notices: tuple[ProcessNotice, ...], now: float) -> list[list[Any]]:
-    return [[notice.process_id, notice.seen_at - now, notice.leaving] for notice in notices]
+    return [
+        [notice.process_id, notice.seen_at - now, notice.leaving, notice.limit_per_s]
+        for notice in notices
+    ]
 
 
 def _decode_notices(body: Any, now: float) -> tuple[ProcessNotice, ...]:
     return tuple(
-        ProcessNotice(str(process_id), now + ago_s, bool(leaving))
-        for process_id, ago_s, leaving in body
+        ProcessNotice(
+            str(process_id),
+            now + ago_s,
+            bool(leaving),
+            None if limit_per_s is None else float(limit_per_s),
+        )
+        for process_id, ago_s, leaving, limit_per_s in body
     )
 
 
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -9,7 +9,14 @@
 import structlog
 from result import Err
 
-from ..dispatch import NO_LOAD, CrashAnalyzer, UpstreamLoad, UpstreamNotices
+from ..dispatch import (
+    NO_LOAD,
+    CrashAnalyzer,
+    TurnReply,
+    TurnRequest,
+    UpstreamLoad,
+    UpstreamNotices,
+)
 from ..fleet import EntrySettings
 from ..http import split_address
 from ..objects import MonitoredStore, ObjectFeed
@@ -24,13 +31,18 @@
     PULL,
     RESIGN,
     STATUS,
+    TURNS,
     VIEW,
     WHO,
     FleetView,
     ViewReply,
     decode_status,
+    decode_turn_replies,
+    decode_turn_requests,
     decode_view,
     encode_status,
+    encode_turn_replies,
+    encode_turn_requests,
     encode_view,
 )
 from .node_registry import NodeRegistry
@@ -80,7 +92,8 @@
     ``make_status`` returns this node's status. ``on_view`` is called with each view of the
     coordinator and with the loads that other nodes cause at each upstream. ``crashes`` contains the
     observations on crashed upstreams to exchange, and ``notices`` what upstreams say of themselves.
-    No statuses are exchanged until ``leadership`` is set.
+    No statuses are exchanged until ``leadership`` is set. ``on_turns`` is called with the
+    coordinator's replies to ``request_turns``.
     """
 
     def __init__(
@@ -95,6 +108,7 @@
         notices: UpstreamNotices,
     ) -> None:
         self.leadership: Leadership | None = None
+        self.on_turns: Callable[[list[TurnReply]], None] = lambda _replies: None
         self._settings = settings
         # Different for each process, so that peers can detect that a node was restarted.
         self._process_id = secrets.token_hex(8)
@@ -204,6 +218,26 @@
         if self._status_timer is None:
             self._status_timer = asyncio.get_running_loop().call_later(0.0, self._send_status, True)
 
+    @property
+    def has_coordinator(self) -> bool:
+        """Whether this node is the coordinator or in contact with it."""
+        return self.has_leader or (
+            self.leadership is not None and self.leadership.term() is not None
+        )
+
+    def request_turns(self, requests: list[TurnRequest]) -> None:
+        """Ask the coordinator for turns at upstreams that limit their rate."""
+        if self.leadership is not None and self.leadership.term() is not None:
+            self.on_turns(self.leadership.book_turns(requests, self._linked_share))
+        elif self._leader is not None:
+            self._leader.send(TURNS, encode_turn_requests(requests))
+
+    @property
+    def _linked_share(self) -> float:
+        """Share of the registered nodes that are linked to this coordinator."""
+        linked = len(self._members) + 1
+        return linked / max(linked, len(self.registry))
+
     def publish(self, view: FleetView) -> None:
         """Send a view to all other nodes and apply it on this node."""
         now = self._clock()
@@ -256,9 +290,19 @@
             if copied is not None and link not in self._members:
                 prefix, version = copied
                 self._copied_versions.setdefault(link, {})[prefix] = version
+        elif frame.kind == TURNS:
+            self._on_turn_requests(link, frame)
         elif frame.kind == WHO:
             link.send(WHO, self._process_id)
 
+    def _on_turn_requests(self, link: PeerLink, frame: Frame) -> None:
+        decoded = decode_turn_requests(frame.body)
+        if isinstance(decoded, Err):
+            log.warning("request not used", step="decode_turns", detail=decoded.err_value.detail)
+        elif self.leadership is not None and self.leadership.term() is not None:
+            replies = self.leadership.book_turns(decoded.ok_value, self._linked_share)
+            link.send(TURNS, encode_turn_replies(replies, self._clock()))
+
     def _on_status(self, link: PeerLink, frame: Frame) -> None:
         decoded = decode_status(frame.body, self._clock())
         if isinstance(decoded, Err):
@@ -534,6 +578,15 @@
             self._relay.on_leader_copy(link, frame)
         if frame.kind == VIEW:
             self._on_view_frame(frame)
+        if frame.kind == TURNS:
+            self._on_turn_replies(frame)
+
+    def _on_turn_replies(self, frame: Frame) -> None:
+        decoded = decode_turn_replies(frame.body, self._clock())
+        if isinstance(decoded, Err):
+            log.warning("turns not used", step="decode_turns", detail=decoded.err_value.detail)
+        else:
+            self.on_turns(decoded.ok_value)
 
     def _on_view_frame(self, frame: Frame) -> None:
         decoded = decode_view(frame.body, self._clock())
--- a/eelgrassferry/dispatch/__init__.py
+++ b/eelgrassferry/dispatch/__init__.py
@@ -21,6 +21,7 @@
 from .prefill_slowness_estimator import PrefillSlownessEstimator
 from .slowness_factors import SlownessFactors
 from .slowness_sample import SlownessSample
+from .turn_book import TurnBook, TurnReply, TurnRequest
 from .upstream_notices import ProcessNotice, UpstreamNotices
 
 __all__ = [
@@ -47,6 +48,9 @@
     "Send",
     "SlownessFactors",
     "SlownessSample",
+    "TurnBook",
+    "TurnReply",
+    "TurnRequest",
     "UpstreamLoad",
     "UpstreamNotices",
     "request_fingerprint",
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -35,6 +35,7 @@
 from .slowness_sample import SlownessSample
 from .upstream_notices import UpstreamNotices
 from .upstream_selector import INITIAL_PLAIN_LATENCY_S, UpstreamSelector
+from .upstream_turns import UpstreamTurns
 
 __all__ = ["Dispatcher"]
 
@@ -73,6 +74,10 @@
 # Retry-After, in seconds.
 RETURN_SLACK_S = 0.3
 
+# Requests that wait longer than this for upstreams which limit their rate count as demand for
+# further copies and adapters elsewhere, in seconds.
+MAX_TURN_WAIT_S = 0.1
+
 # Limit of the slowness samples in one status message to the coordinator, which bounds the size of
 # the message. A node starts about ten attempts between two messages.
 MAX_SLOWNESS_SAMPLES = 50
@@ -99,7 +104,8 @@
 
     ``crashes`` decides which requests are refused because they crash upstreams. ``tries_blocked``
     is set on the one node that sends such a request from time to time, to test the verdict.
-    ``notices`` contains what the upstreams say of themselves in their answers.
+    ``notices`` contains what the upstreams say of themselves in their answers, and ``turns`` the
+    turns at upstreams that limit their rate.
     """
 
     def __init__(
@@ -111,7 +117,10 @@
         rng: Random,
     ) -> None:
         self.notices = UpstreamNotices()
-        self.selector = UpstreamSelector(domain, directory, residency, rng, self.notices)
+        self.turns = UpstreamTurns(self.notices, rng)
+        self.selector = UpstreamSelector(
+            domain, directory, residency, rng, self.notices, self.turns
+        )
         self.load = self.selector.load
         self.arrivals: dict[tuple[str, str], tuple[int, float]] = {}
         self.adapters_used: set[tuple[str, str, str]] = set()
@@ -334,6 +343,7 @@
         """Remove all statistics of an upstream that has stopped or restarted."""
         self.selector.forget(instance)
         self.notices.forget(instance)
+        self.turns.forget(instance)
 
     def record_no_listener(self, entry: UpstreamEntry, now: float) -> list[Action]:
         """Record that nothing listens at the address of an upstream."""
@@ -353,7 +363,7 @@
         self.selector.prefix_caches.forget_model(instance, model)
 
     def pending_demand(self, now: float) -> dict[tuple[str, str, str], tuple[int, float]]:
-        """Return the requests by service, model and adapter that no upstream can serve.
+        """Return the requests by service, model and adapter that no upstream can serve in time.
 
         These are the waiting requests and those that were refused and are expected to return. Each
         value is the number of requests and the shortest time until one of them has to start, in
@@ -363,13 +373,19 @@
         start_times = [(job.start_deadline, job) for job in self._waiting]
         demand: dict[tuple[str, str, str], tuple[int, float]] = {}
         for start_at, job in (*start_times, *self._returning):
-            if not job.model or self.selector.has_capable_upstream(job, now):
+            if not job.model or self._has_available_upstream(job, now):
                 continue
             key = (job.service, job.model, job.adapter)
             count, left_s = demand.get(key, (0, float("inf")))
             demand[key] = (count + 1, min(left_s, start_at - now))
         return demand
 
+    def _has_available_upstream(self, job: Job, now: float) -> bool:
+        """Return whether an upstream can run a job that does not wait for a turn there."""
+        if not self.selector.has_capable_upstream(job, now):
+            return False
+        return self.selector.available_at(job, now) - now < MAX_TURN_WAIT_S
+
     def is_returning(self, job: Job) -> bool:
         """Return whether a job was refused and its caller is expected to return for its model."""
         return any(other is job for _, other in self._returning)
@@ -394,6 +410,7 @@
 
         Requests for which further waiting is useless get their final answer or refusal.
         """
+        self.turns.clear_wanted()
         if not self._waiting:
             self._queued_since.clear()
             return []
@@ -546,7 +563,10 @@
             retry_after_s = retry_after_s or DEFAULT_RETRY_AFTER_S
             retry_after_s += self._rng.uniform(0.0, RETURN_SPREAD_S)
         elif not final and reason in (RefuseReason.UPSTREAM_LIMIT, RefuseReason.NOT_RUN_UPSTREAM):
-            retry_after_s = self._limited_retry_after_s(job, now) or retry_after_s
+            limited_s = self._limited_retry_after_s(job, now)
+            if limited_s is not None:
+                retry_after_s = limited_s
+                self._returning.append((now + limited_s + RETURN_SLACK_S, job))
         return Refuse(job, reason, retry_after_s)
 
     def _limited_retry_after_s(self, job: Job, now: float) -> float | None:
@@ -577,10 +597,20 @@
             job.attempt = None
 
     def _try_send(self, job: Job, now: float) -> Send | None:
-        """Return the action that sends a job to the best upstream, None if none has capacity."""
+        """Return the action that sends a job to the best upstream, None if none has capacity.
+
+        If the best upstream limits its rate, the job waits for a turn.
+        """
+        job.awaits_turn = False
         attempt = self.selector.choose(job, now)
         if attempt is None or not self._is_timely(job, attempt, now):
             return None
+        if attempt.turn_wait_s > 0.0:
+            job.awaits_turn = True
+            start_s = attempt.expected_s - attempt.turn_wait_s
+            self.turns.want(attempt.process_id, job.target_at - now - start_s)
+            return None
+        self.turns.take(attempt.process_id)
         job.attempt = attempt
         self._unanswered.add(job)
         self.load.add(job)
@@ -623,6 +653,8 @@
 
     def _cannot_start_in_time(self, job: Job, now: float) -> bool:
         """Return whether waiting is useless: the job cannot start by its deadline at this node."""
+        if job.awaits_turn:
+            return False
         available_at = now
         if job.model and not self.selector.has_capable_upstream(job, now):
             if self.selector.isolated:
@@ -642,9 +674,13 @@
             min_start_s = self.selector.slowness.expected_s("", job.model, job.prompt_tokens) / 2.0
         else:
             min_start_s = INITIAL_PLAIN_LATENCY_S / 2.0
-        if available_at + min_start_s < job.start_deadline:
-            return False
-        return available_at <= now or self._should_refuse_until(job, available_at, now)
+        if available_at <= now:
+            return now + min_start_s >= job.start_deadline
+        if self.selector.is_limited(job, now):
+            # The turns until then are booked by other requests that can still be answered in time.
+            return available_at + min_start_s >= job.target_at
+        is_late = available_at + min_start_s >= job.start_deadline
+        return is_late and self._should_refuse_until(job, available_at, now)
 
     def _is_crowded_out(self, job: Job, now: float) -> bool:
         """Return whether a job misses its target and the engines of its model are overloaded.
--- a/eelgrassferry/dispatch/job.py
+++ b/eelgrassferry/dispatch/job.py
@@ -24,7 +24,8 @@
     ``cache_tokens`` the number of tokens that the attempt occupies in the KV cache, and
     ``expected_s`` the expected time to the first event. ``assumes_cached_prefix`` is set if the
     estimate relies on prompt parts that other nodes are assumed to have sent there. ``slowness`` is
-    the slowness factor used for the estimate. ``process_id`` is the id of the upstream's process.
+    the slowness factor used for the estimate. ``process_id`` is the id of the upstream's process,
+    and ``turn_wait_s`` the expected time until it takes a request, if it limits its rate.
     ``on_wire`` is set once bytes may have reached the upstream, and ``answered`` once it has sent
     an event or a whole answer.
     """
@@ -38,6 +39,7 @@
     slowness: float = 1.0
     first_event_at: float | None = None
     process_id: str = ""
+    turn_wait_s: float = 0.0
     on_wire: bool = False
     answered: bool = False
 
@@ -53,6 +55,7 @@
       with other requests.
     - ``fingerprint``: fingerprint of the whole request, "" if it is not known.
     - ``exchange``: the exchange that carries out the actions for this request.
+    - ``awaits_turn``: whether the request can be sent in time at its next turn at an upstream.
     - ``is_trial``: whether the request is sent although its content is blocked.
     - ``may_have_run_on``: upstreams that may have run the request.
     - ``excluded``: upstreams that the request is not sent to again.
@@ -78,6 +81,7 @@
     waiting: bool = False
     closed: bool = False
     answer_begun: bool = False
+    awaits_turn: bool = False
     is_trial: bool = False
     may_have_run_on: list[str] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
--- a/eelgrassferry/dispatch/upstream_notices.py
+++ b/eelgrassferry/dispatch/upstream_notices.py
@@ -1,32 +1,41 @@
 """What the upstreams say of themselves in their answers, as known to all nodes."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..fleet import UpstreamNotice
 
 __all__ = ["ProcessNotice", "UpstreamNotices"]
 
+# Least rate at which an upstream gets requests, per second. Its answers tell when a limit ends, so
+# an upstream that takes hardly any requests, or none, gets one from time to time.
+MIN_LIMIT_PER_S = 0.25
+
 
 @dataclass(frozen=True)
 class ProcessNotice:
     """What one process of an upstream has said of itself, which the nodes share.
 
     ``process_id`` is the id of the process and ``seen_at`` the time of its answer, in seconds.
+    ``limit_per_s`` is the rate of requests that it takes from all nodes together, or None.
     """
 
     process_id: str
     seen_at: float
     leaving: bool = False
+    limit_per_s: float | None = None
 
     def merged(self, other: "ProcessNotice") -> "ProcessNotice":
-        """Return the state after two answers of a process, which does not cease to leave."""
+        """Return the state after two answers of a process.
+
+        A process that leaves does not cease to; its limit is the one that its latest answer names.
+        """
         latest = max(self, other, key=lambda notice: notice.seen_at)
-        return ProcessNotice(self.process_id, latest.seen_at, self.leaving or other.leaving)
+        return replace(latest, leaving=self.leaving or other.leaving)
 
     def says_the_same(self, other: "ProcessNotice") -> bool:
         """Return whether two notices differ in nothing but the time."""
-        return self.leaving == other.leaving
+        return (self.leaving, self.limit_per_s) == (other.leaving, other.limit_per_s)
 
 
 class UpstreamNotices:
@@ -53,7 +62,7 @@
 
     def record(self, process_id: str, notice: UpstreamNotice, now: float) -> None:
         """Record what a process says of itself in an answer."""
-        self._apply(ProcessNotice(process_id, now, notice.leaving), share=True)
+        self._apply(ProcessNotice(process_id, now, notice.leaving, notice.limit_per_s), share=True)
         if notice.pause_s > 0.0:
             self._paused_until[process_id] = max(
                 now + notice.pause_s, self.paused_until(process_id)
@@ -62,13 +71,26 @@
     def merge(self, notices: Iterable[ProcessNotice], share: bool = True) -> None:
         """Add the notices of another node; with ``share``, they are sent on to other nodes."""
         for notice in notices:
-            self._apply(notice, share)
+            merged = self._apply(notice, share)
+            if not merged.says_the_same(notice):
+                # The sender lacks what this node knows.
+                self._updates[notice.process_id] = merged
 
     @property
     def leaving(self) -> list[str]:
         """The ids of the processes that leave."""
         return [notice.process_id for notice in self._known.values() if notice.leaving]
 
+    def limit_per_s(self, process_id: str) -> float | None:
+        """Return the rate at which a process gets requests from all nodes together, per second.
+
+        None means that it names no limit.
+        """
+        known = self._known.get(process_id)
+        if known is None or known.limit_per_s is None:
+            return None
+        return max(MIN_LIMIT_PER_S, known.limit_per_s)
+
     def paused_until(self, process_id: str) -> float:
         """Return the time until which a process asks this node for no requests, in seconds.
 
@@ -105,8 +127,8 @@
             for entries in (self._known, self._updates, self._changed, self._paused_until):
                 entries.pop(process_id, None)
 
-    def _apply(self, notice: ProcessNotice, share: bool) -> None:
-        """Merge one notice; share the result if it says something new here or to the sender."""
+    def _apply(self, notice: ProcessNotice, share: bool) -> ProcessNotice:
+        """Merge one notice and return the result; with ``share``, send it on if it has changed."""
         known = self._known.get(notice.process_id, ProcessNotice(notice.process_id, float("-inf")))
         merged = known.merged(notice)
         self._known[notice.process_id] = merged
@@ -114,5 +136,4 @@
             self._changed[notice.process_id] = merged
             if share:
                 self._updates[notice.process_id] = merged
-        elif not merged.says_the_same(notice):
-            self._updates[notice.process_id] = merged
+        return merged
--- a/eelgrassferry/dispatch/upstream_selector.py
+++ b/eelgrassferry/dispatch/upstream_selector.py
@@ -14,6 +14,7 @@
 from .prefix_cache_tracker import PrefixCacheTracker
 from .token_gap_estimator import TokenGapEstimator
 from .upstream_notices import UpstreamNotices
+from .upstream_turns import UpstreamTurns
 
 __all__ = ["INITIAL_PLAIN_LATENCY_S", "UpstreamSelector"]
 
@@ -55,6 +56,7 @@
         residency: FleetResidency,
         rng: Random,
         notices: UpstreamNotices,
+        turns: UpstreamTurns,
     ) -> None:
         self.isolated = False
         self.config: FleetConfig | None = None
@@ -69,10 +71,15 @@
         self._residency = residency
         self._rng = rng
         self._notices = notices
+        self._turns = turns
         self._plain_latency_s: dict[str, float] = {}
 
     def choose(self, job: Job, now: float) -> Attempt | None:
-        """Return an attempt at the upstream with the lowest cost, None if none has capacity."""
+        """Return an attempt at the upstream with the lowest cost, None if none has capacity.
+
+        An upstream that limits its rate has none if it cannot take the job in time. The attempt has
+        to wait for a turn if ``turn_wait_s`` is above 0.
+        """
         best: tuple[float, Attempt] | None = None
         candidates = self.candidates(job, now)
         owner = self._prefix_owner(job, candidates)
@@ -80,6 +87,10 @@
             attempt = self._plan_attempt(job, entry, now, entry.instance == owner)
             if attempt is None:
                 continue
+            attempt.turn_wait_s = self._turns.wait_s(entry.process_id, now)
+            attempt.expected_s += attempt.turn_wait_s
+            if attempt.turn_wait_s > 0.0 and now + attempt.expected_s > job.target_at:
+                continue
             cost_s = attempt.expected_s + self.failure_rates.penalty_s(entry.instance, now)
             if entry.domain != self._domain:
                 cost_s += OTHER_DOMAIN_COST_S
@@ -175,14 +186,29 @@
     def available_at(self, job: Job, now: float) -> float:
         """Return when the first upstream that can run a job accepts requests again, in seconds.
 
-        That is ``now`` unless all of them have asked this node for a pause.
+        That is ``now`` unless all of them have asked this node for a pause, or limit their rate and
+        have no turn for the job.
         """
         times = [
-            max(now, self._notices.paused_until(entry.process_id))
+            max(
+                now + self._turns.wait_s(entry.process_id, now),
+                self._notices.paused_until(entry.process_id),
+            )
             for entry in self.capable_upstreams(job, now)
         ]
         return min(times, default=now)
 
+    def is_limited(self, job: Job, now: float) -> bool:
+        """Return whether the upstreams that can run a job limit their rate, unless they pause."""
+        accepting = [
+            entry
+            for entry in self.capable_upstreams(job, now)
+            if now >= self._notices.paused_until(entry.process_id)
+        ]
+        return bool(accepting) and all(
+            self._notices.limit_per_s(entry.process_id) is not None for entry in accepting
+        )
+
     def _is_capable(self, entry: UpstreamEntry, job: Job, now: float) -> bool:
         """Return whether an upstream is live and can run a job.
 
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -17,7 +17,7 @@
     PeerMesh,
     VerdictStore,
 )
-from ..dispatch import Dispatcher, FleetResidency, UpstreamLoad
+from ..dispatch import Dispatcher, FleetResidency, TurnReply, UpstreamLoad
 from ..fleet import (
     DirectoryChange,
     EntrySettings,
@@ -90,6 +90,7 @@
             boot_clock,
             self._directory_freshness,
             self._on_request_waiting,
+            self._request_turns,
         )
         self._callers = CallerServer(self._handler.accept, self._on_rejected, boot_clock)
         self._registry = RegistryView(
@@ -164,6 +165,7 @@
             self._set_isolated,
         )
         self._mesh.leadership = self._leadership
+        self._mesh.on_turns = self._on_turns
 
     async def run(self) -> int:
         """Serve until SIGTERM or SIGINT, then stop gracefully.
@@ -242,6 +244,7 @@
             self._exchange_crash_evidence()
             self._apply_notices()
             self._handler.perform(self._dispatcher.dispatch_waiting(boot_clock()))
+            self._request_turns()
             if boot_clock() - last_idle_check >= IDLE_CHECK_INTERVAL_S:
                 last_idle_check = boot_clock()
                 self._callers.sweep()
@@ -356,6 +359,7 @@
                 step="read_notice",
                 upstream=notice.process_id,
                 leaving=notice.leaving,
+                limit_per_s=notice.limit_per_s,
             )
         changes = [
             change
@@ -365,6 +369,18 @@
         if changes:
             self._apply_directory_changes(changes)
 
+    def _request_turns(self) -> None:
+        """Ask for the turns that waiting requests want at upstreams which limit their rate."""
+        turns = self._dispatcher.turns
+        turns.node_count = max(1, len(self._mesh.registry))
+        requests = turns.pop_requests(boot_clock(), self._mesh.has_coordinator)
+        if requests:
+            self._mesh.request_turns(requests)
+
+    def _on_turns(self, replies: list[TurnReply]) -> None:
+        self._dispatcher.turns.apply(replies)
+        self._handler.perform(self._dispatcher.dispatch_waiting(boot_clock()))
+
     def _reload(self) -> None:
         result = self._load_settings()
         if isinstance(result, Err):
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -57,7 +57,8 @@
 
     ``protocol`` decodes and encodes the heads of requests and answers. ``directory_freshness``
     returns the version of the upstream directory and its age in seconds. ``on_waiting`` is called
-    when a request starts to wait for a model.
+    when a request starts to wait for a model, and ``on_turn_wanted`` when it starts to wait for a
+    turn at an upstream that limits its rate.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         clock: Callable[[], float],
         directory_freshness: Callable[[], tuple[int, float]],
         on_waiting: Callable[[], None],
+        on_turn_wanted: Callable[[], None],
     ) -> None:
         self.dispatcher = dispatcher
         self.directory = directory
@@ -83,6 +85,7 @@
         self._metrics = metrics
         self._directory_freshness = directory_freshness
         self._on_waiting = on_waiting
+        self._on_turn_wanted = on_turn_wanted
         self._rng = random.Random()
         self._pending_actions: list[Action] = []
         self._probes: dict[str, asyncio.Task[None]] = {}
@@ -265,7 +268,9 @@
             waiting=self.dispatcher.waiting,
             **self._version_fields(),
         )
-        if job.model:
+        if job.awaits_turn:
+            self._on_turn_wanted()
+        elif job.model:
             self._on_waiting()
 
     def record_send(self, exchange: Exchange, entry: UpstreamEntry, repeat: bool) -> None:
--- a/eelgrassferry/platform/request_codec.py
+++ b/eelgrassferry/platform/request_codec.py
@@ -18,6 +18,7 @@
 INSTANCE = b"eelgrassferry-instance-id"
 LAST_EVENT_ID = b"last-event-id"
 SERVER_LEAVING = b"server-leaving"
+SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 
 # Statuses with which a server turns a request away, and may add for how long.
@@ -140,7 +141,14 @@
         ),
         notice=UpstreamNotice(
             leaving=values.get(SERVER_LEAVING, b"").strip() == b"1",
-            pause_s=_parse_positive(values.get(RETRY_AFTER, b"")) if status in TURNED_AWAY else 0.0,
+            # Retry-After may also be a date. It is ignored, because the clocks of two hosts may
+            # differ by more than the time it means.
+            pause_s=(
+                (_parse_number(values.get(RETRY_AFTER, b"")) or 0.0)
+                if status in TURNED_AWAY
+                else 0.0
+            ),
+            limit_per_s=_parse_number(values.get(SERVER_LIMIT, b"")),
         ),
     )
 
@@ -174,17 +182,13 @@
     return tuple(parts)
 
 
-def _parse_positive(value: bytes) -> float:
-    """Return a decimal number that is greater than 0, or 0 for any other value.
-
-    Retry-After may also be a date, which is ignored: the clocks of two hosts may differ by more
-    than the time it means.
-    """
+def _parse_number(value: bytes) -> float | None:
+    """Return a decimal number that is at least 0, or None for any other value."""
     try:
         number = float(value)
     except ValueError:
-        return 0.0
-    return number if 0.0 < number < float("inf") else 0.0
+        return None
+    return number if 0.0 <= number < float("inf") else None
 
 
 def _parse_keep_alive_s(value: bytes) -> float | None:
--- a/eelgrassferry/platform/tests/test_notice_headers.py
+++ b/eelgrassferry/platform/tests/test_notice_headers.py
@@ -69,3 +69,24 @@
                 line = b"Retry-After: " + value
                 notice = self.read_notice(line, status=b"503 Unavailable")
                 self.assertEqual(notice.pause_s, 0.0)
+
+
+class LimitHeaderTest(NoticeHeadersCase):
+    """The header ``Server-Limit``."""
+
+    def test_header_is_read(self):
+        """Guards against a violation of LIMIT: more requests than a server says that it takes."""
+        for value, limit_per_s in ((b"2.5", 2.5), (b"7", 7.0), (b" 0.4 ", 0.4), (b"0", 0.0)):
+            with self.subTest(value=value):
+                notice = self.read_notice(b"Server-Limit: " + value)
+                self.assertEqual(notice.limit_per_s, limit_per_s)
+
+    def test_answer_without_the_header_names_no_limit(self):
+        """Guards against a limit that is kept after its end."""
+        self.assertIsNone(self.read_notice().limit_per_s)
+
+    def test_malformed_values_are_ignored(self):
+        """Guards against an exception, and against giving up a server for a typing error."""
+        for value in (b"", b"few", b"-2", b"nan", b"inf", b"2,5"):
+            with self.subTest(value=value):
+                self.assertIsNone(self.read_notice(b"Server-Limit: " + value).limit_per_s)
--- a/eelgrassferry/platform/tests/test_upstream_notices.py
+++ b/eelgrassferry/platform/tests/test_upstream_notices.py
@@ -1,5 +1,6 @@
 """End-to-end tests of nodes whose upstreams speak of themselves in their answers."""
 
+import asyncio
 import time
 
 from .node_fleet import NodeFleetCase
@@ -10,6 +11,9 @@
 DRAIN_S = 2.0
 # Time in seconds after which a node sends no more requests to a server that has asked for a pause.
 REACTION_S = 0.5
+# The limit of a server holds in each span of this many seconds, with a tolerance of half of it and
+# five requests.
+WINDOW_S = 4.0
 
 
 class LeavingTest(NodeFleetCase):
@@ -77,10 +81,7 @@
         that has answered it 503 with Retry-After.
         """
         paused = self.servers[0]
-        # The nodes learn that both servers are equally fast.
-        for server in self.servers:
-            server.pause_s = 0.05
-        await self.call_steadily("/book/x", per_s=60.0, for_s=1.0)
+        await self.learn_latencies(self.servers)
         paused.decline_count = 3
         answers = await self.call_steadily("/book/x", per_s=30.0, for_s=self.PAUSE_S + 1.5)
         self.assertEqual({response.status for _, response in answers}, {200})
@@ -103,6 +104,82 @@
             self.assertLessEqual(max(self.requests_in_pauses(server)), 2)
 
 
+class LimitTest(NodeFleetCase):
+    """Servers name the requests per second that they take from all nodes together."""
+
+    LIMIT_PER_S = 3.0
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.servers = [await self.add_server("desk", f"i-desk{n}") for n in range(2)]
+        await self.start_nodes()
+        await self.learn_latencies(self.servers)
+
+    async def name_limit(self, *servers: StandinServer) -> float:
+        """Let servers name their limit, and return the time from which on it has to be kept."""
+        for server in servers:
+            server.limit = str(self.LIMIT_PER_S)
+        await self.call_steadily("/look/x", per_s=30.0, for_s=1.0)
+        return time.monotonic()
+
+    def check_limit(self, server: StandinServer, since: float) -> None:
+        """Check that a server got no more than the rule allows, and most of what it takes."""
+        arrivals = [at for at in server.received_at if at >= since]
+        most = max(sum(at <= other < at + WINDOW_S for other in arrivals) for at in arrivals)
+        self.assertLessEqual(most, 1.5 * WINDOW_S * self.LIMIT_PER_S + 5)
+        expected = self.LIMIT_PER_S * (arrivals[-1] - arrivals[0])
+        self.assertGreaterEqual(len(arrivals), 0.6 * expected)
+
+    async def test_requests_beyond_the_limit_go_elsewhere(self):
+        """Guards against a violation of LIMIT: a server gets far more requests than it takes."""
+        limited = self.servers[0]
+        since = await self.name_limit(limited)
+        answers = await self.call_steadily("/look/x", per_s=40.0, for_s=6.0)
+        self.assertEqual({response.status for _, response in answers}, {200})
+        self.check_limit(limited, since)
+
+    async def test_requests_beyond_all_limits_are_refused_at_once(self):
+        """Guards against a violation of LIMIT, and against callers that wait until their deadline
+        or are not told when they can be served.
+        """
+        since = await self.name_limit(*self.servers)
+        loop = asyncio.get_running_loop()
+        begun_at = loop.time()
+        answers = await self.call_steadily("/book/x", per_s=40.0, for_s=6.0)
+        self.assertLess(loop.time() - begun_at, 8.0)
+        for server in self.servers:
+            self.check_limit(server, since)
+        refused = [response for _, response in answers if response.status == 503]
+        self.assertEqual({response.status for _, response in answers}, {200, 503})
+        waits = [float(response.header("retry-after")) for response in refused]
+        self.assertGreater(min(waits), 0.0)
+        self.assertLess(max(waits), 2.0)
+
+    async def test_limit_is_kept_while_nodes_stop_and_start(self):
+        """Guards against a violation of LIMIT when the coordinator is killed, another node follows
+        it and a further one joins.
+        """
+        since = await self.name_limit(*self.servers)
+        calls = asyncio.ensure_future(self.call_steadily("/look/x", per_s=40.0, for_s=12.0))
+        await asyncio.sleep(2.0)
+        coordinator = self.log_of("coordination begun")
+        self.processes[coordinator].kill()
+        await asyncio.sleep(3.0)
+        await self.start_node(self.NODES)
+        await calls
+        for server in self.servers:
+            self.check_limit(server, since)
+
+    async def test_limit_that_is_not_named_any_more_ends(self):
+        """Guards against a limit that is kept for ever."""
+        limited = self.servers[0]
+        await self.name_limit(limited)
+        limited.limit = ""
+        before = len(limited.received)
+        await self.call_steadily("/look/x", per_s=60.0, for_s=3.0)
+        self.assertGreater(len(limited.received) - before, 2 * 3.0 * self.LIMIT_PER_S)
+
+
 def node_of(request_id: str) -> str:
     """Return the node to which a request was sent."""
     return request_id.partition("-")[0]
