Place models and adapters with regard to the limits that engines name

Cause: the planner counted an engine's time alone, and an adapter that was loaded anywhere was not loaded elsewhere.

An engine with a limit now has the share of an engine's capacity that its limit allows; copies, their utilization and the cost of an engine are computed from it. An adapter that requests wait for is also loaded on an engine without a limit that has its model.

The three new tests of the planner fail without the capacity.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -330,7 +330,7 @@
         self._epoch = term.epoch
         takeover = self._make_takeover(term, now)
         self.coordinator = Coordinator(
-            self._directory, self._settings.bounds, takeover, self._slowness
+            self._directory, self._settings.bounds, takeover, self._slowness, self._notices
         )
         self._published_changes, self._sent_residency, self._sent_loads = -1, {}, {}
         self._sent_slowness = SlownessFactors()
--- a/eelgrassferry/ordering/adapter_placement.py
+++ b/eelgrassferry/ordering/adapter_placement.py
@@ -1,6 +1,6 @@
 """Selection of the engine for a missing adapter and of the adapter to evict for it."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 from ..placement import OrderKind
 from .engine_tracker import CopyState, EngineTracker
@@ -19,11 +19,13 @@
     wanted: Iterable[tuple[str, str]],
     requests: Mapping[str, float],
     now: float,
+    limited: Container[str] = (),
 ) -> tuple[EngineTracker, FleetOrder] | None:
     """Return the next order that brings an adapter to an engine, and that engine.
 
     ``wanted`` contains the (model, adapter) pairs that requests wait for, and ``requests`` the
-    number of requests in flight by instance.
+    number of requests in flight by instance. ``limited`` contains the engines that limit their rate
+    of requests; an adapter that waits for one of them is loaded on another one as well.
 
     Returns None if the adapter is already loaded or in transit on an engine with a live copy of the
     model, or if no engine can take an order for it. Engines accept no order for an adapter while
@@ -36,6 +38,8 @@
         for tracker in trackers
         if model in tracker.copies and tracker.copies[model].state is CopyState.LIVE
     ]
+    if any((model, adapter) in tracker.adapters for tracker in holders):
+        holders = [tracker for tracker in holders if tracker.instance not in limited]
     if any((model, adapter) in tracker.adapters for tracker in holders):
         return None
     ready = [
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -1,9 +1,14 @@
 """Planning and ordering of model and adapter loads for all engines, without I/O."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
-from ..dispatch import CoordinatorResidency, PrefillSlownessEstimator, UpstreamLoad
+from ..dispatch import (
+    CoordinatorResidency,
+    PrefillSlownessEstimator,
+    UpstreamLoad,
+    UpstreamNotices,
+)
 from ..fleet import EngineSpec, FleetConfig, ServiceBounds, UpstreamDirectory, UpstreamEntry
 from ..placement import OrderKind
 from ..routing import UpstreamState
@@ -46,9 +51,10 @@
 class Coordinator:
     """Decides on the orders to all engines of all services during one lease term.
 
-    ``takeover`` contains the recent orders of earlier lease holders, and ``slowness`` the
-    slowness factors of engines. ``trackers`` maps instances to the tracker of the current engine
-    process. ``changes`` is incremented whenever the state published to the nodes may have changed.
+    ``takeover`` contains the recent orders of earlier lease holders, ``slowness`` the slowness
+    factors of engines and ``notices`` what they say of themselves. ``trackers`` maps instances to
+    the tracker of the current engine process. ``changes`` is incremented whenever the state
+    published to the nodes may have changed.
     """
 
     def __init__(
@@ -57,6 +63,7 @@
         bounds: ServiceBounds,
         takeover: Takeover,
         slowness: PrefillSlownessEstimator,
+        notices: UpstreamNotices,
     ) -> None:
         self.changes = 0
         self.trackers: dict[str, EngineTracker] = {}
@@ -64,6 +71,7 @@
         self._bounds = bounds
         self._takeover = takeover
         self._slowness = slowness
+        self._notices = notices
         self._config: FleetConfig | None = None
         self._demand = DemandEstimator()
         self._planners: dict[str, Planner] = {}
@@ -196,7 +204,8 @@
             self._learn_priors(name, planner, trackers)
             if self._demand_since is not None and now - self._demand_since > PRIOR_DURATION_S:
                 planner.drop_priors()
-            actions += self._order_adapters(adapters.get(name, {}), trackers, now)
+            limits_per_s = self._limits_per_s(trackers)
+            actions += self._order_adapters(adapters.get(name, {}), trackers, limits_per_s, now)
             state = PlanState(
                 name,
                 trackers,
@@ -206,6 +215,7 @@
                 self._demand,
                 self._slowness,
                 now,
+                limits_per_s,
             )
             for step in planner.plan(state):
                 action = self._apply_step(step, now)
@@ -213,6 +223,14 @@
                     actions.append(action)
         return actions
 
+    def _limits_per_s(self, trackers: Iterable[EngineTracker]) -> dict[str, float]:
+        """Return the limits that engines name, by instance, in requests per second."""
+        limits = {
+            tracker.instance: self._notices.limit_per_s(tracker.entry.process_id)
+            for tracker in trackers
+        }
+        return {instance: limit for instance, limit in limits.items() if limit is not None}
+
     def residency(self, now: float) -> dict[str, CoordinatorResidency]:
         """Return the published state of each engine, by instance."""
         return {
@@ -309,15 +327,17 @@
         self,
         wanted: dict[tuple[str, str], float],
         trackers: list[EngineTracker],
+        limited: Container[str],
         now: float,
     ) -> Iterable[SendOrder]:
         """Begin and yield the orders for missing adapters, most urgent adapter first.
 
-        ``wanted`` maps (model, adapter) pairs to the least remaining time of their requests.
+        ``wanted`` maps (model, adapter) pairs to the least remaining time of their requests, and
+        ``limited`` contains the engines that limit their rate.
         """
         requests = {instance: load.requests for instance, load in self.loads.items()}
         for model, adapter in sorted(wanted, key=lambda pair: wanted[pair]):
-            placed = place_adapter(model, adapter, trackers, wanted, requests, now)
+            placed = place_adapter(model, adapter, trackers, wanted, requests, now, limited)
             if placed is not None:
                 tracker, order = placed
                 tracker.begin_order(order, now)
--- a/eelgrassferry/ordering/plan_state.py
+++ b/eelgrassferry/ordering/plan_state.py
@@ -1,7 +1,7 @@
 """Input of one planning pass: the engines and the demand of a service at one moment."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import cached_property
 
 from ..dispatch import NO_LOAD, PrefillSlownessEstimator, UpstreamLoad
@@ -10,6 +10,9 @@
 
 __all__ = ["PlanState"]
 
+# Least capacity of an engine that limits its rate, as a share of one that does not.
+MIN_CAPACITY = 0.02
+
 
 @dataclass(frozen=True)
 class PlanState:
@@ -17,7 +20,8 @@
 
     ``waiting`` counts, by model, the requests that no engine can serve yet; ``running`` counts the
     requests in flight by instance and model; ``loads`` is the load of each instance from all nodes;
-    ``slowness`` holds the slowness factors of the engines.
+    ``slowness`` holds the slowness factors of the engines, and ``limits_per_s`` the rates of
+    requests that engines name as their limit, by instance.
     """
 
     service: str
@@ -28,6 +32,7 @@
     demand: DemandEstimator
     slowness: PrefillSlownessEstimator
     now: float
+    limits_per_s: Mapping[str, float] = field(default_factory=dict)
 
     @cached_property
     def holders(self) -> dict[str, list[EngineTracker]]:
@@ -41,7 +46,7 @@
 
     @cached_property
     def utilization(self) -> dict[str, float]:
-        """Estimated fraction of each engine's time spent on reading prompts, by instance."""
+        """Estimated fraction of each engine's capacity that reading prompts takes, by instance."""
         return {tracker.instance: self._utilization(tracker) for tracker in self.trackers}
 
     @cached_property
@@ -59,6 +64,25 @@
         """Models whose weights some engine has in memory or on disk."""
         return set().union(*(tracker.on_disk | tracker.in_host_memory for tracker in self.trackers))
 
+    def capacity(self, tracker: EngineTracker) -> float:
+        """Return the capacity of an engine as a share of one that does not limit its rate."""
+        limit_per_s = self.limits_per_s.get(tracker.instance)
+        if limit_per_s is None:
+            return 1.0
+        return min(1.0, max(MIN_CAPACITY, limit_per_s * self._work_per_request_s))
+
+    @cached_property
+    def _work_per_request_s(self) -> float:
+        """Mean time that an engine takes to read the prompt of a request, in seconds."""
+        models = self.demand.active_models(self.service, self.now)
+        rate = sum(self.rate(model) for model in models)
+        load = sum(self.demand.offered_load(self.service, model, self.now) for model in models)
+        return load / rate if rate > 0.0 else 0.0
+
+    def capacity_of_copies(self, model: str) -> float:
+        """Return the total capacity of the engines with a live or loading copy of a model."""
+        return sum(self.capacity(tracker) for tracker in self.holders.get(model, ()))
+
     def copy_count(self, model: str) -> int:
         """Return the number of live and loading copies of a model."""
         return len(self.holders.get(model, ()))
@@ -77,7 +101,8 @@
 
     def _utilization(self, tracker: EngineTracker) -> float:
         return self.slowness.upstream_factor(tracker.instance) * sum(
-            self.demand.offered_load(self.service, model, self.now) / max(1, self.copy_count(model))
+            self.demand.offered_load(self.service, model, self.now)
+            / (self.capacity_of_copies(model) or 1.0)
             for model, copy in tracker.copies.items()
             if copy.state is CopyState.LIVE
         )
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -1,6 +1,5 @@
 """Planning of model loads and of the evictions that they require."""
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -181,12 +180,10 @@
             # The last copy was lost or is being removed, and more requests are expected.
             return ModelNeed(model, "last copy lost", rate) if rate >= RELOAD_RATE else None
         live = [tracker for tracker in holders if tracker.is_live(model)]
-        needed_copies = math.ceil(
-            state.demand.offered_load(state.service, model, state.now) / MAX_UTILIZATION
-        )
+        needed = state.demand.offered_load(state.service, model, state.now) / MAX_UTILIZATION
         max_loading = max(1, int(GROWTH_FACTOR * len(live)))
         has_enough_loading = (
-            len(holders) - len(live) >= max_loading and len(holders) >= needed_copies
+            len(holders) - len(live) >= max_loading and state.capacity_of_copies(model) >= needed
         )
         if len(holders) == len(state.trackers) or has_enough_loading:
             return None
@@ -235,7 +232,9 @@
             for model, copy in tracker.copies.items()
             if copy.state is CopyState.LIVE and state.now - copy.since >= MIN_RESIDENCE_S
         )
-        cost_s = UTILIZATION_COST_S * state.utilization[tracker.instance]
+        # The capacity that an engine does not offer counts as used.
+        unavailable = 1.0 - state.capacity(tracker)
+        cost_s = UTILIZATION_COST_S * max(unavailable, state.utilization[tracker.instance])
         cost_s += ADAPTER_COST_S * tracker.recent_adapters(state.now)
         return EngineOption(tracker, tracker.free_mb, cost_s, tuple(victims))
 
--- a/eelgrassferry/ordering/tests/simulated_fleet.py
+++ b/eelgrassferry/ordering/tests/simulated_fleet.py
@@ -5,7 +5,7 @@
 from itertools import count
 from random import Random
 
-from ...dispatch import PrefillSlownessEstimator, UpstreamLoad
+from ...dispatch import PrefillSlownessEstimator, UpstreamLoad, UpstreamNotices
 from ...fleet import FleetConfig, Service, UpstreamDirectory, UpstreamEntry
 from ...placement import OrderKind
 from .. import (
@@ -62,11 +62,14 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._serial = count()
         self.slowness = PrefillSlownessEstimator()
+        self.notices = UpstreamNotices()
         self.coordinator = self.start_coordinator(Takeover(cold_loads={}))
 
     def start_coordinator(self, inherited: Takeover) -> Coordinator:
         """Replace the coordinator, as after the end of a lease."""
-        self.coordinator = Coordinator(self.directory, BOUNDS, inherited, self.slowness)
+        self.coordinator = Coordinator(
+            self.directory, BOUNDS, inherited, self.slowness, self.notices
+        )
         self.coordinator.set_config(self.config, self.now)
         self.coordinator.apply_directory(self.now)
         return self.coordinator
--- a/eelgrassferry/ordering/tests/test_adapter_placement.py
+++ b/eelgrassferry/ordering/tests/test_adapter_placement.py
@@ -31,6 +31,16 @@
         trackers = [make_tracker("u0", "a5"), make_tracker("u1")]
         self.assertIsNone(place_adapter("m0", "a5", trackers, [("m0", "a5")], {}, 2.0))
 
+    def test_adapter_on_a_limited_engine_is_loaded_on_another_one(self):
+        """Guards against requests that are refused although an engine with their model could load
+        their adapter within milliseconds (the day ``capped``).
+        """
+        trackers = [make_tracker("u0", "a5"), make_tracker("u1")]
+        tracker, order = place_adapter("m0", "a5", trackers, [("m0", "a5")], {}, 2.0, {"u0"})
+        self.assertEqual((tracker.instance, order.kind), ("u1", OrderKind.LOAD_ADAPTER))
+        all_limited = place_adapter("m0", "a5", trackers, [("m0", "a5")], {}, 2.0, {"u0", "u1"})
+        self.assertIsNone(all_limited)
+
     def test_recently_used_and_awaited_adapters_stay(self):
         """Guards against adapters in use that evict each other in turn."""
         tracker = make_tracker("u0", "a1", "a2", "a3", "a4")
--- a/eelgrassferry/ordering/tests/test_load_patterns.py
+++ b/eelgrassferry/ordering/tests/test_load_patterns.py
@@ -5,7 +5,7 @@
 from unittest.mock import patch
 
 from ...dispatch import CoordinatorResidency, SlownessFactors, UpstreamLoad
-from ...fleet import FleetConfig
+from ...fleet import FleetConfig, UpstreamNotice
 from ...placement import OrderKind
 from .. import Takeover
 from ..planner import Planner
@@ -91,6 +91,40 @@
         self.assertEqual(len(fleet.orders), 0)
 
 
+class LimitedEngineTest(unittest.TestCase):
+    """Three engines, some of which limit their rate of requests."""
+
+    def make_fleet(self, holders: int, limits_per_s: dict[str, float]) -> SimulatedFleet:
+        """Return a fleet in which the first ``holders`` engines have the model m0."""
+        entries = [make_entry(f"u{n}", *(["m0"] if n < holders else [])) for n in range(3)]
+        fleet = SimulatedFleet(make_service(), entries)
+        for instance, limit_per_s in limits_per_s.items():
+            process_id = fleet.directory.get(instance).process_id
+            fleet.notices.record(process_id, UpstreamNotice(limit_per_s=limit_per_s), 0.0)
+        fleet.run(1.0)
+        return fleet
+
+    def test_model_in_demand_gets_a_copy_elsewhere(self):
+        """Guards against a busy model whose copies are all on engines that take two requests a
+        second, although their time would suffice (the day ``capped``).
+        """
+        fleet = self.make_fleet(2, {"u0": 2.0, "u1": 2.0})
+        serve(fleet, "m0", 4.0, per_step=1, work_s=0.02)
+        self.assertEqual(fleet.holders("m0"), ["u0", "u1", "u2"])
+
+    def test_demand_below_the_limits_causes_no_copies(self):
+        """Guards against copies that no demand requires."""
+        fleet = self.make_fleet(2, {"u0": 20.0, "u1": 20.0})
+        serve(fleet, "m0", 4.0, per_step=1, work_s=0.02)
+        self.assertEqual(fleet.holders("m0"), ["u0", "u1"])
+
+    def test_further_copy_does_not_go_to_a_limited_engine(self):
+        """Guards against copies on engines that cannot serve them."""
+        fleet = self.make_fleet(1, {"u1": 1.0})
+        serve(fleet, "m0", 4.0, per_step=1, work_s=0.08)
+        self.assertEqual(fleet.holders("m0"), ["u0", "u2"])
+
+
 class ManyWaitingModelsTest(unittest.TestCase):
     """Requests wait for many models on a fleet of many engines."""
 
