--- a/eelgrassferry/fleet/upstream_entry.py
+++ b/eelgrassferry/fleet/upstream_entry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from ..routing import UpstreamState
 
@@ -31,7 +32,7 @@
     in_host_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
 
-    @property
+    @cached_property
     def process_id(self) -> str:
         """Id of the current process of the upstream."""
         return f"{self.instance}/{self.started_ms}"
