--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -30,12 +30,12 @@
 from .crash_analyzer import CrashAnalyzer
 from .fleet_residency import FleetResidency
 from .job import Attempt, Job
-from .load_forecast import LoadForecast
 from .load_view import UpstreamLoad
 from .slowness_sample import SlownessSample
 from .upstream_notices import UpstreamNotices
-from .upstream_selector import INITIAL_PLAIN_LATENCY_S, UpstreamSelector
+from .upstream_selector import UpstreamSelector
 from .upstream_turns import UpstreamTurns
+from .wait_policy import WaitPolicy
 
 __all__ = ["Dispatcher"]
 
@@ -47,29 +47,9 @@
 # Share of the time left to a repeatable request after which an upstream that has not answered is
 # given up.
 SILENCE_TIMEOUT_SHARE = 0.4
-# Retry-After, in seconds, when another node can serve the request: callers retry at another node.
-OTHER_NODE_RETRY_AFTER_S = 0.05
-# Share of the time until the start deadline that a request may wait for free capacity, or for a
-# model or adapter that is not known to be loading. It is then refused with Retry-After, because a
-# retry can succeed after that deadline, when a waiting caller would have disconnected.
-MAX_WAIT_SHARE = 0.55
-# Requests have waited for the engines of a model without a pause for this time, in seconds: the
-# engines are overloaded, not just busy for a moment.
-OVERLOADED_AFTER_S = 0.5
 # Expected wait at an upstream, in seconds, up to which a request is always sent: the time to
 # prefill about one prompt.
 ALWAYS_ADMITTED_WAIT_S = 0.15
-# Retry-After, in seconds, when only nodes of another failure domain can serve the request: the load
-# balancer checks once a second and redirects callers after two failed checks.
-OTHER_DOMAIN_RETRY_AFTER_S = 1.0
-# Retry-After, in seconds, when no better estimate exists.
-DEFAULT_RETRY_AFTER_S = 1.0
-
-# Share of their time left up to which callers honour Retry-After.
-HONOURED_SHARE = 1.0 / 3.0
-# Callers whose model is being loaded are asked to return at random times within this period after
-# the load, in seconds, so that they do not all arrive in the same moment.
-RETURN_SPREAD_S = 0.2
 # A caller that was refused because of a missing model counts as demand until this time after its
 # Retry-After, in seconds.
 RETURN_SLACK_S = 0.3
@@ -133,7 +113,7 @@
         self._residency = residency
         self._bounds = bounds
         self._rng = rng
-        self._forecast = LoadForecast(directory, residency)
+        self._waits = WaitPolicy(self.selector, directory, residency, rng)
         self._waiting: list[Job] = []
         self._unanswered: set[Job] = set()
         self._enforced_verdicts = 0
@@ -392,13 +372,7 @@
 
     def waiting_reason(self, job: Job, now: float) -> RefuseReason:
         """Return why a request cannot be sent now, which is also the reason if it is refused."""
-        if not self._directory.of_service(job.service):
-            return RefuseReason.NO_UPSTREAM
-        if job.model and not self.selector.has_capable_upstream(job, now):
-            return RefuseReason.NOT_RESIDENT
-        if self.selector.available_at(job, now) > now:
-            return RefuseReason.UPSTREAM_LIMIT
-        return RefuseReason.NO_CAPACITY
+        return self._waits.reason(job, now)
 
     @property
     def waiting(self) -> int:
@@ -421,7 +395,7 @@
             if sent is not None:
                 job.waiting = False
                 actions.append(sent)
-            elif self._cannot_start_in_time(job, now):
+            elif self._waits.is_useless(job, self._queued_since_of(job, now), now):
                 job.waiting = False
                 actions.append(self._stop_waiting(job, now))
             else:
@@ -430,6 +404,10 @@
         self._update_queues(now)
         return actions
 
+    def _queued_since_of(self, job: Job, now: float) -> float:
+        """Return since when requests have waited for a job's model without a pause."""
+        return self._queued_since.get((job.service, job.model), now)
+
     def _update_queues(self, now: float) -> None:
         """Record since when requests have waited for each model without a pause."""
         queued = {(job.service, job.model) for job in self._waiting if job.model}
@@ -462,7 +440,7 @@
         sent = self._try_send(job, now)
         if sent is not None:
             return [sent]
-        if self._cannot_start_in_time(job, now):
+        if self._waits.is_useless(job, self._queued_since_of(job, now), now):
             return [self._stop_waiting(job, now)]
         job.waiting = True
         insort(self._waiting, job, key=lambda waiting: waiting.queue_key)
@@ -545,43 +523,10 @@
         self._close(job)
         if job.may_have_run:
             return Fail(job, FailReason.CONNECTION_LOST)
-        retry_after_s: float | None = None if final else DEFAULT_RETRY_AFTER_S
-        if reason is RefuseReason.STOPPING:
-            retry_after_s = OTHER_NODE_RETRY_AFTER_S
-        elif self.selector.isolated:
-            retry_after_s = OTHER_DOMAIN_RETRY_AFTER_S
-        if not final and reason is RefuseReason.NOT_RESIDENT:
-            ready_at = self._ready_at(job, now)
-            if ready_at is not None:
-                retry_after_s = max(0.05, ready_at - now) + self._rng.uniform(0.0, RETURN_SPREAD_S)
-                self._returning.append((now + retry_after_s + RETURN_SLACK_S, job))
-        elif not final and reason is RefuseReason.NO_CAPACITY and job.model:
-            loaded_at = self._residency.expected_load_time(job.service, job.model)
-            if loaded_at is not None:
-                # A further copy will have capacity.
-                retry_after_s = max(0.05, loaded_at - now)
-            retry_after_s = retry_after_s or DEFAULT_RETRY_AFTER_S
-            retry_after_s += self._rng.uniform(0.0, RETURN_SPREAD_S)
-        elif not final and reason in (RefuseReason.UPSTREAM_LIMIT, RefuseReason.NOT_RUN_UPSTREAM):
-            limited_s = self._limited_retry_after_s(job, now)
-            if limited_s is not None:
-                retry_after_s = limited_s
-                self._returning.append((now + limited_s + RETURN_SLACK_S, job))
-        return Refuse(job, reason, retry_after_s)
-
-    def _limited_retry_after_s(self, job: Job, now: float) -> float | None:
-        """Return when a caller may return whose upstreams accept no requests now, in seconds.
-
-        None if they do. A further copy of the job's model may be loaded before they do again.
-        """
-        available_at = self.selector.available_at(job, now)
-        if available_at <= now:
-            return None
-        if job.model:
-            loaded_at = self._residency.expected_load_time(job.service, job.model)
-            if loaded_at is not None:
-                available_at = min(available_at, max(now, loaded_at))
-        return available_at - now + self._rng.uniform(0.0, RETURN_SPREAD_S)
+        advice = self._waits.advise(job, reason, now, final)
+        if advice.is_demand and advice.retry_after_s is not None:
+            self._returning.append((now + advice.retry_after_s + RETURN_SLACK_S, job))
+        return Refuse(job, reason, advice.retry_after_s)
 
     def _close(self, job: Job) -> None:
         """Remove a job from the queue and its attempt from the load."""
@@ -651,72 +596,6 @@
             return True
         return now + attempt.expected_s <= job.target_at
 
-    def _cannot_start_in_time(self, job: Job, now: float) -> bool:
-        """Return whether waiting is useless: the job cannot start by its deadline at this node."""
-        if job.awaits_turn:
-            return False
-        available_at = now
-        if job.model and not self.selector.has_capable_upstream(job, now):
-            if self.selector.isolated:
-                return True
-            loaded_at = self._residency.expected_load_time(job.service, job.model)
-            if loaded_at is None:
-                if self._has_waited_too_long(job, now):
-                    return True
-            elif loaded_at >= job.start_deadline:
-                return self._should_refuse_until(job, loaded_at, now)
-        else:
-            available_at = self.selector.available_at(job, now)
-            is_crowded = self._has_waited_too_long(job, now) or self._is_crowded_out(job, now)
-            if available_at <= now and job.model and is_crowded:
-                return True
-        if job.model:
-            min_start_s = self.selector.slowness.expected_s("", job.model, job.prompt_tokens) / 2.0
-        else:
-            min_start_s = INITIAL_PLAIN_LATENCY_S / 2.0
-        if available_at <= now:
-            return now + min_start_s >= job.start_deadline
-        if self.selector.is_limited(job, now):
-            # The turns until then are booked by other requests that can still be answered in time.
-            return available_at + min_start_s >= job.target_at
-        is_late = available_at + min_start_s >= job.start_deadline
-        return is_late and self._should_refuse_until(job, available_at, now)
-
-    def _is_crowded_out(self, job: Job, now: float) -> bool:
-        """Return whether a job misses its target and the engines of its model are overloaded.
-
-        They then serve the requests that can still be answered in time, so that waiting is useless.
-        """
-        since = self._queued_since.get((job.service, job.model), now)
-        if now - since < OVERLOADED_AFTER_S:
-            return False
-        return now + self.selector.slowness.expected_s("", job.model, 0.0) >= job.target_at
-
-    def _ready_at(self, job: Job, now: float) -> float | None:
-        """Return the time at which a job's missing model may be loaded, None if not known."""
-        engine = self.selector.engine(job.service)
-        if engine is None:
-            return None
-        return self._forecast.ready_at(job.service, engine, job.model, now)
-
-    def _should_refuse_until(self, job: Job, available_at: float, now: float) -> bool:
-        """Return whether to refuse a job now that can be sent after its start deadline only.
-
-        Callers honour Retry-After up to a share of their time left, and then wait as long as
-        before. A job is refused as soon as its caller can be served after its return. Until then it
-        waits, because the caller would return too early. It is refused at once if no wait helps.
-        """
-        if self._has_waited_too_long(job, now) or available_at >= job.give_up_at:
-            return True
-        longest_wait_at = _longest_wait_at(job)
-        return _can_return(job, available_at, now) or not _can_return(
-            job, available_at, longest_wait_at
-        )
-
-    def _has_waited_too_long(self, job: Job, now: float) -> bool:
-        """Return whether a job has used up its share of the time until its start deadline."""
-        return now >= _longest_wait_at(job)
-
     @property
     def _retry_burst(self) -> float:
         return RETRY_BUDGET_SHARE * self._bounds.retry_slack / self._node_count
@@ -728,15 +607,3 @@
             budget = RetryBudget(ratio, burst=self._retry_burst, floor_per_s=0.0)
             self._retry_budgets[service] = budget
         return budget
-
-
-def _longest_wait_at(job: Job) -> float:
-    """Return the time until which a job may wait for a model or for capacity."""
-    return job.arrived_at + MAX_WAIT_SHARE * (job.start_deadline - job.arrived_at)
-
-
-def _can_return(job: Job, loaded_at: float, refused_at: float) -> bool:
-    """Return whether a caller that is refused at a given time can be served after its return."""
-    honoured_s = HONOURED_SHARE * (job.give_up_at - refused_at)
-    returns_at = refused_at + min(honoured_s, max(0.0, loaded_at - refused_at))
-    return loaded_at < min(job.give_up_at, returns_at + job.start_deadline - job.arrived_at)
