--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -1,6 +1,6 @@
 """Messages between nodes and the encoding of their bodies."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,14 +12,13 @@
     ProcessNotice,
     SlownessFactors,
     SlownessSample,
-    TurnReply,
-    TurnRequest,
     UpstreamLoad,
 )
 from ..objects import FeedUpdate, StoredObject
 from ..ordering import NodeStatus, OrderUpdate, PendingDemand
 from ..peers.errors import MalformedMessage
 from .crash_evidence_codec import decode_crash_evidence, encode_crash_evidence
+from .notice_codec import decode_notices, encode_notices
 
 __all__ = [
     "CHANGES",
@@ -37,14 +36,10 @@
     "decode_changes",
     "decode_copy",
     "decode_status",
-    "decode_turn_replies",
-    "decode_turn_requests",
     "decode_view",
     "encode_changes",
     "encode_copy",
     "encode_status",
-    "encode_turn_replies",
-    "encode_turn_requests",
     "encode_view",
 ]
 
@@ -161,7 +156,7 @@
     if status.crashes:
         body["crashes"] = encode_crash_evidence(status.crashes, now)
     if status.notices:
-        body["notices"] = _encode_notices(status.notices, now)
+        body["notices"] = encode_notices(status.notices, now)
     return body
 
 
@@ -185,7 +180,7 @@
                         SlownessSample(i, m, float(f)) for i, m, f in body["paces"]
                     ),
                     crashes=decode_crash_evidence(body.get("crashes"), now),
-                    notices=_decode_notices(body.get("notices", ()), now),
+                    notices=decode_notices(body.get("notices", ()), now),
                 ),
                 ViewReply(float(body["seen"]), bool(body["reached"])),
             )
@@ -227,7 +222,7 @@
     if view.crashes:
         body["crashes"] = encode_crash_evidence(view.crashes, now)
     if view.notices:
-        body["notices"] = _encode_notices(view.notices, now)
+        body["notices"] = encode_notices(view.notices, now)
     if view.orders is not None:
         update = view.orders
         body["orders"] = [
@@ -266,7 +261,7 @@
         names = (str(body.get("standby", "")), str(body.get("holder", "")))
         crashes = decode_crash_evidence(body.get("crashes"), now)
         versions = {str(prefix): int(n) for prefix, n in body.get("versions", {}).items()}
-        news = (crashes, versions, _decode_notices(body.get("notices", ()), now))
+        news = (crashes, versions, decode_notices(body.get("notices", ()), now))
         return Ok(FleetView(*counters, loads, residency, orders, *flags, slowness, *names, *news))
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Err(MalformedMessage("decode_view", "", repr(exc)))
@@ -328,50 +323,6 @@
         return Err(MalformedMessage("decode_changes", "", repr(exc)))
 
 
-def encode_turn_requests(requests: Sequence[TurnRequest]) -> Any:
-    """Encode requests for turns as the body of a frame."""
-    return [[request.process_id, request.count, request.max_wait_s] for request in requests]
-
-
-def decode_turn_requests(body: Any) -> Result[list[TurnRequest], MalformedMessage]:
-    """Decode a frame's body into requests for turns."""
-    try:
-        return Ok(
-            [
-                TurnRequest(str(process_id), int(count), float(max_wait_s))
-                for process_id, count, max_wait_s in body
-            ]
-        )
-    except (TypeError, ValueError) as exc:
-        return Err(MalformedMessage("decode_turns", "", repr(exc)))
-
-
-def encode_turn_replies(replies: Sequence[TurnReply], now: float) -> Any:
-    """Encode replies to requests for turns as the body of a frame sent at ``now``."""
-    return [
-        [reply.process_id, reply.count, [at - now for at in reply.turns], reply.next_at - now]
-        for reply in replies
-    ]
-
-
-def decode_turn_replies(body: Any, now: float) -> Result[list[TurnReply], MalformedMessage]:
-    """Decode a frame's body, received at ``now``, into replies to requests for turns."""
-    try:
-        return Ok(
-            [
-                TurnReply(
-                    str(process_id),
-                    int(count),
-                    tuple(now + wait_s for wait_s in waits),
-                    now + next_in_s,
-                )
-                for process_id, count, waits, next_in_s in body
-            ]
-        )
-    except (TypeError, ValueError) as exc:
-        return Err(MalformedMessage("decode_turns", "", repr(exc)))
-
-
 def _encode_objects(objects: tuple[StoredObject, ...]) -> list[list[Any]]:
     return [[obj.key, obj.version, obj.value] for obj in objects]
 
@@ -380,25 +331,6 @@
     return tuple(StoredObject(key, version, value) for key, version, value in body)
 
 
-def _encode_notices(notices: tuple[ProcessNotice, ...], now: float) -> list[list[Any]]:
-    return [
-        [notice.process_id, notice.seen_at - now, notice.leaving, notice.limit_per_s]
-        for notice in notices
-    ]
-
-
-def _decode_notices(body: Any, now: float) -> tuple[ProcessNotice, ...]:
-    return tuple(
-        ProcessNotice(
-            str(process_id),
-            now + ago_s,
-            bool(leaving),
-            None if limit_per_s is None else float(limit_per_s),
-        )
-        for process_id, ago_s, leaving, limit_per_s in body
-    )
-
-
 def _round_factors(factors: Mapping[str, float]) -> dict[str, float]:
     return {key: round(factor, 3) for key, factor in factors.items()}
 
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -37,18 +37,20 @@
     FleetView,
     ViewReply,
     decode_status,
-    decode_turn_replies,
-    decode_turn_requests,
     decode_view,
     encode_status,
-    encode_turn_replies,
-    encode_turn_requests,
     encode_view,
 )
 from .node_registry import NodeRegistry
 from .object_relay import ObjectRelay
 from .peer_link import PeerLink
 from .succession import Succession
+from .turn_codec import (
+    decode_turn_replies,
+    decode_turn_requests,
+    encode_turn_replies,
+    encode_turn_requests,
+)
 
 __all__ = ["PeerMesh"]
 
