Take no answer of an intermediary for the end of a limit

An answer without Server-Limit ends a limit. One without the upstream's seal that says nothing else of the upstream may have been written on the way, so it no longer does. Found by reading; NoticeTest failed before.

--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -18,7 +18,7 @@
     RefuseReason,
     Send,
 )
-from ..fleet import RequestKind, UpstreamEntry
+from ..fleet import NO_NOTICE, RequestKind, UpstreamEntry
 from ..forwarding import AnswerHead, CallerConn, CallerRequest, RequestMetadata, UpstreamConn
 from .event_buffer import EventBuffer
 
@@ -183,8 +183,7 @@
             self._handler.record_mismatched_answer(self, head)
             return False
         self._answer_head = head
-        if not self._handler.is_from_other_instance(head, self.job):
-            self._handler.dispatcher.record_notice(self.job, head.notice, self._handler.clock())
+        self._record_notice(head)
         if self._is_stream and self._is_success:
             self._cancel_response_timer()
             self._handler.dispatcher.record_first_event(self.job, self._handler.clock())
@@ -193,6 +192,15 @@
                 self._caller_conn.start(head.status, head.forwarded_headers)
         return True
 
+    def _record_notice(self, head: AnswerHead) -> None:
+        """Record what the upstream says of itself.
+
+        An answer without a notice ends a limit, unless an intermediary may have written it.
+        """
+        is_own_answer = head.sealed or head.not_run or head.notice != NO_NOTICE
+        if is_own_answer and not self._handler.is_from_other_instance(head, self.job):
+            self._handler.dispatcher.record_notice(self.job, head.notice, self._handler.clock())
+
     def on_body(self, data: bytes) -> None:
         """Relay or buffer a part of the answer's body."""
         self.answer_bytes += len(data)
--- a/eelgrassferry/entry/tests/test_exchange.py
+++ b/eelgrassferry/entry/tests/test_exchange.py
@@ -5,7 +5,7 @@
 
 from ...dispatch import AttemptFailure, Job
 from ...dispatch.tests.fixtures import make_route
-from ...fleet import RequestKind
+from ...fleet import NO_NOTICE, RequestKind, UpstreamNotice
 from ...forwarding import AnswerHead, RequestMetadata
 from ..exchange import MAX_BUFFERED_BYTES, Exchange
 
@@ -25,6 +25,7 @@
     """Return the head of an answer to request r1."""
     head = Mock(spec=AnswerHead, status=status, sealed=sealed, encoded=False, request_id="r1")
     head.succeeded, head.not_run, head.forwarded_headers = status < 300, False, []
+    head.notice = NO_NOTICE
     return head
 
 
@@ -74,3 +75,26 @@
         for _ in range(2 * MAX_BUFFERED_BYTES // len(PART)):
             exchange.on_body(event)
         exchange._handler.dispatcher.fail.assert_not_called()
+
+
+class NoticeTest(unittest.TestCase):
+    """What an upstream says of itself in the head of an answer."""
+
+    def recorded(self, sealed: bool, notice: UpstreamNotice) -> bool:
+        """Return whether the notice of an answer reaches the dispatcher."""
+        exchange = make_exchange(RequestKind.IDEMPOTENT)
+        exchange._handler.is_from_other_instance.return_value = False
+        head = make_head(sealed=sealed)
+        head.notice = notice
+        exchange.on_head(head)
+        return exchange._handler.dispatcher.record_notice.called
+
+    def test_answers_of_the_upstream_are_recorded(self):
+        """Guards against a limit that is kept after an answer without it."""
+        self.assertTrue(self.recorded(True, NO_NOTICE))
+        self.assertTrue(self.recorded(True, UpstreamNotice(limit_per_s=2.0)))
+
+    def test_answer_without_seal_and_notice_says_nothing(self):
+        """Guards against an intermediary's answer that ends a limit."""
+        self.assertFalse(self.recorded(False, NO_NOTICE))
+        self.assertTrue(self.recorded(False, UpstreamNotice(pause_s=2.0)))
