Let the nodes of LeavingTest learn the latencies of both servers first

In one of three runs alone and two of six at once, the server that was to leave got no request at all, as the nodes had measured the other one's latency only, and the test failed on its precondition. No check is changed.

--- a/eelgrassferry/platform/tests/test_upstream_notices.py
+++ b/eelgrassferry/platform/tests/test_upstream_notices.py
@@ -24,6 +24,7 @@
         self.servers = [await self.add_server("desk", f"i-desk{n}") for n in range(2)]
         self.engines = [await self.add_server("chat", f"i-engine{n}", "m0") for n in range(2)]
         await self.start_nodes()
+        await self.learn_latencies(self.servers)
 
     async def test_plain_server_that_leaves_gets_no_new_requests(self):
         """Guards against a violation of DRAIN: requests to a server that has said in its answers,
