Take a node's share of a limit from the last view if its registry is not listed

A node that has lost its coordinator before it has listed the nodes took itself for the only one, and would have booked the whole limit. Found by reading; not seen in a run.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -315,6 +315,11 @@
         for budget in self._retry_budgets.values():
             budget.burst = self._retry_burst
 
+    @property
+    def node_count(self) -> int:
+        """Number of live nodes, as last set."""
+        return self._node_count
+
     def set_other_loads(self, loads: Mapping[str, UpstreamLoad], now: float) -> None:
         """Replace the loads that the other nodes put on the upstreams."""
         self.load.set_others(loads, now)
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -372,7 +372,7 @@
     def _request_turns(self) -> None:
         """Ask for the turns that waiting requests want at upstreams which limit their rate."""
         turns = self._dispatcher.turns
-        turns.node_count = max(1, len(self._mesh.registry))
+        turns.node_count = max(self._dispatcher.node_count, len(self._mesh.registry))
         requests = turns.pop_requests(boot_clock(), self._mesh.has_coordinator)
         if requests:
             self._mesh.request_turns(requests)
