Keep the notices of an upstream while its registration lapses

The notices of a process were removed with its registration, which may lapse while the store is down and come back: a server that had said that it leaves, and nothing else, would have got requests again (DRAIN), as would one that pauses. They are now kept for 60 s after the last answer, and removed then.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -327,7 +327,6 @@
     def forget(self, instance: str) -> None:
         """Remove all statistics of an upstream that has stopped or restarted."""
         self.selector.forget(instance)
-        self.notices.forget(instance)
         self.turns.forget(instance)
 
     def record_no_listener(self, entry: UpstreamEntry, now: float) -> list[Action]:
--- a/eelgrassferry/dispatch/upstream_notices.py
+++ b/eelgrassferry/dispatch/upstream_notices.py
@@ -1,6 +1,6 @@
 """What the upstreams say of themselves in their answers, as known to all nodes."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, replace
 
 from ..fleet import UpstreamNotice
@@ -10,6 +10,9 @@
 # Least rate at which an upstream gets requests, per second. Its answers tell when a limit ends, so
 # an upstream that takes hardly any requests, or none, gets one from time to time.
 MIN_LIMIT_PER_S = 0.25
+# Time for which the notices of a process that is not registered are kept, in seconds: longer than
+# an outage of the registry and the last requests of a server that leaves.
+KEEP_S = 60.0
 
 
 @dataclass(frozen=True)
@@ -121,9 +124,18 @@
         """Return all notices."""
         return tuple(self._known.values())
 
-    def forget(self, instance: str) -> None:
-        """Remove the notices of an upstream that has stopped or restarted."""
-        for process_id in [key for key in self._known if key.rpartition("/")[0] == instance]:
+    def expire(self, registered: Container[str], now: float) -> None:
+        """Remove the notices of processes that have ended.
+
+        ``registered`` contains the ids of the registered processes. The registration of a process
+        that still runs may lapse for some time, so its notices are kept meanwhile.
+        """
+        ended = [
+            notice.process_id
+            for notice in self._known.values()
+            if notice.process_id not in registered and now - notice.seen_at > KEEP_S
+        ]
+        for process_id in ended:
             for entries in (self._known, self._updates, self._changed, self._paused_until):
                 entries.pop(process_id, None)
 
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -251,6 +251,8 @@
                 if self._isolation.isolated:
                     self._close_idle_callers()
                 self._pool.sweep()
+                registered = {entry.process_id for entry in self._directory.all()}
+                self._dispatcher.notices.expire(registered, boot_clock())
 
     def _close_idle_callers(self) -> None:
         """Close idle connections once the load balancer routes callers to other nodes."""
