--- a/eelgrassferry/platform/tests/node_fleet.py
+++ b/eelgrassferry/platform/tests/node_fleet.py
@@ -10,7 +10,7 @@
 
 from ...http import HttpClient, HttpError, HttpResponse
 from .documents import HOST, make_config, make_settings
-from .soak.free_ports import free_ports
+from .soak.free_ports import free_ports, own_loopback_ip
 from .spawn_node import spawn_node
 from .standin_server import StandinServer
 from .standin_store import StandinStore
@@ -35,6 +35,7 @@
         self.folder = Path(folder.name)
         self.client = HttpClient()
         self.addCleanup(self.client.close)
+        self.ip = own_loopback_ip()
         self.fronts: list[int] = []
         self.processes: list[asyncio.subprocess.Process] = []
         self.addAsyncCleanup(self.stop_nodes)
@@ -66,10 +67,12 @@
 
     async def start_node(self, number: int) -> None:
         """Start a node process with a number, which gives its name."""
-        front, ready, control = free_ports(3)
+        front, ready, control = free_ports(3, self.ip)
         settings = self.folder / f"node{number}.conf"
         name = f"front-{number + 1}"
-        settings.write_text(make_settings(self.store_address, front, ready, control, name))
+        settings.write_text(
+            make_settings(self.store_address, front, ready, control, name, ip=self.ip)
+        )
         self.fronts.append(front)
         with (self.folder / f"log{number}").open("ab") as log:
             self.processes.append(await spawn_node(settings, stdout=log))
@@ -117,7 +120,7 @@
         if model:
             headers += [("Eelgrassferry-Model", model), ("Eelgrassferry-Token-Counts", "10,5")]
         return await self.client.request(
-            f"127.0.0.1:{front}", "POST", path, headers=tuple(headers), body=b"text"
+            f"{self.ip}:{front}", "POST", path, headers=tuple(headers), body=b"text"
         )
 
     async def call_steadily(self, path: str, per_s: float, for_s: float, model: str = "") -> list:
--- a/eelgrassferry/platform/tests/soak/soak_fleet.py
+++ b/eelgrassferry/platform/tests/soak/soak_fleet.py
@@ -1,7 +1,6 @@
 """Fleet of nodes, servers and a store into which faults are injected."""
 
 import asyncio
-import os
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from random import Random
@@ -12,7 +11,7 @@
 from .caller import Caller
 from .fault_plan import Fault, FaultKind
 from .fault_proxy import FaultProxy
-from .free_ports import free_ports
+from .free_ports import free_ports, own_loopback_ip
 from .invariants import CONFIG_APPLY_S
 from .records import Disturbance, SoakRecord
 from .soak_node import SoakNode
@@ -58,10 +57,8 @@
         self.clock = asyncio.get_running_loop().time
         self._rng = Random(seed)
         self._folder = folder
-        # Nodes keep their ports across restarts. They listen on a loopback address derived from
-        # this process's id, so that no other process takes the ports of a node that is down.
-        pid = os.getpid()
-        self._node_ip = f"127.{1 + pid // 62_500 % 250}.{pid // 250 % 250}.{1 + pid % 250}"
+        # Nodes keep their ports across restarts.
+        self._node_ip = own_loopback_ip()
         self._store = StandinStore()
         self._store_proxies: dict[str, FaultProxy] = {}
         self._servers: dict[str, SoakServer] = {}
--- a/eelgrassferry/platform/tests/test_answers_without_length.py
+++ b/eelgrassferry/platform/tests/test_answers_without_length.py
@@ -7,7 +7,7 @@
 
 from .documents import HOST, make_config, make_settings
 from .raw_server import RawServer
-from .soak.free_ports import free_ports
+from .soak.free_ports import free_ports, own_loopback_ip
 from .spawn_node import spawn_node
 from .standin_store import StandinStore
 
@@ -30,11 +30,13 @@
         await self.plain.start()
         self.addAsyncCleanup(self.engine.stop)
         self.addAsyncCleanup(self.plain.stop)
-        self.front, self.ready, control = free_ports(3)
+        self.front, self.ready, control = free_ports(3, own_loopback_ip())
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         settings = Path(folder.name) / "node.conf"
-        settings.write_text(make_settings(address, self.front, self.ready, control))
+        settings.write_text(
+            make_settings(address, self.front, self.ready, control, ip=own_loopback_ip())
+        )
         with (Path(folder.name) / "log").open("ab") as log:
             self.node = await spawn_node(settings, stdout=log)
         self.addAsyncCleanup(self.stop_node)
@@ -55,7 +57,7 @@
 
     async def exchange(self, port: int, request: bytes) -> bytes:
         """Send a request and return all bytes until the connection ends."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection(own_loopback_ip(), port)
         writer.write(request)
         received = b""
         try:
--- a/eelgrassferry/platform/tests/test_crashing_content.py
+++ b/eelgrassferry/platform/tests/test_crashing_content.py
@@ -7,7 +7,7 @@
 
 from ...http import HttpClient, HttpResponse
 from .documents import HOST, make_config, make_settings
-from .soak.free_ports import free_ports
+from .soak.free_ports import free_ports, own_loopback_ip
 from .spawn_node import spawn_node
 from .standin_server import StandinServer
 from .standin_store import StandinStore
@@ -36,11 +36,13 @@
             engine.deadly_part = DEADLY_PART
             await engine.start()
             self.addAsyncCleanup(engine.stop)
-        self.front, ready, control = free_ports(3)
+        self.front, ready, control = free_ports(3, own_loopback_ip())
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         settings = Path(folder.name) / "node.conf"
-        settings.write_text(make_settings(address, self.front, ready, control))
+        settings.write_text(
+            make_settings(address, self.front, ready, control, ip=own_loopback_ip())
+        )
         self.client = HttpClient()
         self.addCleanup(self.client.close)
         with (Path(folder.name) / "log").open("ab") as log:
@@ -70,7 +72,7 @@
             ("Eelgrassferry-Prompt-Prefix", prompt),
         )
         sent = await self.client.request(
-            f"127.0.0.1:{self.front}", "POST", path, headers=headers, body=name.encode()
+            f"{own_loopback_ip()}:{self.front}", "POST", path, headers=headers, body=name.encode()
         )
         return sent.ok_value if sent.is_ok() else None
 
--- a/eelgrassferry/platform/tests/test_whole_path.py
+++ b/eelgrassferry/platform/tests/test_whole_path.py
@@ -13,7 +13,7 @@
 
 from ...http import HttpClient, HttpResponse
 from .documents import HOST, make_config, make_settings
-from .soak.free_ports import free_ports
+from .soak.free_ports import free_ports, own_loopback_ip
 from .spawn_node import spawn_node
 from .standin_server import StandinServer
 from .standin_store import StandinStore
@@ -36,11 +36,13 @@
             await server.start()
             self.addAsyncCleanup(server.stop)
         self.addAsyncCleanup(self.spare.stop)
-        self.front, self.ready, control = free_ports(3)
+        self.front, self.ready, control = free_ports(3, own_loopback_ip())
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.settings = Path(folder.name) / "node.conf"
-        self.settings.write_text(make_settings(address, self.front, self.ready, control))
+        self.settings.write_text(
+            make_settings(address, self.front, self.ready, control, ip=own_loopback_ip())
+        )
         self.log = Path(folder.name) / "log"
         self.client = HttpClient()
         self.addCleanup(self.client.close)
@@ -59,7 +61,7 @@
 
     async def is_ready(self) -> bool:
         result = await self.client.request(
-            f"127.0.0.1:{self.ready}", "GET", "/eelgrassferry/ready", new_connection=True
+            f"{own_loopback_ip()}:{self.ready}", "GET", "/eelgrassferry/ready", new_connection=True
         )
         return result.is_ok() and result.ok_value.status == 200
 
@@ -77,7 +79,7 @@
             *names.items(),
         )
         sent = await self.client.request(
-            f"127.0.0.1:{self.front}",
+            f"{own_loopback_ip()}:{self.front}",
             "POST",
             path,
             headers=(("Host", HOST), *all_headers),
@@ -164,7 +166,7 @@
         """Guards against forwarding a request that matches no route, or that has no id."""
         self.assertEqual((await self.call("/other/x", 13)).status, 404)
         self.assertEqual(self.log_lines("request refused")[0]["reason"], "no_route")
-        address = f"127.0.0.1:{self.front}"
+        address = f"{own_loopback_ip()}:{self.front}"
         sent = await self.client.request(
             address, "POST", "/chat/x", headers=(("Host", HOST),), body=b"text"
         )
