--- a/eelgrassferry/coordination/object_relay.py
+++ b/eelgrassferry/coordination/object_relay.py
@@ -34,7 +34,7 @@
 PULL_INTERVAL_S = 0.4
 # A copy that the coordinator has not sent this long after it was requested is requested again, in
 # seconds.
-COPY_TIMEOUT_S = 0.5
+COPY_TIMEOUT_S = 0.3
 
 
 class ObjectRelay:
--- a/eelgrassferry/platform/tests/test_whole_path.py
+++ b/eelgrassferry/platform/tests/test_whole_path.py
@@ -90,9 +90,23 @@
 
     def log_lines(self, event: str) -> list[dict]:
         """Return the node's log lines of an event, decoded."""
-        entries = [json.loads(line) for line in self.log.read_text().splitlines()]
+        lines = self.log.read_text().splitlines(keepends=True)
+        # The last line may not be complete yet.
+        entries = [json.loads(line) for line in lines if line.endswith("\n")]
         return [line for line in entries if line["event"] == event]
 
+    async def log_line(self, event: str, request_id: str) -> dict:
+        """Return the node's only log line of an event of a request, which may follow its answer."""
+        found: list[dict] = []
+
+        async def is_written() -> bool:
+            found[:] = [x for x in self.log_lines(event) if x["request_id"] == request_id]
+            return bool(found)
+
+        await self.eventually(is_written)
+        (line,) = found
+        return line
+
     async def test_plain_request_is_passed_through(self):
         """Guards against a changed status, body or seal, and against an extended deadline."""
         res = await self.call("/look/x?q=1", 1)
@@ -259,7 +273,7 @@
         self.engine.event_pause_s = self.spare.event_pause_s = 0.2
         res = await self.call("/chat/x", 61, Eelgrassferry_Model="m0")
         self.assertEqual(res.status, 200)
-        (served,) = [x for x in self.log_lines("request served") if x["request_id"] == "id-61"]
+        served = await self.log_line("request served", "id-61")
         self.assertGreaterEqual(served["longest_pause_ms"], 190)
 
     async def test_log_leads_from_a_request_to_its_failure(self):
@@ -267,9 +281,10 @@
         for server in self.plain_servers:
             server.status = 500
         await self.call("/book/x", 60)
+        await self.log_line("run failed", "id-60")
         ids = [line["request_id"] for line in self.log_lines("run failed")]
         self.assertEqual(ids, ["id-60"])
-        (sent,) = [x for x in self.log_lines("request sent") if x["request_id"] == "id-60"]
+        sent = await self.log_line("request sent", "id-60")
         self.assertIn("directory_age_ms", sent)
         self.assertEqual(sent["config_version"], 1)
 
