--- a/eelgrassferry/platform/tests/soak/__init__.py
+++ b/eelgrassferry/platform/tests/soak/__init__.py
@@ -1,22 +1,35 @@
 """Randomized soak test: node processes under faults that are injected from outside them."""
 
-from .fault_plan import Fault, FaultKind, draw_plan
+from .fault_plan import Fault, FaultKind, draw_notices, draw_plan
 from .fault_proxy import FaultProxy
 from .invariants import Violation, find_violations
-from .records import CallRecord, Disturbance, OrderRecord, RunRecord, SoakRecord
+from .records import (
+    ArrivalRecord,
+    CallRecord,
+    Disturbance,
+    LimitRecord,
+    NoticeRecord,
+    OrderRecord,
+    RunRecord,
+    SoakRecord,
+)
 from .run_soak import SoakReport, run_soak
 
 __all__ = [
+    "ArrivalRecord",
     "CallRecord",
     "Disturbance",
     "Fault",
     "FaultKind",
     "FaultProxy",
+    "LimitRecord",
+    "NoticeRecord",
     "OrderRecord",
     "RunRecord",
     "SoakRecord",
     "SoakReport",
     "Violation",
+    "draw_notices",
     "draw_plan",
     "find_violations",
     "run_soak",
--- a/eelgrassferry/platform/tests/soak/__main__.py
+++ b/eelgrassferry/platform/tests/soak/__main__.py
@@ -19,11 +19,14 @@
 
 
 @app.default
-def soak(seeds: str = "1-3", seconds: float = 20.0, logs: Path | None = None) -> int:
+def soak(
+    seeds: str = "1-3", seconds: float = 20.0, logs: Path | None = None, notices: bool = False
+) -> int:
     """Print one JSON line per seed. Exit with 1 if an invariant was violated, 143 after SIGTERM.
 
     ``seeds`` is a range like ``1-50``, ``seconds`` the time during which faults are injected.
     ``logs`` is a folder in which the nodes' logs are stored, by seed; without it they are deleted.
+    With ``notices``, servers also say in their answers that they leave, pause or limit requests.
     """
     structlog.configure(logger_factory=structlog.PrintLoggerFactory(sys.stderr))
     first, _, last = seeds.partition("-")
@@ -33,7 +36,7 @@
             folder = Path(temporary) if logs is None else logs / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
             try:
-                report = asyncio.run(_run_until_stopped(seed, seconds, folder))
+                report = asyncio.run(_run_until_stopped(seed, seconds, folder, notices))
             except asyncio.CancelledError:
                 return STOPPED
         violated = violated or bool(report.violations)
@@ -43,18 +46,19 @@
             "calls": report.calls,
             "outcomes": report.outcomes,
             "orders": report.orders,
+            "notices": report.notices,
             "violations": [[v.invariant, v.detail] for v in report.violations],
         }
         print(json.dumps(line), flush=True)
     return 1 if violated else 0
 
 
-async def _run_until_stopped(seed: int, seconds: float, folder: Path) -> SoakReport:
+async def _run_until_stopped(seed: int, seconds: float, folder: Path, notices: bool) -> SoakReport:
     """Run one seed; SIGTERM cancels the run, so that its node processes are ended too."""
     task = asyncio.current_task()
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await run_soak(seed, seconds, folder)
+    return await run_soak(seed, seconds, folder, notices)
 
 
 if __name__ == "__main__":
--- a/eelgrassferry/platform/tests/soak/fault_plan.py
+++ b/eelgrassferry/platform/tests/soak/fault_plan.py
@@ -4,8 +4,11 @@
 from enum import Enum
 from random import Random
 
-__all__ = ["Fault", "FaultKind", "draw_plan"]
+__all__ = ["Fault", "FaultKind", "draw_notices", "draw_plan"]
 
+# Mean time between the starts of two notices and longest duration of a limit, in seconds.
+MEAN_NOTICE_GAP_S = 2.0
+LONGEST_LIMIT_S = 12.0
 # Mean time between the starts of two faults and longest duration of a fault, in seconds.
 # The duration can exceed the mean gap, so that faults overlap.
 MEAN_GAP_S = 1.1
@@ -15,7 +18,8 @@
 class FaultKind(Enum):
     """Kinds of faults.
 
-    The kinds up to ``DRAIN_SERVER`` ignore the fault's duration. ``SILENT`` and ``CUT`` stop the
+    The last three are notices, which a server sends in its answers and ``draw_notices`` draws. The
+    kinds up to ``DRAIN_SERVER`` ignore the fault's duration. ``SILENT`` and ``CUT`` stop the
     bytes of a link in both directions, ``MUTE`` only those to the node, and ``SLOW`` delays them.
     """
 
@@ -38,6 +42,12 @@
     SLOW_SERVER = "slow_server"
     SILENT_SERVER = "silent_server"
     MUTE_SERVER = "mute_server"
+    LIMIT_NOTICE = "limit_notice"
+    PAUSE_NOTICE = "pause_notice"
+    LEAVING_NOTICE = "leaving_notice"
+
+
+NOTICES = (FaultKind.LIMIT_NOTICE, FaultKind.PAUSE_NOTICE, FaultKind.LEAVING_NOTICE)
 
 
 @dataclass(frozen=True)
@@ -60,7 +70,7 @@
     True
     """
     rng = Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind not in NOTICES]
     plan = []
     at = rng.uniform(0.2, 1.0)
     while at < seconds:
@@ -68,3 +78,15 @@
         plan.append(Fault(at, rng.choice(kinds), for_s, rng.random()))
         at += rng.expovariate(1.0 / MEAN_GAP_S)
     return plan
+
+
+def draw_notices(seed: int, seconds: float) -> list[Fault]:
+    """Return the notices of a run of ``seconds`` seconds, which come beside the other faults."""
+    rng = Random(f"notices {seed}")
+    plan = []
+    at = rng.uniform(0.5, 2.0)
+    while at < seconds:
+        for_s = min(rng.uniform(2.0, LONGEST_LIMIT_S), seconds - at)
+        plan.append(Fault(at, rng.choice(NOTICES), for_s, rng.random()))
+        at += rng.expovariate(1.0 / MEAN_NOTICE_GAP_S)
+    return plan
--- a/eelgrassferry/platform/tests/soak/invariants.py
+++ b/eelgrassferry/platform/tests/soak/invariants.py
@@ -2,10 +2,11 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass
 from itertools import pairwise
 
+from .notice_invariants import find_notice_violations
 from .records import CallRecord, OrderRecord, RunRecord, SoakRecord
+from .violation import Violation
 
 __all__ = ["Violation", "find_violations"]
 
@@ -31,14 +32,6 @@
 AT_MOST_ONCE_KINDS = {"order", "stream"}
 
 
-@dataclass(frozen=True)
-class Violation:
-    """A violated invariant and the observation that shows it."""
-
-    invariant: str
-    detail: str
-
-
 def find_violations(record: SoakRecord) -> list[Violation]:
     """Return all violations of the system's invariants in the record of a run."""
     checks = (
@@ -47,6 +40,7 @@
         _check_orders(record),
         _check_times(record),
         _check_late_runs(record),
+        find_notice_violations(record),
         (Violation("exits", name) for name in record.exits),
         (Violation("recovers", detail) for detail in record.unserved),
     )
--- a/eelgrassferry/platform/tests/soak/records.py
+++ b/eelgrassferry/platform/tests/soak/records.py
@@ -5,7 +5,16 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["CallRecord", "Disturbance", "OrderRecord", "RunRecord", "SoakRecord"]
+__all__ = [
+    "ArrivalRecord",
+    "CallRecord",
+    "Disturbance",
+    "LimitRecord",
+    "NoticeRecord",
+    "OrderRecord",
+    "RunRecord",
+    "SoakRecord",
+]
 
 
 @dataclass
@@ -44,6 +53,42 @@
     body: bytes
 
 
+@dataclass(frozen=True)
+class ArrivalRecord:
+    """The arrival of a request at a server, which runs or declines it."""
+
+    at: float
+    server: str
+    node: str
+    request_id: str
+
+
+@dataclass(frozen=True)
+class NoticeRecord:
+    """What a server has said of itself in an answer to a node.
+
+    ``pause_s`` is the time for which it has asked for no requests. ``is_leaving`` is set if it
+    leaves, and ``is_limited`` if it names a limit.
+    """
+
+    at: float
+    server: str
+    node: str
+    pause_s: float = 0.0
+    is_leaving: bool = False
+    is_limited: bool = False
+
+
+@dataclass(frozen=True)
+class LimitRecord:
+    """The period in which a server names a limit, in requests per second."""
+
+    since: float
+    until: float
+    server: str
+    per_s: float
+
+
 @dataclass(frozen=True)
 class OrderRecord:
     """An order that an engine received, and the status of its answer.
@@ -74,6 +119,7 @@
 
     ``routes`` maps an added path to the time from which every undisturbed node must route it.
     ``draining_since`` maps a server instance to the time at which it registered as draining.
+    ``arrivals``, ``notices`` and ``limits`` are recorded in runs whose servers send notices.
     ``exits`` describes unexpected ends of processes and late stops, ``unserved`` the requests that
     were still not served after the recovery limit.
     """
@@ -81,6 +127,9 @@
     calls: list[CallRecord] = field(default_factory=list)
     runs: list[RunRecord] = field(default_factory=list)
     orders: list[OrderRecord] = field(default_factory=list)
+    arrivals: list[ArrivalRecord] = field(default_factory=list)
+    notices: list[NoticeRecord] = field(default_factory=list)
+    limits: list[LimitRecord] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     routes: dict[str, float] = field(default_factory=dict)
     draining_since: dict[str, float] = field(default_factory=dict)
--- a/eelgrassferry/platform/tests/soak/run_soak.py
+++ b/eelgrassferry/platform/tests/soak/run_soak.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from .caller import PATHS, Caller
-from .fault_plan import Fault, draw_plan
+from .fault_plan import Fault, draw_notices, draw_plan
 from .invariants import Violation, find_violations
 from .records import SoakRecord
 from .soak_fleet import SoakFleet
@@ -29,15 +29,19 @@
     calls: int
     outcomes: dict[str, int]
     orders: int
+    notices: int
     violations: tuple[Violation, ...]
 
 
-async def run_soak(seed: int, seconds: float, folder: Path) -> SoakReport:
+async def run_soak(seed: int, seconds: float, folder: Path, notices: bool = False) -> SoakReport:
     """Run a fleet under the faults of a seed and check the invariants.
 
-    The nodes' settings and logs are written to ``folder``.
+    The nodes' settings and logs are written to ``folder``. With ``notices``, servers also speak of
+    themselves in their answers.
     """
     plan = draw_plan(seed, seconds)
+    if notices:
+        plan = sorted((*plan, *draw_notices(seed, seconds)), key=lambda fault: fault.at)
     fleet = SoakFleet(seed, folder)
     try:
         await fleet.start()
@@ -59,9 +63,8 @@
         await fleet.stop()
     record = fleet.record
     outcomes = Counter(_outcome(call.status, call.abandoned) for call in record.calls)
-    return SoakReport(
-        seed, tuple(plan), len(record.calls), dict(outcomes), len(record.orders), violations
-    )
+    counts = (len(record.calls), dict(outcomes), len(record.orders), len(record.notices))
+    return SoakReport(seed, tuple(plan), *counts, violations)
 
 
 async def _check_recovery(fleet: SoakFleet) -> None:
--- a/eelgrassferry/platform/tests/soak/soak_fleet.py
+++ b/eelgrassferry/platform/tests/soak/soak_fleet.py
@@ -13,7 +13,7 @@
 from .fault_proxy import FaultProxy
 from .free_ports import free_ports, own_loopback_ip
 from .invariants import CONFIG_APPLY_S
-from .records import Disturbance, SoakRecord
+from .records import Disturbance, LimitRecord, SoakRecord
 from .soak_node import SoakNode
 from .soak_server import SoakServer
 
@@ -36,6 +36,11 @@
 # Time for which a draining server still serves, in seconds: longer than ``DRAIN_S`` in
 # ``invariants``, within which nodes have to stop sending requests to it.
 SERVE_WHILE_DRAINING_S = 2.6
+# Limits that servers name, in requests per second; pause that they ask for, in seconds, and number
+# of requests that they then decline.
+LIMITS_PER_S = (0.5, 2.0, 5.0)
+PAUSE_S = 1.5
+DECLINED_REQUESTS = 3
 # Delays of a slow store and a slow server, in seconds.
 STORE_DELAY_S = 0.3
 SERVER_DELAY_S = 0.1
@@ -143,6 +148,13 @@
                 await self._crash_server(server)
             case FaultKind.DRAIN_SERVER:
                 await self._drain_server(server)
+            case FaultKind.LIMIT_NOTICE:
+                await self._limit_server(server, fault)
+            case FaultKind.PAUSE_NOTICE:
+                self._servers[server].decline_pause_s = PAUSE_S
+                self._servers[server].decline_count += DECLINED_REQUESTS
+            case FaultKind.LEAVING_NOTICE:
+                await self._leave_unregistered(server)
             case FaultKind.LOSE_WRITES | FaultKind.DROP_HISTORY | FaultKind.STORE_DOWN:
                 await self._disturb_store(fault)
             case (
@@ -225,6 +237,25 @@
         await server.stop()
         await self._replace_server(name, server)
 
+    async def _limit_server(self, name: str, fault: Fault) -> None:
+        """Let a server name a limit, unless it names one already."""
+        server = self._servers[name]
+        if server.limit:
+            return
+        began, per_s = self.clock(), LIMITS_PER_S[int(fault.pick * 97) % len(LIMITS_PER_S)]
+        server.limit = str(per_s)
+        await asyncio.sleep(fault.for_s)
+        server.limit = ""
+        self.record.limits.append(LimitRecord(began, self.clock(), server.instance, per_s))
+
+    async def _leave_unregistered(self, name: str) -> None:
+        """Let a server leave that says so in its answers only."""
+        server = self._servers[name]
+        server.is_leaving = True
+        await asyncio.sleep(2.0 * SERVE_WHILE_DRAINING_S)
+        await server.stop()
+        await self._replace_server(name, server)
+
     async def _replace_server(self, name: str, server: SoakServer) -> None:
         if self._servers[name] is not server:
             return
--- a/eelgrassferry/platform/tests/soak/soak_server.py
+++ b/eelgrassferry/platform/tests/soak/soak_server.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from ....http import HttpRequest, HttpResponse
+from ....http import HttpRequest, HttpResponse, Responder
 from ..standin_server import StandinServer
 from ..standin_store import StandinStore
-from .records import OrderRecord, RunRecord, SoakRecord
+from .records import ArrivalRecord, NoticeRecord, OrderRecord, RunRecord, SoakRecord
 
 __all__ = ["SoakServer"]
 
@@ -44,6 +44,20 @@
         run = RunRecord(self._clock(), self.instance, request_id, req.path, req.body)
         self._record.runs.append(run)
 
+    async def _run(self, req: HttpRequest, responder: Responder) -> None:
+        """Answer a request, and record its arrival and what the answer says of this server."""
+        request_id = req.header("eelgrassferry-request-id") or ""
+        node, declined = request_id.rpartition("-")[0], len(self.declined)
+        self._record.arrivals.append(ArrivalRecord(self._clock(), self.instance, node, request_id))
+        is_leaving, is_limited = self.is_leaving, bool(self.limit)
+        await super()._run(req, responder)
+        is_declined = any(name == request_id for _, name in self.declined[declined:])
+        pause_s = self.decline_pause_s if is_declined else 0.0
+        if is_leaving or is_limited or pause_s:
+            self._record.notices.append(
+                NoticeRecord(self._clock(), self.instance, node, pause_s, is_leaving, is_limited)
+            )
+
     def _apply_order(self, order: dict[str, Any]) -> HttpResponse:
         full = self._is_full(order)
         res = super()._apply_order(order)
--- a/eelgrassferry/platform/tests/test_soak.py
+++ b/eelgrassferry/platform/tests/test_soak.py
@@ -6,12 +6,16 @@
 from pathlib import Path
 
 from .soak import (
+    ArrivalRecord,
     CallRecord,
     Disturbance,
     FaultProxy,
+    LimitRecord,
+    NoticeRecord,
     OrderRecord,
     RunRecord,
     SoakRecord,
+    draw_notices,
     draw_plan,
     find_violations,
     run_soak,
@@ -125,6 +129,51 @@
         self.assertEqual(self.invariants_of(calls=[abandoned], runs=[make_run(at=10.6)]), ["gone"])
 
 
+class NoticeInvariantsTest(unittest.TestCase):
+    """Each check of what servers say of themselves, on the arrivals of one node."""
+
+    def invariants_of(self, times, notice, **fields):
+        """Return the violations if requests arrive at some times after a notice at 10.0."""
+        names = [f"front-1-{number}" for number in range(len(times))]
+        record = SoakRecord(
+            calls=[
+                make_call(name, kind="look", sent_at=at, answer_id=name)
+                for name, at in zip(names, times, strict=True)
+            ],
+            arrivals=[
+                ArrivalRecord(at, "i-desk-0", "front-1", name)
+                for name, at in zip(names, times, strict=True)
+            ],
+            notices=[NoticeRecord(10.0, "i-desk-0", "front-1", **notice)],
+            **fields,
+        )
+        return [violation.invariant for violation in find_violations(record)]
+
+    def test_requests_to_a_server_that_leaves(self):
+        """Guards against a soak that misses requests after a server has said that it leaves."""
+        leaving = {"is_leaving": True}
+        self.assertEqual(self.invariants_of([11.0, 12.5], leaving), ["drain"])
+        self.assertEqual(self.invariants_of([11.0], leaving), [])
+        restart = [Disturbance(11.0, 12.0, "front-1")]
+        self.assertEqual(self.invariants_of([12.5], leaving, disturbances=restart), [])
+
+    def test_requests_in_a_pause(self):
+        """Guards against a soak that misses requests which a server has asked not to get."""
+        pause = {"pause_s": 2.0}
+        self.assertEqual(self.invariants_of([10.2, 10.6, 10.7, 11.9], pause), ["pause"])
+        self.assertEqual(self.invariants_of([10.2, 10.3, 10.7, 11.9, 12.1], pause), [])
+
+    def test_requests_beyond_a_limit(self):
+        """Guards against a soak that misses requests beyond what a server takes."""
+        limited = {"is_limited": True}
+        limits = [LimitRecord(9.9, 30.0, "i-desk-0", 2.0)]
+        times = [13.5 + 0.1 * number for number in range(18)]
+        self.assertEqual(self.invariants_of(times, limited, limits=limits), ["limit"])
+        self.assertEqual(self.invariants_of(times[1:], limited, limits=limits), [])
+        early = [at - 3.0 for at in times]
+        self.assertEqual(self.invariants_of(early, limited, limits=limits), [])
+
+
 class FaultPlanTest(unittest.TestCase):
     """Random fault schedules."""
 
@@ -132,6 +181,7 @@
         """Guards against a failed seed that cannot be reproduced."""
         self.assertEqual(draw_plan(7, 20.0), draw_plan(7, 20.0))
         self.assertNotEqual(draw_plan(7, 20.0), draw_plan(8, 20.0))
+        self.assertEqual(draw_notices(7, 20.0), draw_notices(7, 20.0))
         self.assertTrue(all(fault.at + fault.for_s <= 20.0 for fault in draw_plan(7, 20.0)))
 
 
@@ -176,18 +226,26 @@
 class SoakTest(unittest.IsolatedAsyncioTestCase):
     """Short soak runs; ``python -m eelgrassferry.platform.tests.soak`` makes longer ones."""
 
-    async def check(self, seed, seconds):
+    async def check(self, seed, seconds, notices=False):
         with tempfile.TemporaryDirectory() as folder:
-            report = await run_soak(seed, seconds, Path(folder))
+            report = await run_soak(seed, seconds, Path(folder), notices)
         self.assertEqual(report.violations, ())
-        self.assertGreater(report.outcomes.get("200", 0), report.calls / 2)
+        return report
 
     async def test_short_run(self):
         """Guards against invariants violated under faults."""
-        await self.check(1, SHORT_S)
+        report = await self.check(1, SHORT_S)
+        self.assertGreater(report.outcomes.get("200", 0), report.calls / 2)
+
+    async def test_short_run_with_notices(self):
+        """Guards against nodes that do not heed servers which leave, pause or limit requests."""
+        report = await self.check(2, 2 * SHORT_S, notices=True)
+        self.assertGreater(report.notices, 20)
+        self.assertGreater(report.outcomes.get("200", 0), report.calls / 4)
 
     async def test_regression_seeds(self):
         """Guards against the return of faults that the soak has found."""
         for seed, seconds in REGRESSION_SEEDS.items():
             with self.subTest(seed=seed):
-                await self.check(seed, seconds)
+                report = await self.check(seed, seconds)
+                self.assertGreater(report.outcomes.get("200", 0), report.calls / 2)
