--- a/eelgrassferry/dispatch/tests/test_pauses.py
+++ b/eelgrassferry/dispatch/tests/test_pauses.py
@@ -22,6 +22,14 @@
         self.notices.record("u1/5", UpstreamNotice(), 2.5)
         self.assertEqual(self.notices.paused_until("u1/5"), 4.0)
 
+    def test_pauses_that_are_over_are_removed(self):
+        """Guards against checks of each upstream for ever, and against a pause that ends early."""
+        self.notices.record("u1/5", UpstreamNotice(pause_s=3.0), 1.0)
+        self.notices.expire({"u1/5"}, 3.9)
+        self.assertEqual(self.notices.paused_until("u1/5"), 4.0)
+        self.notices.expire({"u1/5"}, 4.1)
+        self.assertFalse(self.notices.has_restrictions)
+
     def test_pause_is_not_shared(self):
         """Guards against nodes that pause although an upstream has asked another node."""
         self.notices.record("u1/5", UpstreamNotice(pause_s=3.0), 1.0)
--- a/eelgrassferry/dispatch/upstream_notices.py
+++ b/eelgrassferry/dispatch/upstream_notices.py
@@ -62,6 +62,7 @@
         self._updates: dict[str, ProcessNotice] = {}
         self._changed: dict[str, ProcessNotice] = {}
         self._paused_until: dict[str, float] = {}
+        self._limited: set[str] = set()
 
     def record(self, process_id: str, notice: UpstreamNotice, now: float) -> None:
         """Record what a process says of itself in an answer."""
@@ -84,15 +85,19 @@
         """The ids of the processes that leave."""
         return [notice.process_id for notice in self._known.values() if notice.leaving]
 
+    @property
+    def has_restrictions(self) -> bool:
+        """Whether any process limits its rate or has asked for a pause."""
+        return bool(self._limited or self._paused_until)
+
     def limit_per_s(self, process_id: str) -> float | None:
         """Return the rate at which a process gets requests from all nodes together, per second.
 
         None means that it names no limit.
         """
-        known = self._known.get(process_id)
-        if known is None or known.limit_per_s is None:
+        if process_id not in self._limited:
             return None
-        return max(MIN_LIMIT_PER_S, known.limit_per_s)
+        return max(MIN_LIMIT_PER_S, self._known[process_id].limit_per_s or 0.0)
 
     def paused_until(self, process_id: str) -> float:
         """Return the time until which a process asks this node for no requests, in seconds.
@@ -125,7 +130,7 @@
         return tuple(self._known.values())
 
     def expire(self, registered: Container[str], now: float) -> None:
-        """Remove the notices of processes that have ended.
+        """Remove the notices of processes that have ended, and the pauses that are over.
 
         ``registered`` contains the ids of the registered processes. The registration of a process
         that still runs may lapse for some time, so its notices are kept meanwhile.
@@ -136,14 +141,20 @@
             if notice.process_id not in registered and now - notice.seen_at > KEEP_S
         ]
         for process_id in ended:
-            for entries in (self._known, self._updates, self._changed, self._paused_until):
+            for entries in (self._known, self._updates, self._changed):
                 entries.pop(process_id, None)
+            self._limited.discard(process_id)
+        self._paused_until = {key: at for key, at in self._paused_until.items() if at > now}
 
     def _apply(self, notice: ProcessNotice, share: bool) -> ProcessNotice:
         """Merge one notice and return the result; with ``share``, send it on if it has changed."""
         known = self._known.get(notice.process_id, ProcessNotice(notice.process_id, float("-inf")))
         merged = known.merged(notice)
         self._known[notice.process_id] = merged
+        if merged.limit_per_s is None:
+            self._limited.discard(notice.process_id)
+        else:
+            self._limited.add(notice.process_id)
         if not merged.says_the_same(known):
             self._changed[notice.process_id] = merged
             if share:
--- a/eelgrassferry/dispatch/upstream_selector.py
+++ b/eelgrassferry/dispatch/upstream_selector.py
@@ -87,8 +87,9 @@
             attempt = self._plan_attempt(job, entry, now, entry.instance == owner)
             if attempt is None:
                 continue
-            attempt.turn_wait_s = self._turns.wait_s(entry.process_id, now)
-            attempt.expected_s += attempt.turn_wait_s
+            if self._notices.has_restrictions:
+                attempt.turn_wait_s = self._turns.wait_s(entry.process_id, now)
+                attempt.expected_s += attempt.turn_wait_s
             if attempt.turn_wait_s > 0.0 and now + attempt.expected_s > job.target_at:
                 continue
             cost_s = attempt.expected_s + self.failure_rates.penalty_s(entry.instance, now)
@@ -163,8 +164,11 @@
             entry
             for entry in self.capable_upstreams(job, now)
             if not self.backoffs.is_backing_off(entry.instance, now)
-            and now >= self._notices.paused_until(entry.process_id)
         ]
+        if self._notices.has_restrictions:
+            available = [
+                entry for entry in available if now >= self._notices.paused_until(entry.process_id)
+            ]
         untried = [entry for entry in available if entry.instance not in job.excluded]
         if not untried and available and not job.may_have_run:
             # Every upstream has declined this request once. The backoff of each upstream prevents
@@ -189,6 +193,8 @@
         That is ``now`` unless all of them have asked this node for a pause, or limit their rate and
         have no turn for the job.
         """
+        if not self._notices.has_restrictions:
+            return now
         times = [
             max(
                 now + self._turns.wait_s(entry.process_id, now),
