--- a/eelgrassferry/platform/tests/soak/fault_plan.py
+++ b/eelgrassferry/platform/tests/soak/fault_plan.py
@@ -1,5 +1,6 @@
 """Random fault schedules, reproducible by seed."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
@@ -69,24 +70,29 @@
     >>> draw_plan(1, 20.0) == draw_plan(1, 20.0)
     True
     """
-    rng = Random(seed)
     kinds = [kind for kind in FaultKind if kind not in NOTICES]
-    plan = []
-    at = rng.uniform(0.2, 1.0)
-    while at < seconds:
-        for_s = min(rng.uniform(0.2, LONGEST_S), seconds - at)
-        plan.append(Fault(at, rng.choice(kinds), for_s, rng.random()))
-        at += rng.expovariate(1.0 / MEAN_GAP_S)
-    return plan
+    return _draw(Random(seed), seconds, kinds, (0.2, 1.0), (0.2, LONGEST_S), MEAN_GAP_S)
 
 
 def draw_notices(seed: int, seconds: float) -> list[Fault]:
     """Return the notices of a run of ``seconds`` seconds, which come beside the other faults."""
-    rng = Random(f"notices {seed}")
+    rng, for_s = Random(f"notices {seed}"), (2.0, LONGEST_LIMIT_S)
+    return _draw(rng, seconds, NOTICES, (0.5, 2.0), for_s, MEAN_NOTICE_GAP_S)
+
+
+def _draw(
+    rng: Random,
+    seconds: float,
+    kinds: Sequence[FaultKind],
+    first_at: tuple[float, float],
+    for_s: tuple[float, float],
+    mean_gap_s: float,
+) -> list[Fault]:
+    """Return faults of the given kinds; ``first_at`` and ``for_s`` are ranges in seconds."""
     plan = []
-    at = rng.uniform(0.5, 2.0)
+    at = rng.uniform(*first_at)
     while at < seconds:
-        for_s = min(rng.uniform(2.0, LONGEST_LIMIT_S), seconds - at)
-        plan.append(Fault(at, rng.choice(NOTICES), for_s, rng.random()))
-        at += rng.expovariate(1.0 / MEAN_NOTICE_GAP_S)
+        lasts_s = min(rng.uniform(*for_s), seconds - at)
+        plan.append(Fault(at, rng.choice(kinds), lasts_s, rng.random()))
+        at += rng.expovariate(1.0 / mean_gap_s)
     return plan
