--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -223,14 +223,19 @@
     @property
     def has_coordinator(self) -> bool:
         """Whether this node is the coordinator or in contact with it."""
-        return self.has_leader or (
-            self.leadership is not None and self.leadership.term() is not None
-        )
+        return self.has_leader or self._term_leadership is not None
+
+    @property
+    def _term_leadership(self) -> Leadership | None:
+        """The leadership of this node while it is the coordinator, else None."""
+        leadership = self.leadership
+        return leadership if leadership is not None and leadership.term() is not None else None
 
     def request_turns(self, requests: list[TurnRequest]) -> None:
         """Ask the coordinator for turns at upstreams that limit their rate."""
-        if self.leadership is not None and self.leadership.term() is not None:
-            self.on_turns(self.leadership.book_turns(requests, self._linked_share))
+        leadership = self._term_leadership
+        if leadership is not None:
+            self.on_turns(leadership.book_turns(requests, self._linked_share))
         elif self._leader is not None:
             self._leader.send(TURNS, encode_turn_requests(requests))
 
@@ -271,7 +276,7 @@
     # Methods of the coordinator
 
     def _member_names(self) -> set[str] | None:
-        if self.leadership is None or self.leadership.term() is None:
+        if self._term_leadership is None:
             return None
         return {link.peer for link in self._members}
 
@@ -298,11 +303,11 @@
             link.send(WHO, self._process_id)
 
     def _on_turn_requests(self, link: PeerLink, frame: Frame) -> None:
-        decoded = decode_turn_requests(frame.body)
+        decoded, leadership = decode_turn_requests(frame.body), self._term_leadership
         if isinstance(decoded, Err):
             log.warning("request not used", step="decode_turns", detail=decoded.err_value.detail)
-        elif self.leadership is not None and self.leadership.term() is not None:
-            replies = self.leadership.book_turns(decoded.ok_value, self._linked_share)
+        elif leadership is not None:
+            replies = leadership.book_turns(decoded.ok_value, self._linked_share)
             link.send(TURNS, encode_turn_replies(replies, self._clock()))
 
     def _on_status(self, link: PeerLink, frame: Frame) -> None:
@@ -373,7 +378,7 @@
 
     def _poll_interval_factor(self) -> float:
         """Return the factor by which this node extends its interval between calls to the store."""
-        if self.leadership is not None and self.leadership.term() is not None:
+        if self._term_leadership is not None:
             return 1.0
         return max(1.0, len(self.registry) / FULL_RATE_NODES)
 
