Look up the processes that leave without a scan of all notices

Every tick of 20 ms went through the notices of all upstreams to find those that leave. They are now kept as the limited ones are.

--- a/eelgrassferry/dispatch/upstream_notices.py
+++ b/eelgrassferry/dispatch/upstream_notices.py
@@ -62,6 +62,8 @@
         self._updates: dict[str, ProcessNotice] = {}
         self._changed: dict[str, ProcessNotice] = {}
         self._paused_until: dict[str, float] = {}
+        # Sets of their own, because they are looked up at each tick and for each waiting request.
+        self._leaving: set[str] = set()
         self._limited: set[str] = set()
 
     def record(self, process_id: str, notice: UpstreamNotice, now: float) -> None:
@@ -83,7 +85,7 @@
     @property
     def leaving(self) -> list[str]:
         """The ids of the processes that leave."""
-        return [notice.process_id for notice in self._known.values() if notice.leaving]
+        return sorted(self._leaving)
 
     @property
     def has_restrictions(self) -> bool:
@@ -143,6 +145,7 @@
         for process_id in ended:
             for entries in (self._known, self._updates, self._changed):
                 entries.pop(process_id, None)
+            self._leaving.discard(process_id)
             self._limited.discard(process_id)
         self._paused_until = {key: at for key, at in self._paused_until.items() if at > now}
 
@@ -151,6 +154,8 @@
         known = self._known.get(notice.process_id, ProcessNotice(notice.process_id, float("-inf")))
         merged = known.merged(notice)
         self._known[notice.process_id] = merged
+        if merged.leaving:
+            self._leaving.add(notice.process_id)
         if merged.limit_per_s is None:
             self._limited.discard(notice.process_id)
         else:
