--- a/eelgrassferry/dispatch/upstream_turns.py
+++ b/eelgrassferry/dispatch/upstream_turns.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from ..fleet import instance_of
 from .turn_book import TurnBook, TurnReply, TurnRequest
 from .upstream_notices import UpstreamNotices
 
@@ -116,7 +117,7 @@
 
     def forget(self, instance: str) -> None:
         """Remove the turns at an upstream that has stopped or restarted."""
-        for process_id in [key for key in self._processes if key.rpartition("/")[0] == instance]:
+        for process_id in [key for key in self._processes if instance_of(key) == instance]:
             del self._processes[process_id]
             self._share.forget(process_id)
 
--- a/eelgrassferry/fleet/__init__.py
+++ b/eelgrassferry/fleet/__init__.py
@@ -6,7 +6,7 @@
 from .route import Backend, RequestKind, Route
 from .service import EngineSpec, ModelSpec, Service
 from .upstream_directory import DirectoryChange, UpstreamDirectory
-from .upstream_entry import UpstreamEntry
+from .upstream_entry import UpstreamEntry, instance_of
 from .upstream_notice import NO_NOTICE, UpstreamNotice
 
 __all__ = [
@@ -25,4 +25,5 @@
     "UpstreamDirectory",
     "UpstreamEntry",
     "UpstreamNotice",
+    "instance_of",
 ]
--- a/eelgrassferry/fleet/upstream_directory.py
+++ b/eelgrassferry/fleet/upstream_directory.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 from ..routing import UpstreamState
-from .upstream_entry import UpstreamEntry
+from .upstream_entry import UpstreamEntry, instance_of
 
 __all__ = ["DirectoryChange", "UpstreamDirectory"]
 
@@ -99,7 +99,7 @@
 
         There are none if the process is not registered, or as leaving already.
         """
-        before = self._entries.get(process_id.rpartition("/")[0])
+        before = self._entries.get(instance_of(process_id))
         if before is None or before.process_id != process_id:
             return []
         if before.state is not UpstreamState.LIVE:
--- a/eelgrassferry/fleet/upstream_entry.py
+++ b/eelgrassferry/fleet/upstream_entry.py
@@ -6,7 +6,16 @@
 
 from ..routing import UpstreamState
 
-__all__ = ["UpstreamEntry"]
+__all__ = ["UpstreamEntry", "instance_of"]
+
+
+def instance_of(process_id: str) -> str:
+    """Return the id of the upstream to which a process id belongs.
+
+    >>> instance_of("i-7f3a91c2/1777565862348")
+    'i-7f3a91c2'
+    """
+    return process_id.rpartition("/")[0]
 
 
 @dataclass(frozen=True)
