--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -169,6 +170,9 @@
     """
 
     async def run() -> int:
+        this = asyncio.current_task()
+        assert this is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
         trouble = os.environ.get("TROUBLE", "1") != "0"
         keep = os.environ.get("REVIEW_LOGS")
         with tempfile.TemporaryDirectory() as name:
@@ -179,7 +183,7 @@
                     broken = await case(fleet)
                 fleet.log("RULE BROKEN" if broken else "rule held")
                 return int(broken)
-            except (CannotRun, TimeoutError) as exc:
+            except (CannotRun, TimeoutError, asyncio.CancelledError) as exc:
                 fleet.log(f"could not run: {exc!r}")
                 return 2
             finally:
