Go on with other requests after an error in the handling of one

Cause: a stored 500 of an upstream was sent as the answer also if the answer had begun, which raises an error in h11, and perform() left the action that raised at the head of its queue, so that it took every later call for a nested one.

Change: a stored error is sent only if no answer has begun, and a 4xx answer to a resumption counts as an error of its attempt. An action, a callback or a waiting request that raises an error ends its own request, with a log line (request abandoned), a counter and a 500 or a closed connection.

Evidence: test_failing_servers got no answer within 10 s before, 3 of 5 tests of test_resumed_streams failed, and the property test, which now lets answers begin, failed in 3 of 4.

--- a/eelgrassferry/dispatch/__init__.py
+++ b/eelgrassferry/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Dispatch of requests from an entry node to upstreams, as a state machine without I/O."""
 
 from .actions import (
+    Abandon,
     Action,
     AttemptFailure,
     Fail,
@@ -26,6 +27,7 @@
 
 __all__ = [
     "NO_LOAD",
+    "Abandon",
     "Action",
     "Attempt",
     "AttemptFailure",
--- a/eelgrassferry/dispatch/actions.py
+++ b/eelgrassferry/dispatch/actions.py
@@ -6,6 +6,7 @@
 from .job import Job
 
 __all__ = [
+    "Abandon",
     "Action",
     "AttemptFailure",
     "Fail",
@@ -40,6 +41,7 @@
     BAD_ANSWER = "bad_answer"
     DEADLINE = "deadline"
     CRASHED_UPSTREAMS = "crashed_upstreams"
+    INTERNAL_ERROR = "internal_error"
 
 
 class AttemptFailure(Enum):
@@ -110,4 +112,12 @@
     instance: str
 
 
-Action = Send | Refuse | Fail | ForwardAnswer | Probe
+@dataclass(frozen=True)
+class Abandon:
+    """End the request, because ``error`` was raised while it was handled."""
+
+    job: Job
+    error: Exception
+
+
+Action = Send | Refuse | Fail | ForwardAnswer | Probe | Abandon
--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -5,7 +5,7 @@
 """
 
 from bisect import insort
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from random import Random
 
 from ..fleet import (
@@ -17,6 +17,7 @@
 )
 from ..routing import RetryBudget
 from .actions import (
+    Abandon,
     Action,
     AttemptFailure,
     Fail,
@@ -262,14 +263,10 @@
         """
         self._stopping = True
         waiting, self._waiting = self._waiting, []
-        actions: list[Action] = []
         for job in waiting:
             job.waiting = False
-            if job.may_have_run:
-                actions.append(self._stop_waiting(job, now))
-            else:
-                actions.append(self._refuse(job, RefuseReason.STOPPING, now))
-        return actions
+        actions = (self._contained(self._answer_stopping, job, now) for job in waiting)
+        return [action for action in actions if action is not None]
 
     def set_isolated(self, isolated: bool, now: float) -> list[Action]:
         """Set whether this node's failure domain is isolated from the others.
@@ -393,18 +390,15 @@
             self._queued_since.clear()
             return []
         actions: list[Action] = []
-        still_waiting = []
-        for job in self._waiting:
-            sent = self._try_send(job, now)
-            if sent is not None:
-                job.waiting = False
-                actions.append(sent)
-            elif self._waits.is_useless(job, self._queued_since_of(job, now), now):
-                job.waiting = False
-                actions.append(self._stop_waiting(job, now))
+        waiting, self._waiting = self._waiting, []
+        for job in waiting:
+            job.waiting = False
+            action = self._contained(self._send_or_stop, job, now)
+            if action is not None:
+                actions.append(action)
             else:
-                still_waiting.append(job)
-        self._waiting = still_waiting
+                job.waiting = True
+                self._waiting.append(job)
         self._update_queues(now)
         return actions
 
@@ -439,17 +433,35 @@
         if len(self.slowness_samples) < MAX_SLOWNESS_SAMPLES:
             self.slowness_samples.append(sample)
 
+    def _contained(
+        self, step: Callable[[Job, float], Action | None], job: Job, now: float
+    ) -> Action | None:
+        """Return the action of a step, or one that ends the job if the step raises an error.
+
+        An error with one request must not keep the other ones from being handled.
+        """
+        try:
+            return step(job, now)
+        except Exception as exc:
+            self._close(job)
+            return Abandon(job, exc)
+
     def _send_or_queue(self, job: Job, now: float) -> list[Action]:
         """Send a job, queue it, or end it if waiting is useless."""
-        sent = self._try_send(job, now)
-        if sent is not None:
-            return [sent]
-        if self._waits.is_useless(job, self._queued_since_of(job, now), now):
-            return [self._stop_waiting(job, now)]
+        action = self._send_or_stop(job, now)
+        if action is not None:
+            return [action]
         job.waiting = True
         insort(self._waiting, job, key=lambda waiting: waiting.queue_key)
         return []
 
+    def _send_or_stop(self, job: Job, now: float) -> Action | None:
+        """Return the action that sends a job or ends it, None if it has to wait."""
+        sent = self._try_send(job, now)
+        if sent is None and self._waits.is_useless(job, self._queued_since_of(job, now), now):
+            return self._stop_waiting(job, now)
+        return sent
+
     def _retry_or_give_up(self, job: Job, failure: AttemptFailure, now: float) -> list[Action]:
         """Return the actions that follow a failed attempt."""
         if job.closed:
@@ -473,14 +485,14 @@
             if job.may_have_run:
                 return [self._final_answer(job, failure, now)]
             return [self._refuse(job, RefuseReason.NOT_RUN_UPSTREAM, now)]
-        if job.stored_answer is not None and not self.selector.candidates(job, now):
+        if job.has_forwardable_answer and not self.selector.candidates(job, now):
             return [self._final_answer(job, failure, now)]
         return self._send_or_queue(job, now)
 
     def _final_answer(self, job: Job, failure: AttemptFailure, now: float) -> Action:
         """Close a job that is not retried and return its stored answer or a failure."""
         self._close(job)
-        if job.stored_answer is not None:
+        if job.has_forwardable_answer:
             return ForwardAnswer(job)
         is_error = failure is AttemptFailure.ERROR
         return Fail(job, FailReason.BAD_ANSWER if is_error else FailReason.CONNECTION_LOST)
@@ -514,9 +526,17 @@
         """Close a waiting job and return its final answer or refusal."""
         if job.may_have_run:
             self._close(job)
-            return ForwardAnswer(job) if job.stored_answer else Fail(job, FailReason.DEADLINE)
+            if job.has_forwardable_answer:
+                return ForwardAnswer(job)
+            return Fail(job, FailReason.DEADLINE)
         return self._refuse(job, self.waiting_reason(job, now), now)
 
+    def _answer_stopping(self, job: Job, now: float) -> Action:
+        """Close a job that waits on a stopping node and return its final answer or refusal."""
+        if job.may_have_run:
+            return self._stop_waiting(job, now)
+        return self._refuse(job, RefuseReason.STOPPING, now)
+
     def _refuse(
         self, job: Job, reason: RefuseReason, now: float, final: bool = False
     ) -> Refuse | Fail:
--- a/eelgrassferry/dispatch/job.py
+++ b/eelgrassferry/dispatch/job.py
@@ -113,6 +113,11 @@
         """Whether an upstream may have begun to run the request."""
         return bool(self.may_have_run_on)
 
+    @property
+    def has_forwardable_answer(self) -> bool:
+        """Whether the stored failure response can be sent: no other answer has begun."""
+        return self.stored_answer is not None and not self.answer_begun
+
     @cached_property
     def fingerprints(self) -> tuple[str, ...]:
         """Fingerprints of the shared prompt parts, in order, then of the whole request."""
--- a/eelgrassferry/dispatch/tests/test_guarantees.py
+++ b/eelgrassferry/dispatch/tests/test_guarantees.py
@@ -51,6 +51,9 @@
             self.record(dispatcher.fail(job, end, self.now))
             return
         dispatcher.record_sent(job)
+        is_broken_stream = job.route.kind is RequestKind.STREAM and end is AttemptFailure.BROKEN
+        if is_broken_stream and self.rng.random() < 0.5:
+            job.answer_begun, job.last_event_id = True, "1"
         if end is None or end in MAY_HAVE_RUN:
             self.run_counts[job.request_id] = self.run_counts.get(job.request_id, 0) + 1
         if end is AttemptFailure.ERROR:
@@ -73,6 +76,8 @@
                 continue
             assert isinstance(action, Refuse | Fail | ForwardAnswer)
             self.final[action.job.request_id] = action
+            if action.job.answer_begun:
+                assert isinstance(action, Fail), "an answer was sent behind one that had begun"
             if isinstance(action, Refuse):
                 assert not self.run_counts.get(
                     action.job.request_id
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -1,12 +1,15 @@
 """One caller's request at an entry node: its attempts at upstreams and the answer to the caller."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from functools import wraps
+from typing import TYPE_CHECKING, Any
 
 import h11
-from result import Err
+from result import Err, Result
 
 from ..dispatch import (
+    Abandon,
     Action,
     AttemptFailure,
     Fail,
@@ -20,6 +23,7 @@
 )
 from ..fleet import NO_NOTICE, RequestKind, UpstreamEntry
 from ..forwarding import AnswerHead, CallerConn, CallerRequest, RequestMetadata, UpstreamConn
+from ..http import HttpError
 from .event_buffer import EventBuffer
 
 if TYPE_CHECKING:
@@ -35,6 +39,23 @@
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 
 
+def _contained(callback: Callable[..., Any]) -> Callable[..., Any]:
+    """Return a callback of an exchange in which an error ends the request of the exchange.
+
+    Without it, the event loop only logs the error, and the request gets no final answer.
+    """
+
+    @wraps(callback)
+    def call(exchange: "Exchange", *args: Any) -> Any:
+        try:
+            return callback(exchange, *args)
+        except Exception as exc:
+            exchange._handler.abandon(exchange, exc)
+            return None
+
+    return call
+
+
 class Exchange:
     """The forwarding of one request, as directed by the dispatcher.
 
@@ -93,9 +114,12 @@
             case ForwardAnswer():
                 head, body = self.job.stored_answer
                 self._send_answer(head, body)
+            case Abandon(_, error):
+                self._handler.abandon(self, error)
 
     # Caller
 
+    @_contained
     def on_caller_gone(self) -> None:
         """Cancel the request, because the caller has disconnected."""
         if self.done:
@@ -103,6 +127,7 @@
         self._finish("caller_gone")
         self._handler.perform(self._handler.dispatcher.cancel(self.job, self._handler.clock()))
 
+    @_contained
     def on_caller_slow(self, slow: bool) -> None:
         """Pause or resume reading from the upstream, at the caller's reading speed."""
         if self._upstream_conn is None:
@@ -134,6 +159,12 @@
 
     async def _connect(self, entry: UpstreamEntry, attempt_number: int) -> None:
         result = await self._handler.pool.connect(entry.instance, entry.address)
+        self._on_connected(entry, attempt_number, result)
+
+    @_contained
+    def _on_connected(
+        self, entry: UpstreamEntry, attempt_number: int, result: Result[UpstreamConn, HttpError]
+    ) -> None:
         if self.done or attempt_number != self._attempt_number:
             if not isinstance(result, Err):
                 result.ok_value.abort()
@@ -173,6 +204,7 @@
             )
         conn.send(head, self._request.body, self)
 
+    @_contained
     def on_head(self, head: AnswerHead) -> bool:
         """Process the head of an answer; return False if it answers another request.
 
@@ -201,6 +233,7 @@
         if is_own_answer and not self._handler.is_from_other_instance(head, self.job):
             self._handler.dispatcher.record_notice(self.job, head.notice, self._handler.clock())
 
+    @_contained
     def on_body(self, data: bytes) -> None:
         """Relay or buffer a part of the answer's body."""
         self.answer_bytes += len(data)
@@ -236,6 +269,7 @@
             self.job.longest_pause_ms = max(self.job.longest_pause_ms, pause_ms)
         self._last_chunk_at = now
 
+    @_contained
     def on_end(self) -> None:
         """Deliver a complete answer, or report the attempt as failed if the answer is unusable."""
         head = self._answer_head
@@ -251,13 +285,15 @@
             self._fail_attempt(self._classify_not_run(head), f"status {head.status}")
         elif not head.sealed or head.encoded:
             self._fail_attempt(AttemptFailure.BROKEN, f"status {head.status} without a usable body")
-        elif head.status >= 500:
+        elif head.status >= 500 or self.job.answer_begun:
+            # The answer to a resumption of a stream cannot be sent, because another one has begun.
             self.job.stored_answer = (head, bytes(self._body))
             self._fail_attempt(AttemptFailure.ERROR, f"status {head.status}")
         else:
             self._send_answer(head, bytes(self._body))
             self._succeed()
 
+    @_contained
     def on_broken(self, detail: str) -> None:
         """Report the attempt as failed, because its answer broke off."""
         self._upstream_conn = None
@@ -271,6 +307,7 @@
         self._handler.record_failed_attempt(self, end, detail)
         self._handler.perform(self._handler.dispatcher.fail(self.job, end, self._handler.clock()))
 
+    @_contained
     def _on_response_timeout(self, attempt_number: int) -> None:
         if self.done or attempt_number != self._attempt_number or self._answer_head is not None:
             return
@@ -325,10 +362,25 @@
         status = 504 if reason is FailReason.DEADLINE else 502
         self._handler.send_failure(self._caller_conn, self.facts, status, reason)
 
+    @_contained
     def _on_deadline(self) -> None:
         if not self.done:
             self._handler.perform(self._handler.dispatcher.expire(self.job, self._handler.clock()))
 
+    def abandon(self) -> None:
+        """End the request, because handling it has raised an error.
+
+        The caller gets a failure, or a closed connection if a failure cannot be sent.
+        """
+        conn = self._caller_conn
+        try:
+            self._finish("failed", FailReason.INTERNAL_ERROR.value)
+            if conn.is_answering(self) and conn.can_start_answer:
+                self._handler.send_failure(conn, self.facts, 500, FailReason.INTERNAL_ERROR)
+        finally:
+            if conn.is_answering(self):
+                conn.abort()
+
     def _finish(self, outcome: str, reason: str = "", **fields: object) -> None:
         """Release timers and connections and record the outcome.
 
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 
 import structlog
@@ -45,6 +46,7 @@
     FailReason.BAD_ANSWER: "the upstream's answer could not be used",
     FailReason.DEADLINE: "no complete answer before the deadline",
     FailReason.CRASHED_UPSTREAMS: "requests with this content crash upstreams",
+    FailReason.INTERNAL_ERROR: "this node failed to handle the request",
 }
 # Time between a broken run and the check whether its upstream still listens, in seconds.
 PROBE_DELAY_S = 0.1
@@ -87,7 +89,8 @@
         self._on_waiting = on_waiting
         self._on_turn_wanted = on_turn_wanted
         self._rng = random.Random()
-        self._pending_actions: list[Action] = []
+        self._pending_actions: deque[Action] = deque()
+        self._is_performing = False
         self._probes: dict[str, asyncio.Task[None]] = {}
 
     def set_config(self, config: FleetConfig) -> None:
@@ -102,6 +105,15 @@
 
         Return its exchange, or None if the request has been answered already.
         """
+        try:
+            return self._accept(conn, request)
+        except Exception as exc:
+            self._metrics.count("requests_abandoned")
+            log.error("request not accepted", step="accept", peer=conn.peer, exc_info=exc)
+            conn.abort()
+            return None
+
+    def _accept(self, conn: CallerConn, request: CallerRequest) -> Exchange | None:
         decoded = self._protocol.decode_request(request.headers)
         if isinstance(decoded, Err) or not decoded.ok_value.request_id:
             detail = decoded.err_value.detail if isinstance(decoded, Err) else "no request id"
@@ -122,26 +134,58 @@
         job.exchange = exchange
         conn.set_listener(exchange)
         self.in_flight += 1
-        self.perform(self.dispatcher.submit(job, self.clock()))
-        if job.waiting:
-            self._record_waiting(job)
-        elif self.dispatcher.is_returning(job):
-            self._on_waiting()
+        try:
+            self.perform(self.dispatcher.submit(job, self.clock()))
+            if job.waiting:
+                self._record_waiting(job)
+            elif self.dispatcher.is_returning(job):
+                self._on_waiting()
+        except Exception as exc:
+            self.abandon(exchange, exc)
         return None if exchange.done else exchange
 
     def perform(self, actions: list[Action]) -> None:
         """Execute actions in order.
 
         An action may lead to further actions, which are queued behind the current ones instead of
-        being executed recursively.
+        being executed recursively. An action that raises an error ends its own request only.
         """
         self._pending_actions += actions
-        if len(self._pending_actions) > len(actions):
+        if self._is_performing:
             return
-        while self._pending_actions:
-            action = self._pending_actions[0]
-            action.job.exchange.carry_out(action)
-            self._pending_actions.pop(0)
+        self._is_performing = True
+        try:
+            while self._pending_actions:
+                action = self._pending_actions.popleft()
+                exchange: Exchange = action.job.exchange
+                try:
+                    exchange.carry_out(action)
+                except Exception as exc:
+                    self.abandon(exchange, exc)
+        finally:
+            self._is_performing = False
+
+    def abandon(self, exchange: Exchange, error: Exception) -> None:
+        """End a request whose handling has raised an error; the other requests go on."""
+        job = exchange.job
+        self._metrics.count("requests_abandoned")
+        log.error(
+            "request abandoned",
+            request_id=job.request_id,
+            step="handle_request",
+            route=job.route.name,
+            upstream=job.attempt.instance if job.attempt else "",
+            answer_begun=job.answer_begun,
+            exc_info=error,
+            **self._version_fields(),
+        )
+        try:
+            exchange.abandon()
+        except Exception as exc:
+            log.error(
+                "request not ended", request_id=job.request_id, step="handle_request", exc_info=exc
+            )
+        self.perform(self.dispatcher.cancel(job, self.clock()))
 
     def probe(self, instance: str) -> None:
         """Start to check whether an upstream still listens, unless a check is in progress."""
@@ -149,16 +193,19 @@
             self._probes[instance] = self.loop.create_task(self._probe(instance))
 
     async def _probe(self, instance: str) -> None:
-        # A process that is ending may close its connections some moments before its listener.
-        await asyncio.sleep(PROBE_DELAY_S)
-        entry = self.directory.get(instance)
-        if entry is not None:
+        try:
+            # A process that is ending may close its connections some moments before its listener.
+            await asyncio.sleep(PROBE_DELAY_S)
+            entry = self.directory.get(instance)
+            if entry is None:
+                return
             result = await self.pool.connect(instance, entry.address)
             if not isinstance(result, Err):
                 result.ok_value.close()
             elif result.err_value.step == "refused":
                 self.perform(self.dispatcher.record_no_listener(entry, self.clock()))
-        del self._probes[instance]
+        finally:
+            del self._probes[instance]
 
     def _make_job(self, facts: RequestMetadata, route: Route, request: CallerRequest) -> Job:
         now = self.clock()
--- a/eelgrassferry/forwarding/caller_conn.py
+++ b/eelgrassferry/forwarding/caller_conn.py
@@ -110,6 +110,15 @@
 
     # Answers
 
+    def is_answering(self, listener: CallerListener) -> bool:
+        """Return whether the request of a listener is in progress and has no complete answer."""
+        return self._listener is listener
+
+    @property
+    def can_start_answer(self) -> bool:
+        """Whether the head of an answer to the current request can be sent."""
+        return self.is_open and self._h11.our_state is h11.SEND_RESPONSE
+
     def send(self, status: int, headers: RawHeaders, body: bytes, close: bool = False) -> None:
         """Send a complete answer."""
         length = (b"Content-Length", str(len(body)).encode())
