Read documents of other writers with types and ranges

Cause: decoders caught a list of expected exceptions, which lacked OverflowError, and checked neither ranges nor names.

Change: documents/ reads fields with a type and a range and names the exceptions of reading once, for all decoders; a listing stays readable if one of its documents is not; ids and addresses can be sent in headers; a report without its facts is an error; a failed task ends the process with exit code 1.

--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -14,6 +14,7 @@
     SlownessSample,
     UpstreamLoad,
 )
+from ..documents import MALFORMED
 from ..objects import FeedUpdate, StoredObject
 from ..ordering import NodeStatus, OrderUpdate, PendingDemand
 from ..peers.errors import MalformedMessage
@@ -185,7 +186,7 @@
                 ViewReply(float(body["seen"]), bool(body["reached"])),
             )
         )
-    except (KeyError, TypeError, ValueError) as exc:
+    except MALFORMED as exc:
         return Err(MalformedMessage("decode_status", "", repr(exc)))
 
 
@@ -263,7 +264,7 @@
         versions = {str(prefix): int(n) for prefix, n in body.get("versions", {}).items()}
         news = (crashes, versions, decode_notices(body.get("notices", ()), now))
         return Ok(FleetView(*counters, loads, residency, orders, *flags, slowness, *names, *news))
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except MALFORMED as exc:
         return Err(MalformedMessage("decode_view", "", repr(exc)))
 
 
@@ -290,7 +291,7 @@
                 tuple(body["unchanged"]),
             )
         )
-    except (KeyError, TypeError, ValueError) as exc:
+    except MALFORMED as exc:
         return Err(MalformedMessage("decode_copy", "", repr(exc)))
 
 
@@ -319,7 +320,7 @@
             base=int(body["base"]),
         )
         return Ok((str(body["prefix"]), update))
-    except (KeyError, TypeError, ValueError) as exc:
+    except MALFORMED as exc:
         return Err(MalformedMessage("decode_changes", "", repr(exc)))
 
 
--- a/eelgrassferry/coordination/node_registry.py
+++ b/eelgrassferry/coordination/node_registry.py
@@ -7,6 +7,7 @@
 import structlog
 from result import Err
 
+from ..documents import MALFORMED, parse_json, to_number, to_text
 from ..fleet import EntrySettings
 from ..objects import FeedUpdate, MonitoredStore, ObjectFeed, StoredObject
 
@@ -182,11 +183,11 @@
 
     def _add_entry(self, stored: StoredObject) -> None:
         try:
-            entry = json.loads(stored.value)
-            address, domain = str(entry["address"]), str(entry["domain"])
-            cores = float(entry.get("cores", 0.0))
-        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            entry = parse_json(stored.value)
+            name = to_text(stored.key.removeprefix(NODES_PREFIX))
+            address, domain = to_text(entry["address"]), to_text(entry["domain"])
+            cores = to_number(entry.get("cores", 0.0))
+        except MALFORMED as exc:
             log.warning("node entry not used", step="decode_node", detail=repr(exc))
             return
-        name = stored.key.removeprefix(NODES_PREFIX)
         self._addresses[name], self._domains[name], self._cores[name] = address, domain, cores
--- a/eelgrassferry/coordination/object_relay.py
+++ b/eelgrassferry/coordination/object_relay.py
@@ -4,10 +4,12 @@
 import random
 from collections.abc import Callable, Mapping
 from functools import partial
+from typing import Any
 
 import structlog
 from result import Err
 
+from ..documents import MALFORMED, to_count
 from ..logs import to_whole_ms
 from ..objects import FeedUpdate, ObjectFeed, StoredObject
 from ..peers.frame import Frame
@@ -104,16 +106,17 @@
                 )
                 self._request_copy(link, feed)
 
-    def on_pull(self, link: PeerLink, body: object) -> tuple[str, int] | None:
+    def on_pull(self, link: PeerLink, body: Any) -> tuple[str, int] | None:
         """Respond to a node's request for the objects under a prefix.
 
         Return the prefix and the version of the copy that was sent, None if there is none.
         """
-        feed = self._feeds.get(body.get("prefix", "")) if isinstance(body, dict) else None
-        if feed is None:
+        try:
+            feed, version = self._feeds[body["prefix"]], to_count(body.get("version", 0))
+        except MALFORMED:
             link.send(COPY, None)
             return None
-        link.send(COPY, encode_copy(_make_copy(feed, int(body.get("version", 0)))))
+        link.send(COPY, encode_copy(_make_copy(feed, version)))
         return feed.prefix, feed.version
 
     def send_changes_since(self, link: PeerLink, prefix: str, version: int) -> None:
--- a/eelgrassferry/coordination/turn_codec.py
+++ b/eelgrassferry/coordination/turn_codec.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from ..dispatch import TurnReply, TurnRequest
+from ..documents import MALFORMED
 from ..peers.errors import MalformedMessage
 
 __all__ = [
@@ -30,7 +31,7 @@
                 for process_id, count, max_wait_s in body
             ]
         )
-    except (TypeError, ValueError) as exc:
+    except MALFORMED as exc:
         return Err(MalformedMessage("decode_turns", "", repr(exc)))
 
 
@@ -56,5 +57,5 @@
                 for process_id, count, waits, next_in_s in body
             ]
         )
-    except (TypeError, ValueError) as exc:
+    except MALFORMED as exc:
         return Err(MalformedMessage("decode_turns", "", repr(exc)))
--- a/eelgrassferry/coordination/verdict_store.py
+++ b/eelgrassferry/coordination/verdict_store.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from ..dispatch import CrashAnalyzer
+from ..documents import MALFORMED
 from ..objects import MonitoredStore, StoredObject
 
 __all__ = ["VerdictStore"]
@@ -91,6 +92,6 @@
     try:
         lists = json.loads(stored.value)["blocked"]
         return frozenset(frozenset(map(str, names)) for names in lists if names)
-    except (ValueError, KeyError, TypeError) as exc:
+    except MALFORMED as exc:
         log.warning("verdicts not used", step="load_verdicts", detail=repr(exc))
         return frozenset()
--- /dev/null
+++ b/eelgrassferry/documents/__init__.py
@@ -0,0 +1,14 @@
+"""Reading of documents that other programs have written, and that may have any content."""
+
+from .fields import MALFORMED, MAX_COUNT, to_count, to_flag, to_number, to_text
+from .json_text import parse_json
+
+__all__ = [
+    "MALFORMED",
+    "MAX_COUNT",
+    "parse_json",
+    "to_count",
+    "to_flag",
+    "to_number",
+    "to_text",
+]
--- a/eelgrassferry/embedded/load.py
+++ b/eelgrassferry/embedded/load.py
@@ -10,6 +10,7 @@
 
 from result import Err
 
+from ..documents import MALFORMED
 from ..http import HttpClient, SseParser
 from ..settings import Deployment
 from ..standins import expected_tokens
@@ -215,5 +216,5 @@
     try:
         problem = json.loads(body)
         return CallResult(kind, status, problem["reason"], problem["ran"], key=key)
-    except (ValueError, KeyError, TypeError):
+    except MALFORMED:
         return CallResult(kind, status, "malformed_problem", "unknown", key=key)
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -74,6 +74,7 @@
         self._load_settings = load_settings
         self._metrics = Metrics()
         self._stop = asyncio.Event()
+        self._has_failed = False
         self._isolated_at = 0.0
         self._directory = UpstreamDirectory()
         self._residency = FleetResidency(self._directory)
@@ -170,7 +171,8 @@
     async def run(self) -> int:
         """Serve until SIGTERM or SIGINT, then stop gracefully.
 
-        Return the exit code, which is 1 if an address in the settings cannot be bound.
+        Return the exit code, which is 1 if an address in the settings cannot be bound or a task of
+        the node has failed.
         """
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
@@ -205,7 +207,7 @@
         log.info(
             "node stopped", step="stop", node=self._settings.name, left=self._handler.in_flight
         )
-        return 0
+        return 1 if self._has_failed else 0
 
     async def _listen(self) -> None:
         ready_host, ready_port = split_address(self._settings.ready_listen)
@@ -417,7 +419,9 @@
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
+            self._metrics.count("tasks_failed")
             log.error("task failed, stopping", step="run", exc_info=task.exception())
+            self._has_failed = True
             self._stop.set()
 
     def _on_callback_failed(
--- a/eelgrassferry/leases/record.py
+++ b/eelgrassferry/leases/record.py
@@ -5,6 +5,8 @@
 
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED, to_count, to_number
+
 __all__ = ["LeaseFormatError", "LeaseRecord"]
 
 
@@ -48,13 +50,13 @@
             return Ok(
                 cls(
                     holder=str(fields["holder"]),
-                    epoch=int(fields["epoch"]),
-                    duration_s=float(fields["duration_s"]),
+                    epoch=to_count(fields["epoch"]),
+                    duration_s=to_number(fields["duration_s"]),
                     write_id=str(fields["write_id"]),
                     released=bool(fields["released"]),
                     # Records written by earlier versions lack the field; 0 is the safe default.
-                    held_s=float(fields.get("held_s", 0.0)),
+                    held_s=to_number(fields.get("held_s", 0.0)),
                 )
             )
-        except (ValueError, KeyError, TypeError) as exc:
+        except MALFORMED as exc:
             return Err(LeaseFormatError("decode_lease", "", repr(exc)))
--- a/eelgrassferry/node/engine_client.py
+++ b/eelgrassferry/node/engine_client.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED
 from ..http import HttpClient, HttpError, HttpStream, SseParser
 
 __all__ = ["EngineFailure", "EngineFailureKind", "EngineStream", "Token", "open_stream"]
@@ -124,7 +125,7 @@
                 event = json.loads(data)
                 token = Token(int(event["index"]), str(event["token"]), str(event["version"]))
                 request_id = event["id"]
-            except (ValueError, KeyError, TypeError):
+            except MALFORMED:
                 return Err(self._broken_failure(f"malformed event {data[:80]!r}"))
             if request_id != self._request_id:
                 self.foreign_events += 1
--- a/eelgrassferry/node/engine_poll.py
+++ b/eelgrassferry/node/engine_poll.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED
 from ..http import HttpClient, HttpError, HttpResponse
 from ..routing import CacheEvent, CacheEventKind, LoadReport, ResidentCopy
 
@@ -66,7 +67,7 @@
 def _decode(address: str, read: Callable[[], Any]) -> Result[Any, HttpError]:
     try:
         return Ok(read())
-    except (ValueError, KeyError, TypeError) as exc:
+    except MALFORMED as exc:
         return Err(HttpError("decode", address, True, f"malformed answer: {exc!r}"))
 
 
--- a/eelgrassferry/objects/host_list.py
+++ b/eelgrassferry/objects/host_list.py
@@ -5,6 +5,7 @@
 
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED
 from ..http import HttpClient, HttpResponse
 from .errors import ObjectError, RateLimited, Unavailable
 
@@ -65,7 +66,7 @@
                     self._hosts = parse_hosts(res)
                     self._body = res.body
                     return Ok(self._hosts)
-                except (ValueError, KeyError, TypeError):
+                except MALFORMED:
                     return self._unavailable("the answer cannot be read")
             case Ok(HttpResponse(status=429)):
                 return Err(RateLimited("hosts", self._address))
--- a/eelgrassferry/objects/http_store.py
+++ b/eelgrassferry/objects/http_store.py
@@ -1,12 +1,12 @@
 """Client of the platform's object API over HTTP."""
 
 import base64
-import binascii
 import json
 from urllib.parse import quote, urlencode
 
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED
 from ..http import HttpClient, HttpError, HttpResponse
 from .errors import Conflict, ObjectError, RateLimited, TooLarge, Unavailable
 from .object_store import Change, StoredObject, WatchResult
@@ -91,7 +91,7 @@
             case Ok(HttpResponse(status=200) as res):
                 try:
                     return Ok(parse_objects(res.body))
-                except (ValueError, KeyError, TypeError, AttributeError, binascii.Error):
+                except MALFORMED:
                     return self._malformed_response("list", uncertain=False)
             case Ok(res):
                 return self._status_error("list", prefix, res, write=False)
@@ -109,7 +109,7 @@
             case Ok(HttpResponse(status=200) as res):
                 try:
                     return Ok(parse_watch(res.body))
-                except (ValueError, KeyError, TypeError, AttributeError):
+                except MALFORMED:
                     return self._malformed_response("watch", uncertain=False)
             case Ok(res):
                 return self._status_error("watch", prefix, res, write=False)
--- a/eelgrassferry/orders/shard.py
+++ b/eelgrassferry/orders/shard.py
@@ -11,6 +11,7 @@
 import msgpack
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED
 from .operations import (
     Abandon,
     AlreadyDone,
@@ -82,7 +83,7 @@
             shard.write_ids = list(write_ids)
             for key, written_s, packed in zip(flat[::3], flat[1::3], flat[2::3], strict=True):
                 shard._put_row(str(key), int(written_s), bytes(packed))
-        except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        except (*MALFORMED, msgpack.UnpackException) as exc:
             return Err(f"malformed journal object: {exc}")
         return Ok(shard)
 
--- a/eelgrassferry/placement/engine.py
+++ b/eelgrassferry/placement/engine.py
@@ -7,6 +7,8 @@
 
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED
+
 __all__ = [
     "EngineOrder",
     "EngineStatus",
@@ -178,7 +180,7 @@
                     leaving=body.get("state") == "leaving",
                 )
             )
-        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        except MALFORMED as exc:
             return Err(StatusFormatError("parse_status", peer, repr(exc)))
 
     def state_of(self, order_id: str) -> OrderState:
--- a/eelgrassferry/placement/record.py
+++ b/eelgrassferry/placement/record.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED
 from .engine import Item, ItemKind, OrderKind, Resident
 
 __all__ = ["RecordFormatError", "Reservation", "UpstreamRecord", "record_key"]
@@ -98,7 +99,7 @@
                     rejected=tuple(decode_item(fields) for fields in document["rejected"]),
                 )
             )
-        except (ValueError, KeyError, TypeError, IndexError) as exc:
+        except MALFORMED as exc:
             return Err(RecordFormatError("decode_record", "", repr(exc)))
 
 
--- a/eelgrassferry/platform/config_codec.py
+++ b/eelgrassferry/platform/config_codec.py
@@ -1,10 +1,10 @@
 """Decoder of the configuration object that operators write."""
 
-import json
 from typing import Any
 
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED, parse_json, to_number, to_text
 from ..fleet import (
     Backend,
     CallerLimits,
@@ -27,16 +27,16 @@
 def decode_config(value: bytes) -> Result[FleetConfig, CodecError]:
     """Decode the value of the object ``CONFIG_KEY``. Ignore unknown fields."""
     try:
-        spec = json.loads(value)
+        spec = parse_json(value)
         return Ok(
             FleetConfig(
-                version=int(spec["version"]),
+                version=_whole(spec["version"]),
                 routes=tuple(_decode_route(route) for route in spec["routes"]),
                 services={entry["name"]: _decode_service(entry) for entry in spec["services"]},
                 limits=_decode_limits(spec.get("limits") or {}),
             )
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except MALFORMED as exc:
         return Err(CodecError("decode_config", "", repr(exc)))
 
 
@@ -44,19 +44,23 @@
     # A route names either one service, or "backends": several services with weights.
     weighted = spec.get("backends")
     if weighted:
-        backends = tuple(Backend(part["service"], float(part["weight"])) for part in weighted)
+        backends = tuple(
+            Backend(to_text(part["service"]), to_number(part["weight"])) for part in weighted
+        )
+        if not any(backend.weight for backend in backends):
+            raise ValueError("all weights of a route are 0")
     else:
-        backends = (Backend(spec["service"], 1.0),)
+        backends = (Backend(to_text(spec["service"]), 1.0),)
     return Route(
-        name=str(spec["name"]),
-        host=str(spec["host"]),
-        path_prefix=str(spec["path_prefix"]),
+        name=to_text(spec["name"]),
+        host=to_text(spec["host"]),
+        path_prefix=to_text(spec["path_prefix"]),
         kind=RequestKind(spec["kind"]),
         backends=backends,
         timeout_s=_seconds(spec.get("timeout_ms"), DEFAULT_TIMEOUT_S),
         target_latency_s=_seconds(spec.get("target_latency_ms"), DEFAULT_TARGET_S),
-        priority=int(spec.get("priority", 5)),
-        max_attempts=max(1, int(spec.get("max_attempts", 1))),
+        priority=_whole(spec.get("priority", 5)),
+        max_attempts=max(1, _whole(spec.get("max_attempts", 1))),
         resumable=bool(spec.get("resumable", False)),
         gap_target_s=_seconds(spec.get("gap_aim_ms"), 0.0),
     )
@@ -65,45 +69,49 @@
 def _decode_service(spec: dict[str, Any]) -> Service:
     engine = spec.get("engine")
     return Service(
-        name=str(spec["name"]),
+        name=to_text(spec["name"]),
         engine=_decode_engine(engine) if engine and engine.get("models") else None,
     )
 
 
 def _decode_engine(spec: dict[str, Any]) -> EngineSpec:
     return EngineSpec(
-        batch_slots=int(spec["slots"]),
-        cache_tokens=int(spec["kv_capacity_tokens"]),
-        weights_mb=float(spec["weights_mb"]),
-        adapter_slots=int(spec.get("adapter_slots", 0)),
-        cold_loads_per_s=float(spec.get("loads_per_s", 1.0)),
+        batch_slots=_whole(spec["slots"]),
+        cache_tokens=_whole(spec["kv_capacity_tokens"]),
+        weights_mb=to_number(spec["weights_mb"]),
+        adapter_slots=_whole(spec.get("adapter_slots", 0)),
+        cold_loads_per_s=to_number(spec.get("loads_per_s", 1.0)),
         models={model["name"]: _decode_model(model) for model in spec["models"]},
     )
 
 
 def _decode_model(spec: dict[str, Any]) -> ModelSpec:
-    load_s = float(spec["load_s"])
+    load_s = to_number(spec["load_s"])
     return ModelSpec(
-        name=str(spec["name"]),
-        weights_mb=float(spec["weights_mb"]),
+        name=to_text(spec["name"]),
+        weights_mb=to_number(spec["weights_mb"]),
         load_s=load_s,
         # "warm_s" is the time to load the model from the upstream's main memory.
-        memory_load_s=float(spec.get("warm_s", load_s)),
-        disk_load_s=float(spec.get("disk_s", load_s)),
-        adapters=int(spec.get("adapters", 0)),
-        adapter_mb=float(spec.get("adapter_mb", 0.0)),
+        memory_load_s=to_number(spec.get("warm_s", load_s)),
+        disk_load_s=to_number(spec.get("disk_s", load_s)),
+        adapters=_whole(spec.get("adapters", 0)),
+        adapter_mb=to_number(spec.get("adapter_mb", 0.0)),
     )
 
 
 def _decode_limits(spec: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
-        max_header_bytes=int(spec.get("max_header_bytes", default.max_header_bytes)),
-        max_body_bytes=int(spec.get("max_body_bytes", default.max_body_bytes)),
+        max_header_bytes=_whole(spec.get("max_header_bytes", default.max_header_bytes)),
+        max_body_bytes=_whole(spec.get("max_body_bytes", default.max_body_bytes)),
         header_timeout_s=_seconds(spec.get("header_timeout_ms"), default.header_timeout_s),
         idle_timeout_s=_seconds(spec.get("idle_timeout_ms"), default.idle_timeout_s),
     )
 
 
 def _seconds(milliseconds: Any, default: float) -> float:
-    return default if milliseconds is None else float(milliseconds) / 1000.0
+    return default if milliseconds is None else to_number(milliseconds) / 1000.0
+
+
+def _whole(value: Any) -> int:
+    return int(to_number(value))
--- a/eelgrassferry/platform/object_store.py
+++ b/eelgrassferry/platform/object_store.py
@@ -4,8 +4,10 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
+import structlog
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED, parse_json, to_count, to_text
 from ..http import HttpClient, HttpError, HttpResponse
 from ..objects import (
     Change,
@@ -23,6 +25,8 @@
 
 __all__ = ["PlatformObjectStore"]
 
+log = structlog.get_logger()
+
 # Seconds. A healthy store answers within a few ms, a slow one within 300 ms.
 CALL_TIMEOUT_S = 0.7
 # Seconds added to the wait time of a watch, so that the store's empty response arrives before the
@@ -108,14 +112,13 @@
             )
             if isinstance(page, Err):
                 return page
-            page_objects, truncated, as_of = page.ok_value
+            page_objects, after, as_of = page.ok_value
             objects += page_objects
             # A watch from the first page's version repeats changes made between two pages; one from
             # a later version could miss them.
             version = as_of if version is None else version
-            if not truncated or not page_objects:
+            if not after:
                 return Ok(Snapshot(version, tuple(sorted(objects, key=lambda obj: obj.key))))
-            after = page_objects[-1].key.partition("/")[2]
 
     async def watch(
         self, prefix: str, after: int, timeout_s: float
@@ -150,8 +153,8 @@
 
     def _decode(self, step: str, res: HttpResponse, decode: Any) -> Result[Any, ObjectError]:
         try:
-            return Ok(decode(json.loads(res.body)))
-        except (ValueError, KeyError, TypeError, AttributeError):
+            return Ok(decode(parse_json(res.body)))
+        except MALFORMED:
             return self._decode_error(step, uncertain=False)
 
     def _decode_error(self, step: str, *, uncertain: bool) -> Err[ObjectError]:
@@ -178,20 +181,37 @@
 
 def _decode_object(key: str, document: dict[str, Any]) -> StoredObject:
     # "revision" is the value of the store-wide change counter at the object's last change.
-    value = json.dumps(document["spec"], separators=(",", ":")).encode()
-    return StoredObject(key, int(document["meta"]["revision"]), value)
+    value = json.dumps(document.get("spec"), separators=(",", ":")).encode()
+    return StoredObject(key, to_count(document["meta"]["revision"]), value)
+
+
+def _decode_listed(kind: str, document: Any) -> StoredObject | None:
+    """Decode one object of several, None if it cannot be read, so that the others can be used."""
+    try:
+        return _decode_object(f"{kind}/{to_text(document['meta']['name'])}", document)
+    except MALFORMED as exc:
+        log.warning("object not used", step="decode_object", kind=kind, detail=repr(exc)[:200])
+        return None
 
 
-def _decode_page(kind: str, document: dict[str, Any]) -> tuple[list[StoredObject], bool, int]:
-    items = [_decode_object(f"{kind}/{item['meta']['name']}", item) for item in document["items"]]
-    return items, bool(document.get("truncated")), int(document["as_of"])
+def _decode_page(kind: str, document: dict[str, Any]) -> tuple[list[StoredObject], str, int]:
+    """Return the objects of a page, the name after which the next one begins, and the version.
+
+    The name is empty on the last page.
+    """
+    items = document["items"]
+    objects = [stored for item in items if (stored := _decode_listed(kind, item)) is not None]
+    is_last = not document.get("truncated") or not items
+    after = "" if is_last else to_text(items[-1]["meta"]["name"])
+    return objects, after, to_count(document["as_of"])
 
 
 def _decode_changes(kind: str, document: dict[str, Any]) -> WatchResult:
     changes = []
     for event in document["events"]:
-        stored = _decode_object(f"{kind}/{event['object']['meta']['name']}", event["object"])
-        removed = bool(event["removed"])
-        value = None if removed else stored.value
-        changes.append(Change(stored.key, stored.version, removed, value))
-    return WatchResult(int(document["as_of"]), tuple(changes))
+        stored = _decode_listed(kind, event["object"])
+        if stored is not None:
+            removed = bool(event["removed"])
+            value = None if removed else stored.value
+            changes.append(Change(stored.key, stored.version, removed, value))
+    return WatchResult(to_count(document["as_of"]), tuple(changes))
--- a/eelgrassferry/platform/request_codec.py
+++ b/eelgrassferry/platform/request_codec.py
@@ -1,5 +1,7 @@
 """Codecs for the headers of callers' requests and of upstreams' responses."""
 
+import math
+
 from result import Err, Ok, Result
 
 from ..fleet import UpstreamNotice
@@ -21,6 +23,13 @@
 SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 
+# A number of tokens with more digits is malformed.
+MAX_TOKEN_DIGITS = 9
+# Longest pause and longest idle time that an upstream may name, in seconds. A greater number is not
+# one that an operator has meant.
+MAX_PAUSE_S = 86_400.0
+MAX_IDLE_S = 3600.0
+
 # Statuses with which a server turns a request away, and may add for how long.
 TURNED_AWAY = (429, 503)
 
@@ -72,14 +81,16 @@
     request_id = values.get(REQUEST_ID, b"").decode("latin-1")
     try:
         deadline = values.get(DEADLINE)
+        deadline_s = None if deadline is None else _parse_finite(deadline) / 1000.0
         # The header's form is MODEL or MODEL/ADAPTER.
         model, _, adapter = values.get(MODEL, b"").decode("latin-1").partition("/")
-        counts = [int(part) for part in values.get(TOKEN_COUNTS, b"").split(b",") if part.strip()]
+        parts = values.get(TOKEN_COUNTS, b"").decode("latin-1").split(",")
+        counts = [_parse_tokens(part) for part in parts if part.strip()]
         return Ok(
             RequestMetadata(
                 request_id=request_id,
                 host=values.get(b"host", b"").decode("latin-1"),
-                deadline_s=None if deadline is None else max(0.0, float(deadline) / 1000.0),
+                deadline_s=None if deadline_s is None else max(0.0, deadline_s),
                 model=model,
                 adapter=adapter,
                 prompt_tokens=counts[0] if counts else 0,
@@ -143,11 +154,7 @@
             leaving=values.get(SERVER_LEAVING, b"").strip() == b"1",
             # Retry-After may also be a date. It is ignored, because the clocks of two hosts may
             # differ by more than the time it means.
-            pause_s=(
-                (_parse_number(values.get(RETRY_AFTER, b"")) or 0.0)
-                if status in TURNED_AWAY
-                else 0.0
-            ),
+            pause_s=_parse_pause_s(values.get(RETRY_AFTER, b"")) if status in TURNED_AWAY else 0.0,
             limit_per_s=_parse_number(values.get(SERVER_LIMIT, b"")),
         ),
     )
@@ -178,10 +185,26 @@
     for part in value.decode("latin-1").split(","):
         name, separator, tokens = part.strip().partition(":")
         if separator:
-            parts.append((name, int(tokens)))
+            parts.append((name, _parse_tokens(tokens)))
     return tuple(parts)
 
 
+def _parse_tokens(text: str) -> int:
+    """Return a number of tokens; raise ``ValueError`` for any other text."""
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdigit() and len(digits) <= MAX_TOKEN_DIGITS):
+        raise ValueError(f"{digits[:20]!r} is not a number of tokens")
+    return int(digits)
+
+
+def _parse_finite(value: bytes) -> float:
+    """Return a finite number; raise ``ValueError`` for any other value."""
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value[:20]!r} is not a finite number")
+    return number
+
+
 def _parse_number(value: bytes) -> float | None:
     """Return a decimal number that is at least 0, or None for any other value."""
     try:
@@ -191,9 +214,15 @@
     return number if 0.0 <= number < float("inf") else None
 
 
+def _parse_pause_s(value: bytes) -> float:
+    """Return the pause that an upstream asks for in seconds, 0 if there is none."""
+    pause_s = _parse_number(value)
+    return 0.0 if pause_s is None or pause_s > MAX_PAUSE_S else pause_s
+
+
 def _parse_keep_alive_s(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
         if name.lower() == b"timeout" and number.strip().isdigit():
-            return float(number)
+            return min(MAX_IDLE_S, float(number))
     return None
--- a/eelgrassferry/platform/tests/test_codecs.py
+++ b/eelgrassferry/platform/tests/test_codecs.py
@@ -3,6 +3,9 @@
 import json
 import unittest
 
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from result import Err
 
 from ...fleet import RequestKind
@@ -29,6 +32,19 @@
 }
 
 
+ANY_JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from([10**400, -(10**30), 2**64])
+    | st.floats()
+    | st.text(st.characters(), max_size=5),
+    lambda children: st.lists(children, max_size=3)
+    | st.dictionaries(st.sampled_from(["name", "adapters", "on_disk", "x"]), children, max_size=3),
+    max_leaves=6,
+)
+
+
 class SettingsFileTest(unittest.TestCase):
     """Parsing of a settings file."""
 
@@ -75,6 +91,16 @@
         """Guards against an exception, instead of an error, for a malformed object."""
         for value in (b"", b"[]", b"{}", b'{"version":"x","routes":[],"services":[]}'):
             self.assertIsInstance(decode_config(value), Err)
+        for field, value in (("timeout_ms", 1e999), ("priority", float("nan")), ("host", 3)):
+            config = make_config()
+            config["routes"][0][field] = value
+            self.assertIsInstance(decode_config(json.dumps(config).encode()), Err, field)
+
+    def test_route_without_weight(self):
+        """Guards against a route that no request can be assigned a service of."""
+        config = make_config()
+        config["routes"][0]["backends"] = [{"service": "chat", "weight": 0}]
+        self.assertIsInstance(decode_config(json.dumps(config).encode()), Err)
 
 
 class EntryTest(unittest.TestCase):
@@ -96,6 +122,83 @@
         for value in (b"\xff", b"null", b"[]", b"{}"):
             self.assertIsInstance(decode_entry("i-1", value), Err)
 
+    def test_fields_out_of_range(self):
+        """Guards against a decoder that raises on a number which cannot be represented: each node
+        ended at it, and again after each start (review case 2).
+        """
+        numbers = ["1e999", "-1e999", "NaN", "9" * 400, "9" * 6000, "-1", "0.5", "0", "true", "[]"]
+        for field in ("slots", "remaining_ms", "born"):
+            for number in numbers:
+                if (field, number) in (
+                    ("remaining_ms", "0.5"),
+                    ("remaining_ms", "0"),
+                    ("born", "0"),
+                ):
+                    continue
+                spec = json.dumps({**ENTRY, field: "?"}).replace('"?"', number)
+                with self.subTest(field=field, number=number[:9]):
+                    self.assertIsInstance(decode_entry("i-1", spec.encode()), Err)
+
+    def test_names_that_cannot_be_sent(self):
+        """Guards against an entry that is in use although requests to it, or messages about it,
+        cannot be encoded.
+        """
+        for instance in ("", "\u00f1\u2192", "i 1", "i\n1", "i" * 300):
+            with self.subTest(instance=instance[:9]):
+                self.assertIsInstance(decode_entry(instance, json.dumps(ENTRY).encode()), Err)
+        for change in (
+            {"zone": "\ud800"},
+            {"models": [{"name": "\ud800"}]},
+            {"models": [{"name": "m0", "adapters": ["\udfff"]}]},
+            {"address": "10.0.0.1:\u0668\u0660"},
+            {"address": "10.0.0.1 :80"},
+            {"address": "10.0.0.1:" + "8" * 5000},
+            {"at_hand": {"on_disk": [["m0"]]}},
+        ):
+            with self.subTest(change=change):
+                value = json.dumps({**ENTRY, **change}).encode()
+                self.assertIsInstance(decode_entry("i-1", value), Err)
+
+    def test_deeply_nested_entry(self):
+        """Guards against a decoder that raises on deep nesting."""
+        value = json.dumps({**ENTRY, "models": "?"}).replace('"?"', "[" * 9999 + "]" * 9999)
+        self.assertIsInstance(decode_entry("i-1", value.encode()), Err)
+
+    def test_report_without_facts(self):
+        """Guards against an engine that is taken for empty because its report lacks the fields."""
+        report = {"models": [], "busy": False, "sequence": 4}
+        for change in ({"sequence": float("inf")}, {"sequence": -1}, {"busy": "no"}, {"models": 3}):
+            with self.subTest(change=change):
+                self.assertIsInstance(decode_report(json.dumps({**report, **change}).encode()), Err)
+        for field in report:
+            rest = {name: value for name, value in report.items() if name != field}
+            self.assertIsInstance(decode_report(json.dumps(rest).encode()), Err, field)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.sampled_from(sorted({*ENTRY, "remaining_ms"})), ANY_JSON)
+    def test_any_value_in_any_field(self, field, value):
+        """Guards against a value that a decoder raises on, or that is accepted and cannot be used:
+        what is decoded is sent in headers and in messages between nodes.
+        """
+        decoded = decode_entry("i-1", json.dumps({**ENTRY, field: value}).encode())
+        if isinstance(decoded, Err):
+            return
+        entry = decoded.ok_value
+        self.assertGreaterEqual(entry.slots, 1)
+        names = [entry.service, entry.domain, entry.address, entry.started_ms]
+        msgpack.packb([*names, *entry.residents, *entry.on_disk, *entry.in_host_memory])
+        self.assertTrue(encode_request([], entry.instance, 1.0, 1, ""))
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.sampled_from(["models", "busy", "sequence", "active", "coming", "at_hand"]), ANY_JSON)
+    def test_any_value_in_a_report(self, field, value):
+        """Guards against a report that the decoder raises on."""
+        decoded = decode_report(
+            json.dumps({"models": [], "busy": False, "sequence": 4, field: value}).encode()
+        )
+        if not isinstance(decoded, Err):
+            msgpack.packb([decoded.ok_value.accepted_orders, *decoded.ok_value.residents])
+
     def test_report_with_adapters_in_transit(self):
         """Guards against ignoring adapters whose loading is in progress."""
         report = decode_report(b'{"models":[],"busy":true,"sequence":4,"coming":["m0/a1@2"]}')
@@ -125,7 +228,12 @@
         """Guards against an exception for a caller's malformed header."""
         for header in (
             (b"Eelgrassferry-Deadline-Ms", b"soon"),
+            (b"Eelgrassferry-Deadline-Ms", b"nan"),
+            (b"Eelgrassferry-Deadline-Ms", b"1e999"),
             (b"Eelgrassferry-Token-Counts", b"x"),
+            (b"Eelgrassferry-Token-Counts", b"-5,3"),
+            (b"Eelgrassferry-Token-Counts", b"9" * 4000),
+            (b"Eelgrassferry-Prompt-Prefix", b"5c:" + b"9" * 400),
         ):
             self.assertIsInstance(decode_request([header]), Err)
 
--- a/eelgrassferry/settings/operator_api.py
+++ b/eelgrassferry/settings/operator_api.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok
 
+from ..documents import MALFORMED
 from ..http import ExecutionStatus, HttpRequest, HttpResponse, Problem
 from ..metrics import Metrics
 from ..objects import Conflict, ObjectError, ObjectStore, RateLimited, TooLarge, Unavailable
@@ -154,7 +155,7 @@
         try:
             document = HttpResponse(0, (), req.body).json()
             name = document["name"]
-        except (ValueError, KeyError, TypeError):
+        except MALFORMED:
             name = None
         if not isinstance(name, str) or not name:
             return _make_refusal(400, "malformed_request", "the body has no field 'name'")
--- a/eelgrassferry/settings/revision.py
+++ b/eelgrassferry/settings/revision.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from ..documents import MALFORMED
 from .difference import Difference
 from .settings_text import SettingsText
 
@@ -100,7 +101,7 @@
                 tuple(_decode_change(change) for change in document["recent"]),
             )
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except MALFORMED as exc:
         return Err(f"not a configuration record: {type(exc).__name__}: {exc}")
 
 
