Send each attempt of a request on a connection that has not carried it

Cause: an answer was matched to a request by the request's id, which all its attempts share. A further attempt often went to the same upstream on the connection that had just carried the rejection, and a late second copy of that rejection was taken for its answer.

Change: a connection remembers the ids that it has carried, and the pool gives it to no further attempt of such a request. It is closed after 1,000 requests, which bounds what it remembers.

--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -149,7 +149,7 @@
         self.answer_bytes = 0
         self._body.clear()
         self._handler.record_send(self, entry, repeat)
-        conn = self._handler.pool.take_idle(instance)
+        conn = self._handler.pool.take_idle(instance, self.facts.request_id)
         if conn is not None:
             self._send_on(conn, entry)
             return
@@ -202,7 +202,7 @@
             self._response_timer = self._handler.loop.call_later(
                 timeout_s, self._on_response_timeout, self._attempt_number
             )
-        conn.send(head, self._request.body, self)
+        conn.send(head, self._request.body, self, self.facts.request_id)
 
     @_contained
     def on_head(self, head: AnswerHead) -> bool:
--- a/eelgrassferry/entry/tests/test_request_handler.py
+++ b/eelgrassferry/entry/tests/test_request_handler.py
@@ -31,7 +31,7 @@
         self.listener = None
         self.aborted = False
 
-    def send(self, _request, _body, listener):
+    def send(self, _request, _body, listener, _request_id):
         self.listener = listener
 
     def abort(self):
--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -17,6 +17,8 @@
 # answer to an earlier request, and informational responses. An upstream that sends more is broken.
 MAX_SKIPPED_BYTES = 1024 * 1024
 MAX_INFORMATIONAL_RESPONSES = 20
+# A connection is closed after this many requests, which bounds the ids that it remembers.
+MAX_REQUESTS = 1000
 
 
 class AnswerListener(Protocol):
@@ -39,8 +41,9 @@
     """An HTTP/1.1 connection to one upstream.
 
     An upstream may send the late answer to an earlier request first, which is read and dropped. The
-    request id in the answer tells the two apart, so an answer without one is accepted only on a
-    connection that has carried no other request.
+    request id in the answer tells the two apart. So an answer without one is accepted only on a
+    connection that has carried no other request, and a further attempt of a request needs a
+    connection that has not carried it (``has_carried``): the answers to both attempts have its id.
     Bytes that arrive while no request is in progress close the connection. ``on_idle`` is called
     after a complete answer if the connection can be reused.
     """
@@ -62,7 +65,7 @@
         self._skipping_answer = False
         self._skipped_bytes = 0
         self._informational_responses = 0
-        self._request_count = 0
+        self._request_ids: set[str] = set()
         self._has_head = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -76,13 +79,23 @@
         """Whether a request can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
-    def send(self, request: h11.Request, body: bytes, listener: AnswerListener) -> None:
-        """Send a request in one write. The connection must be open and idle."""
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether an earlier attempt of a request was sent on this connection."""
+        return request_id in self._request_ids
+
+    def send(
+        self, request: h11.Request, body: bytes, listener: AnswerListener, request_id: str
+    ) -> None:
+        """Send a request in one write.
+
+        The connection must be open and idle, and must not have carried the request before.
+        """
         assert self._transport is not None
+        assert not self.has_carried(request_id)
+        self._request_ids.add(request_id)
         self._listener = listener
         self._request = request
         self._has_head = False
-        self._request_count += 1
         self._skipped_bytes = self._informational_responses = 0
         data = self._h11.send(request) or b""
         if body:
@@ -150,7 +163,7 @@
             match event:
                 case h11.Response():
                     head = self._decode_head(event.status_code, event.headers.raw_items())
-                    if not head.request_id and self._request_count > 1:
+                    if not head.request_id and len(self._request_ids) > 1:
                         self._fail("an answer without a request id may be a late one")
                         return
                     self._close_after_answer = head.closes
@@ -203,7 +216,9 @@
         trailing, closed = self._h11.trailing_data
         unsent = self._transport.get_write_buffer_size()
         is_done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        if is_done and not self._close_after_answer and not trailing and not closed and not unsent:
+        is_clean = is_done and not trailing and not closed and not unsent
+        may_reuse = not self._close_after_answer and len(self._request_ids) < MAX_REQUESTS
+        if is_clean and may_reuse:
             self._h11.start_next_cycle()
             self._on_idle(self)
         else:
--- a/eelgrassferry/forwarding/upstream_pool.py
+++ b/eelgrassferry/forwarding/upstream_pool.py
@@ -40,14 +40,20 @@
         self._clock = clock
         self._idle: dict[str, list[UpstreamConn]] = {}
 
-    def take_idle(self, instance: str) -> UpstreamConn | None:
-        """Remove and return an idle connection that can be reused, or None."""
+    def take_idle(self, instance: str, request_id: str) -> UpstreamConn | None:
+        """Remove and return an idle connection that can carry a request, or None.
+
+        Connections that have carried an earlier attempt of the request are left out, because a
+        late second copy of its answer could be taken for the answer to this attempt.
+        """
         idle = self._idle.get(instance, [])
-        while idle:
-            conn = idle.pop()
-            if conn.is_open and self._is_reusable(conn):
+        for conn in reversed(tuple(idle)):
+            if not conn.is_open or not self._is_reusable(conn):
+                idle.remove(conn)
+                conn.close()
+            elif not conn.has_carried(request_id):
+                idle.remove(conn)
                 return conn
-            conn.close()
         return None
 
     async def connect(self, instance: str, address: str) -> Result[UpstreamConn, HttpError]:
--- a/eelgrassferry/platform/tests/standin_server.py
+++ b/eelgrassferry/platform/tests/standin_server.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from typing import Any
+from weakref import WeakKeyDictionary
 
 from ...http import HttpRequest, HttpResponse, HttpServer, Responder
 from .standin_store import StandinStore
@@ -32,7 +33,9 @@
     ``deadly_part`` before its last part ends the server after the head of the answer. While
     ``is_leaving``, all its answers say so, but its registration does not. With ``decline_pause_s``,
     it asks for a pause of this many seconds when it declines a request. All its answers name
-    ``limit``, the requests per second that it takes, if that is not empty.
+    ``limit``, the requests per second that it takes, if that is not empty. With
+    ``repeats_declines``, the answer to each request that it declines comes once more, late: on the
+    same connection, ahead of the next answer.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         self.is_leaving = False
         self.decline_pause_s = 0.0
         self.limit = ""
+        self.repeats_declines = False
         self.is_stopped = False
         self.pause_s = 0.0
         self.event_pause_s = 0.0
@@ -61,6 +65,7 @@
         self._store = store
         self._service = service
         self._tasks: set[asyncio.Task[None]] = set()
+        self._late_copies: WeakKeyDictionary[asyncio.StreamWriter, bytes] = WeakKeyDictionary()
         self._busy = False
         self._state = "ready"
         self._server = HttpServer(self._handle, host="127.0.0.1", port=0)
@@ -167,6 +172,7 @@
         self.received_at.append(time.monotonic())
         request_id = req.header("eelgrassferry-request-id") or ""
         headers = (("Eelgrassferry-Request-Id", request_id), *self._notice_headers())
+        responder._writer.write(self._late_copies.pop(responder._writer, b""))
         if self._expects_other_instance(req):
             instance_header = ("Eelgrassferry-Instance-Id", self.instance)
             await responder.send(HttpResponse(421, (*headers, instance_header)))
@@ -181,7 +187,12 @@
             self.declined.append((time.monotonic(), request_id))
             if self.decline_pause_s:
                 headers += (("Retry-After", str(self.decline_pause_s)),)
-            await responder.send(HttpResponse(503, (*headers, ("Eelgrassferry-Not-Executed", "1"))))
+            headers += (("Eelgrassferry-Not-Executed", "1"),)
+            if self.repeats_declines:
+                lines = [f"{name}: {value}\r\n" for name, value in headers]
+                head = f"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n{''.join(lines)}\r\n"
+                self._late_copies[responder._writer] = head.encode()
+            await responder.send(HttpResponse(503, headers))
             return
         self.record_run(req, request_id)
         try:
--- a/eelgrassferry/platform/tests/test_upstream_conn.py
+++ b/eelgrassferry/platform/tests/test_upstream_conn.py
@@ -6,20 +6,23 @@
 
 from ...forwarding import UpstreamConn
 from ...forwarding.tests.fake_transport import FakeTransport
+from ...forwarding.upstream_conn import MAX_REQUESTS
 from ..request_codec import decode_answer
 
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 OWN_ID = b"Eelgrassferry-Request-Id: r1\r\n"
+NEXT_ID = b"Eelgrassferry-Request-Id: r2\r\n"
 OTHER_ID = b"Eelgrassferry-Request-Id: r0\r\n"
 
 
 class RecordingListener:
-    """Listener that records the callbacks of a connection for one answer.
+    """Listener that records the callbacks of a connection for the answer to one request.
 
     It rejects an answer that carries the id of another request.
     """
 
-    def __init__(self):
+    def __init__(self, request_id="r1"):
+        self.request_id = request_id
         self.heads = []
         self.body = b""
         self.ended = False
@@ -27,7 +30,7 @@
 
     def on_head(self, head):
         self.heads.append(head)
-        return head.request_id in ("", "r1")
+        return head.request_id in ("", self.request_id)
 
     def on_body(self, data):
         self.body += data
@@ -53,7 +56,7 @@
 
     def send_request(self):
         request = h11.Request(method="GET", target="/x", headers=[("Host", "h")])
-        self.conn.send(request, b"", self.listener)
+        self.conn.send(request, b"", self.listener, self.listener.request_id)
 
 
 class UpstreamConnTest(UpstreamConnCase):
@@ -144,7 +147,7 @@
         super().setUp()
         self.conn.data_received(STATUS_LINE + OWN_ID + b"Content-Length: 2\r\n\r\nhi")
         self.assertEqual(self.idle, [self.conn])
-        self.listener = RecordingListener()
+        self.listener = RecordingListener("r2")
 
     def test_copy_before_the_next_request_closes_the_connection(self):
         """Guards against a copy that waits in the buffers for the next request."""
@@ -161,12 +164,35 @@
     def test_copy_split_across_reads_is_skipped(self):
         """Guards against a copy whose head and body arrive in several reads."""
         self.send_request()
-        copy = STATUS_LINE + OTHER_ID + b"Content-Length: 2\r\n\r\nno"
-        own = STATUS_LINE + OWN_ID + b"Content-Length: 3\r\n\r\nyes"
+        copy = STATUS_LINE + OWN_ID + b"Content-Length: 2\r\n\r\nno"
+        own = STATUS_LINE + NEXT_ID + b"Content-Length: 3\r\n\r\nyes"
         for position in range(len(copy) + len(own)):
             self.conn.data_received((copy + own)[position : position + 1])
         self.assertEqual((self.listener.body, self.listener.ended), (b"yes", True))
 
+    def test_further_attempt_of_the_request_is_not_sent(self):
+        """Guards against a copy that is taken for the answer to a further attempt of the request,
+        whose id both answers carry (review case 3).
+        """
+        self.assertTrue(self.conn.has_carried("r1"))
+        self.assertFalse(self.conn.has_carried("r2"))
+        self.listener = RecordingListener("r1")
+        with self.assertRaises(AssertionError):
+            self.send_request()
+
+    def test_ids_are_bounded(self):
+        """Guards against a connection that remembers requests without end."""
+        for number in range(2 * MAX_REQUESTS):
+            self.listener = RecordingListener(f"n{number}")
+            self.idle.clear()
+            self.send_request()
+            own_id = f"Eelgrassferry-Request-Id: n{number}\r\n".encode()
+            self.conn.data_received(STATUS_LINE + own_id + b"Content-Length: 2\r\n\r\nhi")
+            if not self.idle:
+                break
+        self.assertEqual(number + 2, MAX_REQUESTS)
+        self.assertFalse(self.conn.is_open)
+
 
 class EndlessBytesTest(UpstreamConnCase):
     """Bytes without end where the answer to the request in progress is due."""
