Send each order to an engine on a connection of its own

Cause: answers to orders carry no id, so on a kept connection a late second copy of one was taken for the answer to the next order, and an adapter in use could count as unloaded. Change: each order has a connection of its own, and the HTTP client uses no connection again that has bytes behind its response.

--- a/eelgrassferry/coordination/order_runner.py
+++ b/eelgrassferry/coordination/order_runner.py
@@ -23,13 +23,16 @@
 REPORT_TIMEOUT_S = 0.5
 # Pause before an order without a response is sent again, in seconds.
 REPEAT_PAUSE_S = 0.05
+CLOSE = ("Connection", "close")
 
 
 class OrderRunner:
     """Client that sends orders to engines and reads their reports on behalf of one holder.
 
     An order is sent only if ``term`` returns, at the time of sending, the term in which the order
-    was started.
+    was started. Each order has a connection of its own: answers to orders carry no id, so a late
+    second copy of one could be taken for the answer to the next order. A report that is such a copy
+    does no harm, because the engine accepts an order only with the current number of orders.
     """
 
     def __init__(
@@ -65,9 +68,10 @@
             entry.address,
             "POST",
             self._protocol.order_path,
-            headers=self._protocol.order_headers(entry),
+            headers=(*self._protocol.order_headers(entry), CLOSE),
             body=body,
             timeout_s=ORDER_TIMEOUT_S,
+            new_connection=True,
             guard=lambda: self._is_current_term(term),
         )
         if isinstance(sent, Err) and sent.err_value.step == "guard":
--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -261,7 +261,13 @@
         state = conn.h11
         idle = self._idle.setdefault(peer, [])
         reusable = state.our_state is h11.DONE and state.their_state is h11.DONE
-        if not reusable or conn.reader.at_eof() or len(idle) >= MAX_IDLE_PER_PEER:
+        # Bytes behind the response belong to no request.
+        if (
+            not reusable
+            or state.trailing_data[0]
+            or conn.reader.at_eof()
+            or len(idle) >= MAX_IDLE_PER_PEER
+        ):
             conn.writer.close()
             return
         state.start_next_cycle()
