Read an upstream connection again after a slow caller

Callers could get a 504 at their deadline on a sound upstream (found by the review by reading). Cause: a connection that was paused for a slow caller went back to the pool paused if the end of the answer was in the same read. Change: sending a request resumes reading. Evidence: the new test of test_upstream_conn failed before and passes now.

--- a/eelgrassferry/forwarding/tests/fake_transport.py
+++ b/eelgrassferry/forwarding/tests/fake_transport.py
@@ -10,10 +10,17 @@
         self.written = b""
         self.closed = self.aborted = False
         self.unsent = 0
+        self.is_paused = False
 
     def get_extra_info(self, _name):
         return None
 
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
+
     def write(self, data):
         self.written += data
 
--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -97,6 +97,8 @@
         self._request = request
         self._has_head = False
         self._skipped_bytes = self._informational_responses = 0
+        # A slow caller of the last answer may have paused the connection just before its end.
+        self.resume_reading()
         data = self._h11.send(request) or b""
         if body:
             data += self._h11.send(h11.Data(data=body)) or b""
--- a/eelgrassferry/platform/tests/test_upstream_conn.py
+++ b/eelgrassferry/platform/tests/test_upstream_conn.py
@@ -68,6 +68,17 @@
         self.assertEqual((self.listener.body, self.listener.ended), (b"hi", True))
         self.assertEqual(self.idle, [self.conn])
 
+    def test_connection_is_read_again_after_a_slow_caller(self):
+        """Guards against a request that waits until its deadline on a connection which the slow
+        caller of the answer before has paused.
+        """
+        self.conn.pause_reading()
+        self.conn.data_received(STATUS_LINE + OWN_ID + b"Content-Length: 2\r\n\r\nhi")
+        self.assertEqual(self.idle, [self.conn])
+        self.listener = RecordingListener("r2")
+        self.send_request()
+        self.assertFalse(self.transport.is_paused)
+
     def test_answer_of_another_request_is_dropped(self):
         """Guards against a late answer to an earlier request being taken for the answer to this
         one, wherever the byte stream is split.
