Send a request elsewhere if its new connection is closed already

Callers waited until their deadline and got a 504 for a request of which no byte was sent. Cause: an upstream beyond its limit of connections resets a new one; if that was noticed before the request was sent, the request was written to a closed transport, and no callback followed. Change: such an attempt counts as not sent. Evidence: the new test of test_request_handler failed before and passes now.

--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -175,7 +175,12 @@
             end = AttemptFailure.NO_LISTENER if exc.step == "refused" else AttemptFailure.UNSENT
             self._fail_attempt(end, exc.detail)
             return
-        self._send_on(result.ok_value, entry)
+        conn = result.ok_value
+        if not conn.is_open:
+            # The upstream has reset the connection before this task went on.
+            self._fail_attempt(AttemptFailure.UNSENT, "the upstream closed the new connection")
+            return
+        self._send_on(conn, entry)
 
     def _send_on(self, conn: UpstreamConn, entry: UpstreamEntry) -> None:
         now = self._handler.clock()
--- a/eelgrassferry/entry/tests/test_request_handler.py
+++ b/eelgrassferry/entry/tests/test_request_handler.py
@@ -1,10 +1,12 @@
 """Tests of the handling of several requests, one of which raises an error."""
 
+import asyncio
 import unittest
 from dataclasses import replace
-from unittest.mock import Mock, patch
+from unittest.mock import AsyncMock, Mock, patch
 
 import h11
+from result import Ok
 from structlog.testing import capture_logs
 
 from ...dispatch import AttemptFailure, Fail, FailReason
@@ -168,6 +170,28 @@
         self.assert_others_are_served()
 
 
+class NewConnectionTest(RequestHandlerCase):
+    """An upstream that resets a new connection before a request is sent on it."""
+
+    def take_idle(self) -> None:
+        return None
+
+    async def test_request_is_sent_elsewhere(self):
+        """Guards against a request that waits for its deadline, and may then count as run, although
+        no byte of it was sent.
+        """
+        opened = [FakeUpstreamConn() for _ in range(2)]
+        opened[0].is_open = False
+        self.handler.pool.connect = AsyncMock(side_effect=[Ok(conn) for conn in opened])
+        transport = self.send(b"r1")
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertIsNone(opened[0].listener)
+        self.assertEqual(self.metrics.counters[f"run_failed.{AttemptFailure.UNSENT.value}"], 1)
+        self.serve(opened[1], "r1")
+        self.assertIn(b" 200 ", transport.written)
+
+
 class RefusedResumptionTest(RequestHandlerCase):
     """A stream that is resumed at an upstream which refuses the resumption."""
 
