Do not pass on a 503 of an upstream that may have run the request

Cause: an upstream's own answer with such a status, but without its statement that nothing has run, was passed on unchanged. Change: such a request gets a 502 of our own, which promises nothing and has no seal; repeatable requests still get the upstream's answer. Evidence: the new test of test_request_handler got the four statuses before, for requests that may have run, and gets 502 now. Whether the users' servers send such answers is not known.

--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -37,6 +37,8 @@
 # part of a stream after its last complete event. An upstream that sends more is treated as broken,
 # because bytes without end would use up the memory of the node.
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+# Statuses that tell callers that a request has not run and never will.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 def _contained(callback: Callable[..., Any]) -> Callable[..., Any]:
@@ -290,6 +292,10 @@
             self._fail_attempt(self._classify_not_run(head), f"status {head.status}")
         elif not head.sealed or head.encoded:
             self._fail_attempt(AttemptFailure.BROKEN, f"status {head.status} without a usable body")
+        elif head.status in NOT_RUN_STATUSES and not self.job.route.repeatable:
+            # The upstream has not stated that it did not run the request, so the caller must not
+            # be told that it may repeat it.
+            self._fail_attempt(AttemptFailure.ERROR, f"status {head.status} of a possible run")
         elif head.status >= 500 or self.job.answer_begun:
             # The answer to a resumption of a stream cannot be sent, because another one has begun.
             self.job.stored_answer = (head, bytes(self._body))
--- a/eelgrassferry/entry/tests/test_request_handler.py
+++ b/eelgrassferry/entry/tests/test_request_handler.py
@@ -192,6 +192,43 @@
         self.assertIn(b" 200 ", transport.written)
 
 
+class UnmarkedRejectionTest(RequestHandlerCase):
+    """An upstream that answers 503 and the like without the statement that nothing has run."""
+
+    async def test_request_that_may_run_once_is_not_refused(self):
+        """Guards against a caller that repeats a request which has run: these statuses promise that
+        it has not, and the upstream did not say so.
+        """
+        for status in (408, 421, 429, 503):
+            with self.subTest(status=status):
+                transport = self.send(b"r1")
+                self.serve(self.upstream_conns[-1], "r1", status=status)
+                self.assertIn(b"HTTP/1.1 502 ", transport.written)
+                self.assertIn(b'"unknown"', transport.written)
+
+    async def test_other_failures_are_passed_on(self):
+        """Guards against a failure of our own in place of the upstream's."""
+        for status in (400, 404, 500, 504):
+            transport = self.send(b"r1")
+            self.serve(self.upstream_conns[-1], "r1", status=status)
+            self.assertIn(b"HTTP/1.1 %d " % status, transport.written)
+            self.assertIn(b"done", transport.written)
+
+
+class RepeatableRejectionTest(RequestHandlerCase):
+    """The same for a request that may run more than once."""
+
+    KIND = RequestKind.IDEMPOTENT
+
+    async def test_rejection_is_passed_on(self):
+        """Guards against a changed status where a repetition does no harm."""
+        transport = self.send(b"r1")
+        for conn in range(2):
+            self.serve(self.upstream_conns[conn], "r1", status=503)
+        self.assertIn(b"HTTP/1.1 503 ", transport.written)
+        self.assertIn(b"done", transport.written)
+
+
 class RefusedResumptionTest(RequestHandlerCase):
     """A stream that is resumed at an upstream which refuses the resumption."""
 
