--- a/eelgrassferry/platform/tests/documents.py
+++ b/eelgrassferry/platform/tests/documents.py
@@ -1,10 +1,40 @@
 """Test settings and configurations in the platform's format."""
 
+import math
 from typing import Any
 
-__all__ = ["make_config", "make_settings"]
+__all__ = ["FOREIGN_ENTRIES", "make_config", "make_settings"]
 
 HOST = "calls.example"
+ENTRY = {
+    "service": "desk",
+    "address": "127.0.0.1:9",
+    "zone": "zone-a",
+    "slots": 8,
+    "state": "ready",
+    "models": [],
+    "born": 1000,
+}
+DEEP: list = []
+for _ in range(400):
+    DEEP = [DEEP]
+# Registry entries of other writers, by name, none of which names a server to use.
+FOREIGN_ENTRIES: dict[str, Any] = {
+    "i-infinite-slots": {**ENTRY, "slots": math.inf},
+    "i-no-slots": {**ENTRY, "slots": 0},
+    "i-part-of-a-slot": {**ENTRY, "slots": 0.5},
+    "i-huge-time": {**ENTRY, "state": "draining", "remaining_ms": 10**400},
+    "i-late-start": {**ENTRY, "service": "chat", "born": 10**30},
+    "i-nan": {**ENTRY, "remaining_ms": math.nan},
+    "i-nested": {**ENTRY, "models": DEEP},
+    "i-surrogate": {**ENTRY, "service": "chat", "models": [{"name": "\ud800"}]},
+    "i-\u00f1\u2192": ENTRY,
+    "i-\ud800": ENTRY,
+    "i with spaces\r\n": ENTRY,
+    "i-text": "draining",
+    "i-list": [1, 2],
+    "i-null": None,
+}
 
 
 def make_settings(
--- a/eelgrassferry/platform/tests/soak/__init__.py
+++ b/eelgrassferry/platform/tests/soak/__init__.py
@@ -1,6 +1,13 @@
 """Randomized soak test: node processes under faults that are injected from outside them."""
 
-from .fault_plan import Fault, FaultKind, draw_notices, draw_plan
+from .fault_plan import (
+    EXTRA_FAULTS,
+    Fault,
+    FaultKind,
+    draw_extra_faults,
+    draw_notices,
+    draw_plan,
+)
 from .fault_proxy import FaultProxy
 from .invariants import Violation, find_violations
 from .records import (
@@ -16,6 +23,7 @@
 from .run_soak import SoakReport, run_soak
 
 __all__ = [
+    "EXTRA_FAULTS",
     "ArrivalRecord",
     "CallRecord",
     "Disturbance",
@@ -29,6 +37,7 @@
     "SoakRecord",
     "SoakReport",
     "Violation",
+    "draw_extra_faults",
     "draw_notices",
     "draw_plan",
     "find_violations",
--- a/eelgrassferry/platform/tests/soak/__main__.py
+++ b/eelgrassferry/platform/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 from cyclopts import App
 
 from .run_soak import SoakReport, run_soak
+from .soak_fleet import NODES
 
 # Exit code after SIGTERM: 128 plus the signal's number, as in shells.
 STOPPED = 143
@@ -20,13 +21,21 @@
 
 @app.default
 def soak(
-    seeds: str = "1-3", seconds: float = 20.0, logs: Path | None = None, notices: bool = False
+    seeds: str = "1-3",
+    seconds: float = 20.0,
+    logs: Path | None = None,
+    notices: bool = False,
+    extra: bool = False,
+    nodes: int = NODES,
 ) -> int:
     """Print one JSON line per seed. Exit with 1 if an invariant was violated, 143 after SIGTERM.
 
     ``seeds`` is a range like ``1-50``, ``seconds`` the time during which faults are injected.
     ``logs`` is a folder in which the nodes' logs are stored, by seed; without it they are deleted.
     With ``notices``, servers also say in their answers that they leave, pause or limit requests.
+    With ``extra``, they also fail part of their requests, other writers register entries, and the
+    store is away just after a planned stop.
+    ``nodes`` is the number of node processes.
     """
     structlog.configure(logger_factory=structlog.PrintLoggerFactory(sys.stderr))
     first, _, last = seeds.partition("-")
@@ -36,7 +45,8 @@
             folder = Path(temporary) if logs is None else logs / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
             try:
-                report = asyncio.run(_run_until_stopped(seed, seconds, folder, notices))
+                options = (notices, extra, nodes)
+                report = asyncio.run(_run_until_stopped(seed, seconds, folder, *options))
             except asyncio.CancelledError:
                 return STOPPED
         violated = violated or bool(report.violations)
@@ -53,12 +63,14 @@
     return 1 if violated else 0
 
 
-async def _run_until_stopped(seed: int, seconds: float, folder: Path, notices: bool) -> SoakReport:
+async def _run_until_stopped(
+    seed: int, seconds: float, folder: Path, notices: bool, extra: bool, nodes: int
+) -> SoakReport:
     """Run one seed; SIGTERM cancels the run, so that its node processes are ended too."""
     task = asyncio.current_task()
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await run_soak(seed, seconds, folder, notices)
+    return await run_soak(seed, seconds, folder, notices, extra, nodes)
 
 
 if __name__ == "__main__":
--- a/eelgrassferry/platform/tests/soak/caller.py
+++ b/eelgrassferry/platform/tests/soak/caller.py
@@ -32,7 +32,10 @@
 
 
 class Caller:
-    """Caller that sends random requests to one node and records the answers."""
+    """Caller that sends random requests to one node and records the answers.
+
+    Its pauses are multiplied by ``slowdown``.
+    """
 
     def __init__(
         self,
@@ -41,7 +44,9 @@
         record: SoakRecord,
         rng: Random,
         clock: Callable[[], float],
+        slowdown: float = 1.0,
     ) -> None:
+        self._slowdown = slowdown
         self._node = node
         self._address = address
         self._record = record
@@ -65,7 +70,8 @@
                 if rng.random() < ABANDON_SHARE:
                     abandon_after_s = rng.uniform(0.0, ABANDON_WITHIN_S)
                 call = await self.send(kind, path, model, abandon_after_s)
-                await asyncio.sleep(REQUEST_PAUSE_S if call.status is not None else RETRY_S)
+                pause_s = REQUEST_PAUSE_S if call.status is not None else RETRY_S
+                await asyncio.sleep(self._slowdown * pause_s)
         finally:
             self._client.close()
 
--- a/eelgrassferry/platform/tests/soak/fault_plan.py
+++ b/eelgrassferry/platform/tests/soak/fault_plan.py
@@ -5,11 +5,21 @@
 from enum import Enum
 from random import Random
 
-__all__ = ["Fault", "FaultKind", "draw_notices", "draw_plan"]
+__all__ = [
+    "ANSWER_FAULTS",
+    "EXTRA_FAULTS",
+    "Fault",
+    "FaultKind",
+    "draw_extra_faults",
+    "draw_notices",
+    "draw_plan",
+]
 
 # Mean time between the starts of two notices and longest duration of a limit, in seconds.
 MEAN_NOTICE_GAP_S = 2.0
 LONGEST_LIMIT_S = 12.0
+# Mean time between the starts of two extra faults, in seconds.
+MEAN_EXTRA_GAP_S = 0.8
 # Mean time between the starts of two faults and longest duration of a fault, in seconds.
 # The duration can exceed the mean gap, so that faults overlap.
 MEAN_GAP_S = 1.1
@@ -19,8 +29,9 @@
 class FaultKind(Enum):
     """Kinds of faults.
 
-    The last three are notices, which a server sends in its answers and ``draw_notices`` draws. The
-    kinds up to ``DRAIN_SERVER`` ignore the fault's duration. ``SILENT`` and ``CUT`` stop the
+    ``draw_notices`` draws those of ``NOTICES``, which a server sends in its answers, and
+    ``draw_extra_faults`` those of ``EXTRA_FAULTS``. The kinds up to ``DRAIN_SERVER`` and
+    ``FOREIGN_ENTRY`` ignore the fault's duration. ``SILENT`` and ``CUT`` stop the
     bytes of a link in both directions, ``MUTE`` only those to the node, and ``SLOW`` delays them.
     """
 
@@ -46,9 +57,27 @@
     LIMIT_NOTICE = "limit_notice"
     PAUSE_NOTICE = "pause_notice"
     LEAVING_NOTICE = "leaving_notice"
+    FAIL_REQUESTS = "fail_requests"
+    BREAK_STREAMS = "break_streams"
+    LOSE_ANSWERS = "lose_answers"
+    DECLINE_REQUESTS = "decline_requests"
+    REPEAT_DECLINES = "repeat_declines"
+    FOREIGN_ENTRY = "foreign_entry"
+    OUTAGE_AFTER_STOP = "outage_after_stop"
 
 
 NOTICES = (FaultKind.LIMIT_NOTICE, FaultKind.PAUSE_NOTICE, FaultKind.LEAVING_NOTICE)
+# Faults of a server that fails part of its requests while it is registered and listens. With
+# ``REPEAT_DECLINES``, the answers to declined requests come once more, late.
+ANSWER_FAULTS = (
+    FaultKind.FAIL_REQUESTS,
+    FaultKind.BREAK_STREAMS,
+    FaultKind.LOSE_ANSWERS,
+    FaultKind.DECLINE_REQUESTS,
+    FaultKind.REPEAT_DECLINES,
+)
+# With entries of other writers in the registry, and outages of the store just after a planned stop.
+EXTRA_FAULTS = (*ANSWER_FAULTS, FaultKind.FOREIGN_ENTRY, FaultKind.OUTAGE_AFTER_STOP)
 
 
 @dataclass(frozen=True)
@@ -70,7 +99,7 @@
     >>> draw_plan(1, 20.0) == draw_plan(1, 20.0)
     True
     """
-    kinds = [kind for kind in FaultKind if kind not in NOTICES]
+    kinds = [kind for kind in FaultKind if kind not in (*NOTICES, *EXTRA_FAULTS)]
     return _draw(Random(seed), seconds, kinds, (0.2, 1.0), (0.2, LONGEST_S), MEAN_GAP_S)
 
 
@@ -80,6 +109,12 @@
     return _draw(rng, seconds, NOTICES, (0.5, 2.0), for_s, MEAN_NOTICE_GAP_S)
 
 
+def draw_extra_faults(seed: int, seconds: float) -> list[Fault]:
+    """Return the extra faults of a run of ``seconds`` seconds, which come beside the others."""
+    rng, for_s = Random(f"extra {seed}"), (0.5, LONGEST_S)
+    return _draw(rng, seconds, EXTRA_FAULTS, (0.2, 1.0), for_s, MEAN_EXTRA_GAP_S)
+
+
 def _draw(
     rng: Random,
     seconds: float,
--- a/eelgrassferry/platform/tests/soak/run_soak.py
+++ b/eelgrassferry/platform/tests/soak/run_soak.py
@@ -6,10 +6,10 @@
 from pathlib import Path
 
 from .caller import PATHS, Caller
-from .fault_plan import Fault, draw_notices, draw_plan
+from .fault_plan import Fault, draw_extra_faults, draw_notices, draw_plan
 from .invariants import Violation, find_violations
 from .records import SoakRecord
-from .soak_fleet import SoakFleet
+from .soak_fleet import NODES, SoakFleet
 
 __all__ = ["SoakReport", "run_soak"]
 
@@ -36,16 +36,24 @@
     violations: tuple[Violation, ...]
 
 
-async def run_soak(seed: int, seconds: float, folder: Path, notices: bool = False) -> SoakReport:
+async def run_soak(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    notices: bool = False,
+    extra: bool = False,
+    nodes: int = NODES,
+) -> SoakReport:
     """Run a fleet under the faults of a seed and check the invariants.
 
     The nodes' settings and logs are written to ``folder``. With ``notices``, servers also speak of
-    themselves in their answers.
+    themselves in their answers; with ``extra``, the faults of ``draw_extra_faults`` are added.
     """
     plan = draw_plan(seed, seconds)
-    if notices:
-        plan = sorted((*plan, *draw_notices(seed, seconds)), key=lambda fault: fault.at)
-    fleet = SoakFleet(seed, folder)
+    plan += draw_notices(seed, seconds) if notices else []
+    plan += draw_extra_faults(seed, seconds) if extra else []
+    plan.sort(key=lambda fault: fault.at)
+    fleet = SoakFleet(seed, folder, nodes)
     try:
         await fleet.start()
         callers = fleet.start_callers()
--- a/eelgrassferry/platform/tests/soak/soak_fleet.py
+++ b/eelgrassferry/platform/tests/soak/soak_fleet.py
@@ -6,10 +6,10 @@
 from random import Random
 from typing import Any
 
-from ..documents import make_config, make_settings
+from ..documents import FOREIGN_ENTRIES, make_config, make_settings
 from ..standin_store import StandinStore
 from .caller import Caller
-from .fault_plan import Fault, FaultKind
+from .fault_plan import ANSWER_FAULTS, Fault, FaultKind
 from .fault_proxy import FaultProxy
 from .free_ports import free_ports, own_loopback_ip
 from .invariants import CONFIG_APPLY_S
@@ -17,7 +17,7 @@
 from .soak_node import SoakNode
 from .soak_server import SoakServer
 
-__all__ = ["SoakFleet"]
+__all__ = ["NODES", "SoakFleet"]
 
 NODES = 3
 CALLERS_PER_NODE = 2
@@ -47,6 +47,9 @@
 # Time limit until all nodes are ready, in seconds: each starts in about 1 s, and may have to stop
 # first, which takes up to its grace period of 8 s.
 ALL_READY_S = 60.0
+# Time from a planned stop until the outage of the store that follows it, in seconds: another node
+# coordinates by then, and the stopped one has started again.
+HANDOVER_TIME_S = 3.0
 # Number of writes whose answers are lost in one fault.
 LOST_WRITES = 3
 
@@ -57,10 +60,11 @@
     Times are in seconds of the event loop's clock.
     """
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(self, seed: int, folder: Path, node_count: int = NODES) -> None:
         self.record = SoakRecord()
         self.clock = asyncio.get_running_loop().time
         self._rng = Random(seed)
+        self._node_count = node_count
         self._folder = folder
         # Nodes keep their ports across restarts.
         self._node_ip = own_loopback_ip()
@@ -84,8 +88,8 @@
             self._server_addresses[name] = await proxy.start()
             await self._start_server(name, models)
         # All ports are drawn in one call, so that no two nodes get the same.
-        ports = iter(free_ports(3 * NODES, self._node_ip))
-        for number in range(1, NODES + 1):
+        ports = iter(free_ports(3 * self._node_count, self._node_ip))
+        for number in range(1, self._node_count + 1):
             name = f"front-{number}"
             proxy = self._store_proxies[name] = FaultProxy(lambda: store_address)
             front, ready, control = (next(ports) for _ in range(3))
@@ -116,7 +120,10 @@
     def make_caller(self, node: str) -> Caller:
         """Return a new caller of a node."""
         rng = Random(self._rng.random())
-        return Caller(node, self.caller_addresses[node], self.record, rng, self.clock)
+        # All callers together send about as many requests to many nodes as to few.
+        slowdown = max(1.0, self._node_count / NODES)
+        address = self.caller_addresses[node]
+        return Caller(node, address, self.record, rng, self.clock, slowdown)
 
     async def stop(self) -> None:
         """Stop all processes, servers and connections that this fleet has started."""
@@ -155,6 +162,17 @@
                 self._servers[server].decline_count += DECLINED_REQUESTS
             case FaultKind.LEAVING_NOTICE:
                 await self._leave_unregistered(server)
+            case FaultKind.OUTAGE_AFTER_STOP:
+                self.nodes[node].stop()
+                await asyncio.sleep(HANDOVER_TIME_S)
+                await self._disturb_store(fault)
+            case FaultKind.FOREIGN_ENTRY:
+                await self._write_foreign_entry()
+            case kind if kind in ANSWER_FAULTS:
+                faults = self._servers[server].faults
+                faults[kind] += 1
+                await asyncio.sleep(fault.for_s)
+                faults[kind] -= 1
             case FaultKind.LOSE_WRITES | FaultKind.DROP_HISTORY | FaultKind.STORE_DOWN:
                 await self._disturb_store(fault)
             case (
@@ -220,6 +238,11 @@
         await self._store.write("config", "main", config)
         self.record.routes[f"{path}x"] = self.clock() + CONFIG_APPLY_S
 
+    async def _write_foreign_entry(self) -> None:
+        """Let another writer register something that no node can use."""
+        name, entry = self._rng.choice(sorted(FOREIGN_ENTRIES.items()))
+        await self._store.write("servers", f"{name}-{self._rng.randrange(3)}", entry)
+
     async def _crash_server(self, name: str) -> None:
         server = self._servers[name]
         began = self.clock()
--- a/eelgrassferry/platform/tests/soak/soak_server.py
+++ b/eelgrassferry/platform/tests/soak/soak_server.py
@@ -1,11 +1,14 @@
 """Stand-in server that records its runs and orders for the soak."""
 
+from collections import Counter
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from ....http import HttpRequest, HttpResponse, Responder
-from ..standin_server import StandinServer
+from ..standin_server import SEAL, StandinServer
 from ..standin_store import StandinStore
+from .fault_plan import FaultKind
 from .records import ArrivalRecord, NoticeRecord, OrderRecord, RunRecord, SoakRecord
 
 __all__ = ["SoakServer"]
@@ -13,10 +16,15 @@
 # Capacity of the engine in the test configuration: models that fit its memory, and adapter slots.
 MAX_MODELS = 2
 MAX_ADAPTERS = 4
+# Share of its requests that a server fails in one way at a time.
+FAULTY_SHARE = 0.45
 
 
 class SoakServer(StandinServer):
-    """One instance of a server, which nodes reach through a proxy at ``advertised``."""
+    """One instance of a server, which nodes reach through a proxy at ``advertised``.
+
+    ``faults`` counts the faults of answers that are in progress, by kind.
+    """
 
     def __init__(
         self,
@@ -32,6 +40,8 @@
         self._advertised = advertised
         self._record = record
         self._clock = clock
+        self.faults: Counter[FaultKind] = Counter()
+        self._rng = Random(instance)
 
     @property
     def registered_address(self) -> str:
@@ -50,6 +60,11 @@
         node, declined = request_id.rpartition("-")[0], len(self.declined)
         self._record.arrivals.append(ArrivalRecord(self._clock(), self.instance, node, request_id))
         is_leaving, is_limited = self.is_leaving, bool(self.limit)
+        self.repeats_declines = bool(self.faults[FaultKind.REPEAT_DECLINES])
+        if self._fails(FaultKind.DECLINE_REQUESTS):
+            self.decline_count += 1
+        elif not self._expects_other_instance(req) and await self._fail(req, responder):
+            return
         await super()._run(req, responder)
         is_declined = any(name == request_id for _, name in self.declined[declined:])
         pause_s = self.decline_pause_s if is_declined else 0.0
@@ -58,6 +73,35 @@
                 NoticeRecord(self._clock(), self.instance, node, pause_s, is_leaving, is_limited)
             )
 
+    def _fails(self, kind: FaultKind) -> bool:
+        """Return whether a fault of a kind hits the current request."""
+        return self.faults[kind] > 0 and self._rng.random() < FAULTY_SHARE
+
+    async def _fail(self, req: HttpRequest, responder: Responder) -> bool:
+        """Run a request and fail it, if a fault hits it; return whether one did."""
+        request_id = req.header("eelgrassferry-request-id") or ""
+        model = (req.header("eelgrassferry-model") or "").partition("/")[0]
+        if model and model not in self.models:
+            return False
+        headers = (("Eelgrassferry-Request-Id", request_id), SEAL)
+        if self._fails(FaultKind.FAIL_REQUESTS):
+            self.record_run(req, request_id)
+            self.send_late_copy(responder)
+            await responder.send(HttpResponse(500, headers, b"own failure"))
+            return True
+        if self._fails(FaultKind.LOSE_ANSWERS):
+            self.record_run(req, request_id)
+            raise ConnectionResetError("injected fault: answer lost")
+        if model and self._fails(FaultKind.BREAK_STREAMS):
+            self.record_run(req, request_id)
+            self.send_late_copy(responder)
+            first = int(req.header("last-event-id") or 0) + 1
+            event = f"id: {first}\ndata: {self.instance}\n\nid: torn"
+            await responder.start(200, (*headers, ("Content-Type", "text/event-stream")))
+            await responder.write(event.encode())
+            raise ConnectionResetError("injected fault: stream broken off")
+        return False
+
     def _apply_order(self, order: dict[str, Any]) -> HttpResponse:
         full = self._is_full(order)
         res = super()._apply_order(order)
--- a/eelgrassferry/platform/tests/standin_server.py
+++ b/eelgrassferry/platform/tests/standin_server.py
@@ -90,6 +90,10 @@
         """The address in the registry entry, at which nodes reach the server."""
         return self.address
 
+    def send_late_copy(self, responder: Responder) -> None:
+        """Send the copy of an answer that is due ahead of the next one on its connection."""
+        responder._writer.write(self._late_copies.pop(responder._writer, b""))
+
     def record_run(self, req: HttpRequest, request_id: str) -> None:
         """Record that a request has started to run."""
         self.runs.append(request_id)
@@ -172,7 +176,7 @@
         self.received_at.append(time.monotonic())
         request_id = req.header("eelgrassferry-request-id") or ""
         headers = (("Eelgrassferry-Request-Id", request_id), *self._notice_headers())
-        responder._writer.write(self._late_copies.pop(responder._writer, b""))
+        self.send_late_copy(responder)
         if self._expects_other_instance(req):
             instance_header = ("Eelgrassferry-Instance-Id", self.instance)
             await responder.send(HttpResponse(421, (*headers, instance_header)))
--- a/eelgrassferry/platform/tests/test_foreign_documents.py
+++ b/eelgrassferry/platform/tests/test_foreign_documents.py
@@ -9,36 +9,9 @@
 
 from ...http import HttpResponse
 from ..object_store import PlatformObjectStore
+from .documents import FOREIGN_ENTRIES
 from .node_fleet import NodeFleetCase
 
-ENTRY = {
-    "service": "desk",
-    "address": "127.0.0.1:9",
-    "zone": "zone-a",
-    "slots": 8,
-    "state": "ready",
-    "models": [],
-    "born": 1000,
-}
-DEEP: list = []
-for _ in range(400):
-    DEEP = [DEEP]
-FOREIGN_ENTRIES = {
-    "i-infinite-slots": {**ENTRY, "slots": math.inf},
-    "i-no-slots": {**ENTRY, "slots": 0},
-    "i-part-of-a-slot": {**ENTRY, "slots": 0.5},
-    "i-huge-time": {**ENTRY, "state": "draining", "remaining_ms": 10**400},
-    "i-late-start": {**ENTRY, "service": "chat", "born": 10**30},
-    "i-nan": {**ENTRY, "remaining_ms": math.nan},
-    "i-nested": {**ENTRY, "models": DEEP},
-    "i-surrogate": {**ENTRY, "service": "chat", "models": [{"name": "\ud800"}]},
-    "i-\u00f1\u2192": ENTRY,
-    "i-\ud800": ENTRY,
-    "i with spaces\r\n": ENTRY,
-    "i-text": "draining",
-    "i-list": [1, 2],
-    "i-null": None,
-}
 WATCH_S = 3.0
 
 
--- a/eelgrassferry/platform/tests/test_soak.py
+++ b/eelgrassferry/platform/tests/test_soak.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from .soak import (
+    EXTRA_FAULTS,
     ArrivalRecord,
     CallRecord,
     Disturbance,
@@ -15,6 +16,7 @@
     OrderRecord,
     RunRecord,
     SoakRecord,
+    draw_extra_faults,
     draw_notices,
     draw_plan,
     find_violations,
@@ -40,6 +42,8 @@
 }
 # Time during which the short run injects faults, in seconds.
 SHORT_S = 8.0
+# A seed whose short run has each of the extra faults.
+EXTRA_SEED = 4
 
 
 def make_call(request_id="front-1-1", kind="order", status=200, **more):
@@ -182,6 +186,8 @@
         self.assertEqual(draw_plan(7, 20.0), draw_plan(7, 20.0))
         self.assertNotEqual(draw_plan(7, 20.0), draw_plan(8, 20.0))
         self.assertEqual(draw_notices(7, 20.0), draw_notices(7, 20.0))
+        self.assertEqual(draw_extra_faults(7, 20.0), draw_extra_faults(7, 20.0))
+        self.assertFalse({fault.kind for fault in draw_plan(7, 200.0)} & set(EXTRA_FAULTS))
         self.assertTrue(all(fault.at + fault.for_s <= 20.0 for fault in draw_plan(7, 20.0)))
 
 
@@ -226,9 +232,9 @@
 class SoakTest(unittest.IsolatedAsyncioTestCase):
     """Short soak runs; ``python -m eelgrassferry.platform.tests.soak`` makes longer ones."""
 
-    async def check(self, seed, seconds, notices=False):
+    async def check(self, seed, seconds, notices=False, extra=False):
         with tempfile.TemporaryDirectory() as folder:
-            report = await run_soak(seed, seconds, Path(folder), notices)
+            report = await run_soak(seed, seconds, Path(folder), notices, extra)
         self.assertEqual(report.violations, ())
         return report
 
@@ -242,6 +248,15 @@
         report = await self.check(4, 2 * SHORT_S, notices=True)
         self.assertEqual(set(report.notices), {"leaving", "limit", "pause"})
 
+    async def test_short_run_with_extra_faults(self):
+        """Guards against the faults of the review: servers that fail part of their requests or send
+        rejections twice, foreign registry entries, and outages of the store after a planned stop.
+        """
+        report = await self.check(EXTRA_SEED, 2 * SHORT_S, extra=True)
+        self.assertEqual(
+            {fault.kind for fault in report.faults} & set(EXTRA_FAULTS), set(EXTRA_FAULTS)
+        )
+
     async def test_regression_seeds(self):
         """Guards against the return of faults that the soak has found."""
         for seed, seconds in REGRESSION_SEEDS.items():
