Go on with the periodic work after an error in one of its steps

Change: each step runs on its own, with a log line (step failed) and a counter; an error while the node resigns is logged.

--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -229,36 +229,59 @@
         started_at = boot_clock()
         log.info("node stopping", step="stop", in_flight=self._handler.in_flight, grace_s=grace_s)
         resigning = asyncio.ensure_future(self._leadership.resign())
+        resigning.add_done_callback(self._on_task_done)
         while boot_clock() - started_at < grace_s:
             if boot_clock() - started_at >= LEAVE_ROTATION_S:
-                self._handler.perform(self._dispatcher.stop(boot_clock()))
-                self._callers.close_idle()
+                self._run_step(self._refuse_waiting)
+                self._run_step(self._callers.close_idle)
                 if resigning.done() and not self._handler.in_flight and not self._callers.conns:
                     break
             await asyncio.sleep(TICK_INTERVAL_S)
         self._callers.stop_listening()
 
+    def _refuse_waiting(self) -> None:
+        self._handler.perform(self._dispatcher.stop(boot_clock()))
+
     async def _tick(self) -> None:
         last_idle_check = 0.0
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self._registry.expire()
-            self._exchange_crash_evidence()
-            self._apply_notices()
-            self._handler.perform(self._dispatcher.dispatch_waiting(boot_clock()))
-            self._request_turns()
+            for step in (
+                self._registry.expire,
+                self._exchange_crash_evidence,
+                self._apply_notices,
+                self._dispatch_waiting,
+                self._request_turns,
+            ):
+                self._run_step(step)
             if boot_clock() - last_idle_check >= IDLE_CHECK_INTERVAL_S:
                 last_idle_check = boot_clock()
-                self._callers.sweep()
-                if self._isolation.isolated:
-                    self._close_idle_callers()
-                self._pool.sweep()
-                registered = {entry.process_id for entry in self._directory.all()}
-                self._dispatcher.notices.expire(registered, boot_clock())
+                for step in (
+                    self._callers.sweep,
+                    self._close_idle_callers,
+                    self._pool.sweep,
+                    self._expire_notices,
+                ):
+                    self._run_step(step)
+
+    def _run_step(self, step: Callable[[], None]) -> None:
+        """Run one step of the periodic work; the next ones are run also if it raises an error."""
+        try:
+            step()
+        except Exception as exc:
+            self._metrics.count("steps_failed")
+            log.error("step failed", step="tick", name=step.__qualname__, exc_info=exc)
+
+    def _dispatch_waiting(self) -> None:
+        self._handler.perform(self._dispatcher.dispatch_waiting(boot_clock()))
+
+    def _expire_notices(self) -> None:
+        registered = {entry.process_id for entry in self._directory.all()}
+        self._dispatcher.notices.expire(registered, boot_clock())
 
     def _close_idle_callers(self) -> None:
-        """Close idle connections once the load balancer routes callers to other nodes."""
-        if boot_clock() - self._isolated_at >= LEAVE_ROTATION_S:
+        """Close idle connections of an isolated node once callers are routed to other nodes."""
+        if self._isolation.isolated and boot_clock() - self._isolated_at >= LEAVE_ROTATION_S:
             self._callers.close_idle()
 
     async def _serve_readiness(self, req: HttpRequest, out: Responder) -> None:
