Keep the wait for an earlier holder's orders when a term follows with another epoch

The time before which a coordinator sends nothing is now handed on. The new test of test_leadership fails without it.

--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -368,6 +368,8 @@
         coordinator.pop_order_update(now)
         self._last_residency = dict(coordinator.residency(now))
         self._own_orders = coordinator.own_orders()
+        # Orders of a holder before that one may still be in transit.
+        self._orders_not_before = max(self._orders_not_before, coordinator.not_before)
         self._history.apply(coordinator.full_order_update(now), complete=True, now=now)
         self.coordinator = None
         log.warning(
--- a/eelgrassferry/coordination/tests/test_leadership.py
+++ b/eelgrassferry/coordination/tests/test_leadership.py
@@ -160,6 +160,19 @@
         self.assertTrue(self.read_report({"m0", "m1"}, count=2, at=12.9))
         self.assertTrue(self.tracker.is_ready(12.9))
 
+    def test_wait_for_an_unknown_holder_goes_on(self):
+        """Guards against a violation of ONE: a restarted node that waits for the orders of a holder
+        before its start renews the lease with another epoch meanwhile.
+        """
+        leadership = make_leadership(epoch=2, sole_host_since=9.0)
+        leadership._clock = lambda: self.now
+        leadership._apply_term()
+        self.leadership = leadership
+        self.renew(epoch=3, at=10.5)
+        self.assertTrue(self.read_report({"m0"}, count=1, at=11.5))
+        self.assertFalse(self.tracker.is_ready(12.3))
+        self.assertTrue(self.tracker.is_ready(12.4))
+
     def test_orders_of_another_coordinator_need_the_handover(self):
         """Guards against a violation of ONE: another node has coordinated in between."""
         self.order("m1", at=11.0)
--- a/eelgrassferry/ordering/coordinator.py
+++ b/eelgrassferry/ordering/coordinator.py
@@ -316,6 +316,11 @@
         oldest = now - 2.0 * self._bounds.order_handover_s
         return {instance: at for instance, at in orders.items() if at >= oldest}
 
+    @property
+    def not_before(self) -> float:
+        """Time before which this coordinator sends no order, in seconds."""
+        return self._takeover.not_before
+
     def own_orders(self) -> dict[str, float]:
         """Return the last orders of the engines to which no other node has sent a later one."""
         before, own_before = self._takeover.last_orders, self._takeover.own_orders
