Move the tests of the request handler to the platform's tests

They feed requests with the platform's header names and use its codecs; these names stay in one folder.

--- a/eelgrassferry/entry/tests/test_request_handler.py
+++ b/eelgrassferry/platform/tests/test_request_handler.py
@@ -11,13 +11,13 @@
 
 from ...dispatch import AttemptFailure, Fail, FailReason
 from ...dispatch.tests.fixtures import DispatcherFixture, make_route
+from ...entry.request_handler import RequestHandler
 from ...fleet import Backend, FleetConfig, RequestKind, Service
 from ...forwarding import AnswerHead, CallerServer
 from ...forwarding.caller_conn import CallerConn
 from ...forwarding.tests.fake_transport import FakeTransport
 from ...metrics import Metrics
-from ...platform.request_codec import decode_request, encode_request
-from ..request_handler import RequestHandler
+from ..request_codec import decode_request, encode_request
 
 REQUEST = (
     b"POST /x HTTP/1.1\r\nHost: h\r\nEelgrassferry-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
