Check addresses of settings and registry entries with one function

The decoder of entries had written the check of settings anew, with a bound on the digits of the port.

--- a/eelgrassferry/platform/settings_file.py
+++ b/eelgrassferry/platform/settings_file.py
@@ -8,6 +8,7 @@
 
 from ..fleet import EntrySettings, ServiceBounds
 from ..settings import SettingError
+from .address import is_address
 from .names import SETTINGS_VARIABLE
 
 __all__ = ["load_entry_settings", "parse_settings"]
@@ -57,7 +58,7 @@
     if not store:
         errors.append(_make_error(path, "platform.address", "is missing"))
     for key in ("listen.front", "listen.ready", "listen.control", "platform.address"):
-        if values.get(key) and not _is_address(values[key]):
+        if values.get(key) and not is_address(values[key]):
             errors.append(_make_error(path, key, f"{values[key]!r} is not an address IP:PORT"))
     bounds = _read_bounds(values, path, errors)
     # "cpu_share" is the share of a core that the node may use, "cores" that core's speed factor.
@@ -106,10 +107,5 @@
     return number
 
 
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isascii() and port.isdigit() and 0 < int(port) < 65536
-
-
 def _make_error(path: str, key: str, message: str) -> SettingError:
     return SettingError(path, "", key, "read", message)
--- a/eelgrassferry/platform/upstream_codec.py
+++ b/eelgrassferry/platform/upstream_codec.py
@@ -9,6 +9,7 @@
 from ..fleet import UpstreamEntry
 from ..ordering import EngineReport
 from ..routing import UpstreamState
+from .address import is_address
 from .codec_error import CodecError
 
 __all__ = ["decode_entry", "decode_report"]
@@ -111,9 +112,7 @@
 
 def _to_address(value: Any) -> str:
     address = to_text(value)
-    host, _, port = address.rpartition(":")
-    is_port = port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536
-    if not HEADER_VALUE.fullmatch(host) or not is_port:
+    if not is_address(address) or not HEADER_VALUE.fullmatch(address.rpartition(":")[0]):
         raise ValueError(f"address {address[:MAX_SHOWN]!r} is not HOST:PORT")
     return address
 
