Simplify two checks of reports and counts

to_count checked again that a number is finite, which to_number ensures, and the check of the order in progress had two nested conditions for one state.

--- a/eelgrassferry/documents/fields.py
+++ b/eelgrassferry/documents/fields.py
@@ -1,6 +1,5 @@
 """Reading of single fields, each with one type and range."""
 
-import math
 from typing import Any
 
 __all__ = ["MALFORMED", "MAX_COUNT", "to_count", "to_flag", "to_number", "to_text"]
@@ -48,7 +47,7 @@
     Raises ``TypeError`` for a value of another type, and ``ValueError`` for any other number.
     """
     number = to_number(value, low, high)
-    if not math.isfinite(number) or number != math.floor(number):
+    if not number.is_integer():
         raise ValueError(f"{number} is not a whole number")
     return int(value)
 
--- a/eelgrassferry/ordering/engine_tracker.py
+++ b/eelgrassferry/ordering/engine_tracker.py
@@ -332,11 +332,7 @@
         A tracked load has ended if its model is resident, and an unload if it is not.
         """
         return any(
-            (
-                model not in report.residents
-                if copy.state is CopyState.LOADING
-                else copy.state is CopyState.UNLOADING and model in report.residents
-            )
+            copy.state is (CopyState.UNLOADING if model in report.residents else CopyState.LOADING)
             for model, copy in self.copies.items()
         )
 
