Name the failed unit tests in the closing lines of a test run

A test server of the soak's proxy tests added a traceback of its own to each run (ConnectionResetError in a task, never retrieved).

Change: the closing lines name each failed unit test with the last line of its traceback. The test server ends quietly when the proxy resets its connection; what the tests check is unchanged.

--- a/eelgrassferry/platform/tests/test_soak.py
+++ b/eelgrassferry/platform/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak's parts, a short run of the soak, and its regression seeds."""
 
 import asyncio
+import contextlib
 import tempfile
 import unittest
 from pathlib import Path
@@ -205,8 +206,10 @@
         self.addCleanup(self.writer.close)
 
     async def echo(self, reader, writer):
-        while data := await reader.read(100):
-            writer.write(data)
+        # The proxy resets this connection too.
+        with contextlib.suppress(ConnectionResetError):
+            while data := await reader.read(100):
+                writer.write(data)
 
     async def test_bytes_are_forwarded_and_withheld(self):
         """Guards against a proxy that does not withhold bytes while a direction is closed."""
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -34,10 +34,11 @@
             yield item
 
 
-def run_units(known_red: set[str], pattern: str) -> tuple[int, int]:
+def run_units(known_red: set[str], pattern: str) -> tuple[int, list[str]]:
     """Run the unit tests whose id contains ``pattern``.
 
-    Returns the number of passed and of failed tests. Tests in ``known_red`` are skipped.
+    Returns the number of passed tests and a line for each failure: the test's id and the last line
+    of its traceback. Tests in ``known_red`` are skipped.
     """
     discovered = unittest.defaultTestLoader.discover(
         str(ROOT / "eelgrassferry"), top_level_dir=ROOT
@@ -49,8 +50,12 @@
         elif pattern in case.id():
             suite.addTest(case)
     result = unittest.TextTestRunner(verbosity=1).run(suite)
-    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
-    return result.testsRun - failed, failed
+    failed = [
+        f"{case.id()}: {(traceback.splitlines() or [''])[-1]}"
+        for case, traceback in (*result.failures, *result.errors)
+    ]
+    failed += [f"{case.id()}: unexpected success" for case in result.unexpectedSuccesses]
+    return result.testsRun - len(failed), failed
 
 
 def run_scenarios(known_red: set[str]) -> tuple[int, int]:
@@ -111,10 +116,14 @@
     """
     pattern = sys.argv[1] if len(sys.argv) > 1 else ""
     known_red = read_known_red()
-    passed, failed = run_units(known_red, pattern)
+    passed, failed_units = run_units(known_red, pattern)
+    failed = len(failed_units)
     if not pattern:
         scenarios_passed, scenarios_failed = run_scenarios(known_red)
         passed, failed = passed + scenarios_passed, failed + scenarios_failed
+    # A log may be cut in the middle: its end names the failures once more.
+    for line in failed_units:
+        print(f"failed: {line}")
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not passed else 0
 
