Keep large objects that cannot be used without their value

Callers saw: nothing at first. With entries of another writer that are large (value_bytes allows 1 MiB each), no node followed the coordinator any more: it planned without their waiting requests, and they read the store themselves.

Cause: a node relays all objects under a prefix in one frame, the entries that name no server too. A frame of more than 1.2 MB closes the link, after each new connection again.

Change: a feed keeps an object of more than 64 KiB whose reader cannot use it with an empty value, whether it comes from the store or from a peer. Valid large objects and the configuration are kept whole.

--- a/eelgrassferry/coordination/node_registry.py
+++ b/eelgrassferry/coordination/node_registry.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import structlog
-from result import Err
+from result import Err, Ok, Result
 
 from ..documents import MALFORMED, parse_json, to_number, to_text
 from ..fleet import EntrySettings
@@ -40,6 +40,7 @@
         members: Callable[[], set[str] | None],
     ) -> None:
         self.feed = ObjectFeed(store, NODES_PREFIX, self._apply_update, clock, deferrable=True)
+        self.feed.is_usable = lambda stored: _decode_entry(stored).is_ok()
         self._settings = settings
         self._store = store
         self._clock = clock
@@ -182,12 +183,20 @@
             self._needs_registration.set()
 
     def _add_entry(self, stored: StoredObject) -> None:
-        try:
-            entry = parse_json(stored.value)
-            name = to_text(stored.key.removeprefix(NODES_PREFIX))
-            address, domain = to_text(entry["address"]), to_text(entry["domain"])
-            cores = to_number(entry.get("cores", 0.0))
-        except MALFORMED as exc:
-            log.warning("node entry not used", step="decode_node", detail=repr(exc))
-            return
-        self._addresses[name], self._domains[name], self._cores[name] = address, domain, cores
+        match _decode_entry(stored):
+            case Ok((name, address, domain, cores)):
+                self._addresses[name], self._domains[name] = address, domain
+                self._cores[name] = cores
+            case Err(detail):
+                log.warning("node entry not used", step="decode_node", detail=detail)
+
+
+def _decode_entry(stored: StoredObject) -> Result[tuple[str, str, str, float], str]:
+    """Return the name, address, failure domain and cores of a registered node, or the error."""
+    try:
+        entry = parse_json(stored.value)
+        name = to_text(stored.key.removeprefix(NODES_PREFIX))
+        address, domain = to_text(entry["address"]), to_text(entry["domain"])
+        return Ok((name, address, domain, to_number(entry.get("cores", 0.0))))
+    except MALFORMED as exc:
+        return Err(repr(exc))
--- a/eelgrassferry/entry/registry_view.py
+++ b/eelgrassferry/entry/registry_view.py
@@ -45,6 +45,14 @@
             if stored.key == self._protocol.config_key:
                 self._apply_config(stored)
 
+    def is_usable_config(self, stored: StoredObject) -> bool:
+        """Return whether an object under the prefix is the configuration."""
+        return stored.key == self._protocol.config_key
+
+    def is_usable_entry(self, stored: StoredObject) -> bool:
+        """Return whether an object is a registry entry that can be decoded."""
+        return self._protocol.decode_entry(self._instance_of(stored.key), stored.value).is_ok()
+
     def apply_upstreams_update(self, update: FeedUpdate) -> None:
         """Apply registry entries that were written or removed."""
         now = self._clock()
--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import structlog
 from result import Err, Ok, Result
@@ -27,6 +27,8 @@
 RELAY_CHECK_INTERVAL_S = 0.1
 # Time between two attempts while the store does not respond, in seconds.
 RETRY_DELAY_S = 0.25
+# Objects larger than this are checked before they are kept, in bytes.
+LARGE_OBJECT_BYTES = 64 * 1024
 # Upper limits in seconds of the watch interval and the retry delay when ``interval_factor``
 # increases them, because a change has to take effect within 2 s.
 MAX_WATCH_INTERVAL_S = 1.0
@@ -58,6 +60,9 @@
     ``is_relay_expected`` returns whether a peer will probably relay changes soon; until then, the
     store is not watched, nor listed if the feed is ``deferrable``.
 
+    A large object for which ``is_usable`` returns False is kept with an empty value, because all
+    copies together have to fit in memory and into a frame.
+
     ``on_version_update`` is called for every update that is applied, including those without
     changes. ``interval_factor`` returns the factor, at least 1, by which the intervals between
     calls to the store are lengthened.
@@ -74,6 +79,7 @@
     ) -> None:
         self.is_relayed: Callable[[], bool] = lambda: False
         self.is_relay_expected: Callable[[], bool] = lambda: False
+        self.is_usable: Callable[[StoredObject], bool] = lambda _stored: True
         self.on_version_update: Callable[[FeedUpdate], None] = lambda _update: None
         self.interval_factor: Callable[[], float] = lambda: 1.0
         self.prefix = prefix
@@ -206,11 +212,12 @@
         await self._sleep(min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self.interval_factor()))
 
     def _replace(self, snapshot: Snapshot, after_outage: bool) -> None:
-        objects = {obj.key: obj for obj in snapshot.objects}
+        listed = tuple(map(self._reduce, snapshot.objects))
+        objects = {obj.key: obj for obj in listed}
         removed = tuple(key for key in self.objects if key not in objects)
         base, self.version = self.version, snapshot.version
         self.objects = objects
-        update = FeedUpdate(True, snapshot.version, snapshot.objects, removed, after_outage, base)
+        update = FeedUpdate(True, snapshot.version, listed, removed, after_outage, base)
         self._on_update(update)
         self.on_version_update(update)
 
@@ -238,6 +245,7 @@
 
     def _merge(self, update: FeedUpdate) -> None:
         """Apply changes, skipping those that the copy already contains."""
+        update = replace(update, written=tuple(map(self._reduce, update.written)))
         written = tuple(
             stored
             for stored in update.written
@@ -258,3 +266,10 @@
                 )
             )
         self.on_version_update(update)
+
+    def _reduce(self, stored: StoredObject) -> StoredObject:
+        """Return an object without its value if it is large and cannot be used."""
+        if len(stored.value) <= LARGE_OBJECT_BYTES or self.is_usable(stored):
+            return stored
+        log.warning("value not kept", step="reduce", key=stored.key, bytes=len(stored.value))
+        return replace(stored, value=b"")
--- a/eelgrassferry/objects/tests/test_feed.py
+++ b/eelgrassferry/objects/tests/test_feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from result import Err, Ok
 
@@ -160,6 +161,29 @@
         self.assertEqual(self.feed.objects["servers/u1"].value, b"new")
         self.assertEqual(self.feed.version, 9)
 
+    async def test_large_value_that_cannot_be_used_is_not_kept(self):
+        """Guards against copies that outgrow memory and frames because of another writer, and
+        against large objects that are lost although they can be used.
+        """
+        feed = ObjectFeed(
+            MonitoredStore(None, lambda: 0.0), "servers/", lambda _update: None, lambda: 0.0
+        )
+        relayed = []
+        feed.is_usable = lambda stored: stored.value.startswith(b"{")
+        feed.on_version_update = relayed.append
+        good, small = StoredObject("servers/u1", 4, b"{" * 900_000), StoredObject(
+            "servers/u2", 5, b"?"
+        )
+        bad = StoredObject("servers/u3", 6, b"?" * 900_000)
+        kept = {good.key: good, small.key: small, bad.key: replace(bad, value=b"")}
+        feed.apply_peer_copy(7, (good, small, bad), 0.0)
+        self.assertEqual(feed.objects, kept)
+        written = (replace(good, version=8), replace(bad, version=9))
+        feed.apply_relayed_update(FeedUpdate(False, 9, written, (), base=7))
+        self.assertEqual(feed.objects[good.key], written[0])
+        self.assertEqual(feed.objects[bad.key].value, b"")
+        self.assertEqual([len(update.written[-1].value) for update in relayed], [0, 0])
+
     async def test_many_nodes_poll_the_store_less_often(self):
         """Guards against a number of store calls that grows with the number of nodes.
 
--- a/eelgrassferry/platform/tests/test_foreign_documents.py
+++ b/eelgrassferry/platform/tests/test_foreign_documents.py
@@ -33,7 +33,9 @@
         for front in self.fronts:
             answer = await self.call(front, "/chat/x", "m1")
             self.assertEqual(answer.status, 200)
-        self.assertEqual([process.returncode for process in self.processes], [None] * self.NODES)
+        self.assertEqual(
+            [process.returncode for process in self.processes], [None] * len(self.processes)
+        )
         for event in ("task failed, stopping", "request abandoned", "callback failed"):
             self.assertEqual(self.log_count(event), 0, event)
 
@@ -53,6 +55,18 @@
         await self.store.write("nodes", "odd-\ud800", {"address": "127.0.0.1:9", "domain": "z"})
         await self.check_serving()
 
+    async def test_large_entries(self):
+        """Guards against nodes that lose the coordinator because of large entries of another
+        writer: the copy that it relayed was larger than a frame, which closed the link.
+        """
+        for number in range(3):
+            await self.store.write("servers", f"i-large-{number}", "x" * 700_000)
+            await self.store.write("nodes", f"large-{number}", "x" * 700_000)
+        await self.start_node(self.NODES)
+        await self.check_serving()
+        self.assertEqual(self.log_count("link closed"), 0)
+        self.assertEqual(self.log_count("coordinator lost"), 0)
+
     async def test_new_node_reads_the_entries(self):
         """Guards against a node that cannot start while such entries are in the store."""
         for name, entry in FOREIGN_ENTRIES.items():
