Count the time in which no process of the host ran towards the handover

Callers saw: after the coordinator's process was killed and restarted, no adapter or model was loaded for up to 2.8 s longer than needed.

Cause: a restarted process waits until its host has held the lease alone for the handover time, and counted the time held from its first read of the record. The time between the last write of the process before it and this read did not count.

Change: the time held counts from the start of the process, before which the earlier process sent its last write. A record of an earlier instance of the same process still counts from its first read.

--- a/eelgrassferry/__main__.py
+++ b/eelgrassferry/__main__.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+from importlib import import_module
 
 # Commands that reload their settings on SIGHUP.
 RELOADING = {"entry"}
@@ -12,6 +13,8 @@
     if command in RELOADING:
         # The modules take up to 0.4 s to import, and until then the signal would end the node.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        # Imported before the other modules, because it records when the process started.
+        import_module(".entry.boot_clock", __package__)
     from .cli import main
 
     return main()
--- a/eelgrassferry/coordination/lease_holder.py
+++ b/eelgrassferry/coordination/lease_holder.py
@@ -54,7 +54,8 @@
     the time for which this node leaves a free lease to other nodes. ``promised_until`` returns the
     time until which all other nodes have promised not to take it. ``announce_end`` notifies the
     other nodes that the term of an instance has ended. ``has_order_history`` returns whether this
-    node knows the orders of the previous coordinator.
+    node knows the orders of the previous coordinator. ``process_started_s`` is a time on ``clock``
+    at which this process was running already.
 
     ``handover_s`` is the time after the last order of one coordinator until the first order of its
     successor, in seconds, including the time for which an order may be in transit.
@@ -71,6 +72,7 @@
         promised_until: Callable[[], float],
         has_order_history: Callable[[], bool],
         delay_s: Callable[[], float],
+        process_started_s: float = float("inf"),
     ) -> None:
         self.handover_s = settings.bounds.order_handover_s + ORDER_TRANSIT_S
         self.store = store
@@ -82,6 +84,8 @@
         self._promised_until = promised_until
         self._has_order_history = has_order_history
         self._delay_s = delay_s
+        self._process_started_s = process_started_s
+        self._instances: frozenset[str] = frozenset()
         self._machine = self._make_machine()
         self._last_term: LeaseTerm | None = None
         self._give_up_at: float | None = None
@@ -226,14 +230,18 @@
         return now - self._leaderless_since >= delay_s
 
     def _make_machine(self) -> LeaseMachine:
+        earlier, instance = self._instances, f"{self._settings.name}:{secrets.token_hex(4)}"
+        self._instances |= {instance}
         return LeaseMachine(
             LEASE_AREA,
-            f"{self._settings.name}:{secrets.token_hex(4)}",
+            instance,
             duration_s=self.handover_s + TERM_S,
             stop_early_s=self.handover_s,
             renew_s=RENEW_S,
             one_per_host=True,
             takeover_factor=CLOCK_MARGIN,
+            process_instances=earlier,
+            process_started_s=self._process_started_s,
         )
 
     async def _perform(self, machine: LeaseMachine, action: ReadLease | WriteLease) -> None:
--- a/eelgrassferry/entry/boot_clock.py
+++ b/eelgrassferry/entry/boot_clock.py
@@ -2,7 +2,7 @@
 
 import time
 
-__all__ = ["boot_clock"]
+__all__ = ["PROCESS_STARTED_S", "boot_clock"]
 
 
 def boot_clock() -> float:
@@ -12,3 +12,7 @@
     valid after it has expired.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+# A time at which this process was running already, and earlier processes of its host had ended.
+PROCESS_STARTED_S = boot_clock()
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -31,7 +31,7 @@
 from ..objects import ObjectFeed
 from ..ordering import NodeStatus, PendingDemand
 from ..routing import UpstreamState
-from .boot_clock import boot_clock
+from .boot_clock import PROCESS_STARTED_S, boot_clock
 from .platform_protocol import PlatformProtocol
 from .registry_view import RegistryView
 from .request_handler import RequestHandler
@@ -136,6 +136,7 @@
             lambda: self._mesh.promised_until,
             lambda: self._leadership.has_order_history,
             lambda: self._mesh.succession.delay_s,
+            PROCESS_STARTED_S,
         )
         runner = OrderRunner(
             protocol.engines, client, settings.name, lease.term, boot_clock, self._metrics
