Name the failed scenarios in the closing lines of a test run too

Cause: behave names them at the end of each of its two runs, and the first of these may be cut out of a log.

Change: the lines are printed again after the failed unit tests.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -58,14 +58,15 @@
     return result.testsRun - len(failed), failed
 
 
-def run_scenarios(known_red: set[str]) -> tuple[int, int]:
-    """Run all behave scenarios and return the number of passed and of failed ones.
+def run_scenarios(known_red: set[str]) -> tuple[int, int, list[str]]:
+    """Run all behave scenarios and return the number of passed and of failed ones, and the lines
+    that name the failed ones.
 
     Feature files in ``LONG_FEATURES`` run in parallel with the others. Scenarios tagged
     ``@known_red`` are skipped if ``known_red`` names any scenario.
     """
     if not list((ROOT / "features").glob("*.feature")):
-        return 0, 0
+        return 0, 0, []
     command = [sys.executable, "-m", "behave", "--no-capture", "--format", "progress3"]
     for name in sorted(known_red):
         print(f"known red, not run as a scenario: {name}")
@@ -78,18 +79,20 @@
     ]
     with ThreadPoolExecutor(len(batches)) as pool:
         totals = list(pool.map(lambda batch: run_behave(command, batch), filter(None, batches)))
-    return sum(passed for passed, _ in totals), sum(failed for _, failed in totals)
+    passed, failed, names = zip(*totals, strict=True)
+    return sum(passed), sum(failed), [name for batch in names for name in batch]
 
 
-def run_behave(command: list[str], files: list[str]) -> tuple[int, int]:
-    """Run feature files in one behave process and return the passed and failed scenarios."""
+def run_behave(command: list[str], files: list[str]) -> tuple[int, int, list[str]]:
+    """Run feature files in one behave process and return what ``run_scenarios`` does."""
     paths = [f"features/{name}" for name in files]
     completed = subprocess.run(
         [*command, *paths], cwd=ROOT, capture_output=True, text=True, check=False
     )
     print(completed.stdout)
     print(completed.stderr, file=sys.stderr)
-    return parse_scenario_totals(completed.stdout, completed.returncode)
+    totals = parse_scenario_totals(completed.stdout, completed.returncode)
+    return *totals, find_failing_scenarios(completed.stdout)
 
 
 def parse_scenario_totals(output: str, exit_code: int) -> tuple[int, int]:
@@ -109,6 +112,19 @@
     return 0, 1
 
 
+def find_failing_scenarios(output: str) -> list[str]:
+    """Return the lines that name failed scenarios in the summary that behave prints."""
+    names, in_list = [], False
+    for line in output.splitlines():
+        if line.startswith(("Failing scenarios", "Errored scenarios")):
+            in_list = True
+        elif in_list and line.startswith("  "):
+            names.append(line.strip())
+        else:
+            in_list = False
+    return names
+
+
 def main() -> int:
     """Run the tests, print the totals and return the exit code.
 
@@ -116,13 +132,14 @@
     """
     pattern = sys.argv[1] if len(sys.argv) > 1 else ""
     known_red = read_known_red()
-    passed, failed_units = run_units(known_red, pattern)
-    failed = len(failed_units)
+    passed, failed_names = run_units(known_red, pattern)
+    failed = len(failed_names)
     if not pattern:
-        scenarios_passed, scenarios_failed = run_scenarios(known_red)
+        scenarios_passed, scenarios_failed, names = run_scenarios(known_red)
         passed, failed = passed + scenarios_passed, failed + scenarios_failed
+        failed_names += names
     # A log may be cut in the middle: its end names the failures once more.
-    for line in failed_units:
+    for line in failed_names:
         print(f"failed: {line}")
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not passed else 0
