Let the servers of LimitTest run requests for 0.15 s

Cause: the test needs two servers that look equally fast. Requests ran for 0.05 s, and beside load the nodes learned that one server was slower, so that all requests went to the other one, which had room for them. No node broke the limit or refused a request (log of the failed run: nothing waits from 5.1 to 7.9 s).

Change: requests run for 0.15 s there. The bounds are unchanged.

--- a/eelgrassferry/platform/tests/node_fleet.py
+++ b/eelgrassferry/platform/tests/node_fleet.py
@@ -59,10 +59,15 @@
             while self.log_count("node joined") < self.NODES - 1:
                 await asyncio.sleep(0.05)
 
-    async def learn_latencies(self, servers: Iterable[StandinServer]) -> None:
-        """Let the nodes learn that plain servers are equally fast, so that all are wanted."""
+    async def learn_latencies(
+        self, servers: Iterable[StandinServer], pause_s: float = 0.05
+    ) -> None:
+        """Let the nodes learn that plain servers are equally fast, so that all are wanted.
+
+        Each request then takes ``pause_s`` seconds at a server.
+        """
         for server in servers:
-            server.pause_s = 0.05
+            server.pause_s = pause_s
         await self.call_steadily("/book/x", per_s=60.0, for_s=1.0)
 
     async def start_node(self, number: int) -> None:
--- a/eelgrassferry/platform/tests/test_upstream_notices.py
+++ b/eelgrassferry/platform/tests/test_upstream_notices.py
@@ -114,7 +114,9 @@
         await super().asyncSetUp()
         self.servers = [await self.add_server("desk", f"i-desk{n}") for n in range(2)]
         await self.start_nodes()
-        await self.learn_latencies(self.servers)
+        # A busy machine delays answers by tens of milliseconds. Next to this time, that does not
+        # make one server look slower than the other.
+        await self.learn_latencies(self.servers, pause_s=0.15)
 
     async def name_limit(self, *servers: StandinServer) -> float:
         """Let servers name their limit, and return the time from which on it has to be kept."""
