Count the handover of an embedded node from its creation

The time since which a host's earlier processes have ended was taken from the start of the process.

Change: a node counts from its creation, and the command line, which runs one node a process, from the start of the process. Parameters are named after what they say (alone_since, own_instances).

--- a/eelgrassferry/cli/entry_command.py
+++ b/eelgrassferry/cli/entry_command.py
@@ -38,7 +38,7 @@
 
 
 async def _run(settings: EntrySettings, metrics_port: int) -> int:
-    from ..entry import EntryNode
+    from ..entry import PROCESS_STARTED_S, EntryNode
     from ..http import HttpClient
     from ..platform import load_entry_settings, make_platform_protocol
 
@@ -46,5 +46,7 @@
     protocol = make_platform_protocol(client, settings.object_store)
     host = settings.caller_listen.rpartition(":")[0]
     metrics = f"{host}:{metrics_port}" if metrics_port else ""
-    code = await EntryNode(settings, protocol, client, metrics, load_entry_settings).run()
-    return ExitCode(code)
+    node = EntryNode(
+        settings, protocol, client, metrics, load_entry_settings, alone_since=PROCESS_STARTED_S
+    )
+    return ExitCode(await node.run())
--- a/eelgrassferry/coordination/lease_holder.py
+++ b/eelgrassferry/coordination/lease_holder.py
@@ -54,8 +54,8 @@
     the time for which this node leaves a free lease to other nodes. ``promised_until`` returns the
     time until which all other nodes have promised not to take it. ``announce_end`` notifies the
     other nodes that the term of an instance has ended. ``has_order_history`` returns whether this
-    node knows the orders of the previous coordinator. ``process_started_s`` is a time on ``clock``
-    at which this process was running already.
+    node knows the orders of the previous coordinator. ``alone_since`` is a time on ``clock`` at
+    which all earlier nodes of this name had ended.
 
     ``handover_s`` is the time after the last order of one coordinator until the first order of its
     successor, in seconds, including the time for which an order may be in transit.
@@ -72,7 +72,7 @@
         promised_until: Callable[[], float],
         has_order_history: Callable[[], bool],
         delay_s: Callable[[], float],
-        process_started_s: float = float("inf"),
+        alone_since: float = float("inf"),
     ) -> None:
         self.handover_s = settings.bounds.order_handover_s + ORDER_TRANSIT_S
         self.store = store
@@ -84,7 +84,7 @@
         self._promised_until = promised_until
         self._has_order_history = has_order_history
         self._delay_s = delay_s
-        self._process_started_s = process_started_s
+        self._alone_since = alone_since
         self._instances: frozenset[str] = frozenset()
         self._machine = self._make_machine()
         self._last_term: LeaseTerm | None = None
@@ -240,8 +240,8 @@
             renew_s=RENEW_S,
             one_per_host=True,
             takeover_factor=CLOCK_MARGIN,
-            process_instances=earlier,
-            process_started_s=self._process_started_s,
+            own_instances=earlier,
+            alone_since=self._alone_since,
         )
 
     async def _perform(self, machine: LeaseMachine, action: ReadLease | WriteLease) -> None:
--- a/eelgrassferry/entry/boot_clock.py
+++ b/eelgrassferry/entry/boot_clock.py
@@ -14,5 +14,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-# A time at which this process was running already, and earlier processes of its host had ended.
+# A time at which this process was running already. Without other nodes of the same name in the
+# process, all earlier ones had ended.
 PROCESS_STARTED_S = boot_clock()
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -31,7 +31,7 @@
 from ..objects import ObjectFeed
 from ..ordering import NodeStatus, PendingDemand
 from ..routing import UpstreamState
-from .boot_clock import PROCESS_STARTED_S, boot_clock
+from .boot_clock import boot_clock
 from .platform_protocol import PlatformProtocol
 from .registry_view import RegistryView
 from .request_handler import RequestHandler
@@ -56,8 +56,9 @@
     """An entry node, which accepts callers' requests and forwards them to upstreams.
 
     Parameters: the node's settings, the formats of the platform, the client for orders to engines,
-    the address of the metrics endpoint (empty for none), and a function that reads the settings
-    again on SIGHUP.
+    the address of the metrics endpoint (empty for none), a function that reads the settings
+    again on SIGHUP, and a time on ``boot_clock`` at which all earlier nodes of this name had ended,
+    by default now.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         client: HttpClient,
         metrics_listen: str,
         load_settings: Callable[[], Result[EntrySettings, object]],
+        alone_since: float | None = None,
     ) -> None:
         self._settings = settings
         self._protocol = protocol
@@ -136,7 +138,7 @@
             lambda: self._mesh.promised_until,
             lambda: self._leadership.has_order_history,
             lambda: self._mesh.succession.delay_s,
-            PROCESS_STARTED_S,
+            boot_clock() if alone_since is None else alone_since,
         )
         runner = OrderRunner(
             protocol.engines, client, settings.name, lease.term, boot_clock, self._metrics
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -109,9 +109,8 @@
     process of the same host. A holder stops ``stop_early_s`` seconds before its lease expires and
     renews it every ``renew_s`` seconds, by default a third of ``duration_s``.
 
-    ``process_started_s`` is a time at which the current process was running already, so that all
-    earlier processes of its host had ended, and ``process_instances`` are the earlier instances of
-    the current process.
+    ``own_instances`` are the earlier instances of the same process. ``alone_since`` is a time at
+    which all other earlier instances of the host had ended.
 
     >>> machine = LeaseMachine("uy-sur", "n1:a")
     >>> machine.tick(0.0)
@@ -128,8 +127,8 @@
         renew_s: float | None = None,
         one_per_host: bool = False,
         takeover_factor: float = TAKEOVER_FACTOR,
-        process_instances: frozenset[str] = frozenset(),
-        process_started_s: float = float("inf"),
+        own_instances: frozenset[str] = frozenset(),
+        alone_since: float = float("inf"),
     ) -> None:
         self.key = f"leases/{area}"
         self.instance = instance
@@ -138,8 +137,8 @@
         self._stop_early_s = stop_early_s
         self._one_per_host = one_per_host
         self._takeover_factor = takeover_factor
-        self._process_instances = process_instances | {instance}
-        self._process_started_s = process_started_s
+        self._own_instances = own_instances | {instance}
+        self._alone_since = alone_since
         self._reported_version: tuple[int, float] = (-1, 0.0)
         self._former = former
         self._acknowledged: frozenset[str] = frozenset()
@@ -328,11 +327,11 @@
         record = observed.record
         if record is None:
             return now - self._stop_early_s
-        if record.holder in self._process_instances:
+        if record.holder in self._own_instances:
             return observed.first_observed_s - record.held_s
         if self._is_own_host(record.holder):
-            # The earlier process sent its last write before this process started.
-            return min(observed.first_observed_s, self._process_started_s) - record.held_s
+            # The earlier process sent its last write before it ended.
+            return min(observed.first_observed_s, self._alone_since) - record.held_s
         # A holder stops ``stop_early_s`` before its lease expires.
         return min(now, self._expires_at(observed, record) - self._stop_early_s)
 
--- a/eelgrassferry/leases/tests/test_handover.py
+++ b/eelgrassferry/leases/tests/test_handover.py
@@ -11,7 +11,7 @@
 DURATION_S = 4.5
 
 
-def make_machine(instance: str = "n2:y", **process: Any) -> LeaseMachine:
+def make_machine(instance: str = "n2:y", **options: Any) -> LeaseMachine:
     """Return a candidate with the same kind of timing as the coordinator's lease."""
     return LeaseMachine(
         "a",
@@ -21,7 +21,7 @@
         renew_s=0.4,
         one_per_host=True,
         takeover_factor=1.02,
-        **process,
+        **options,
     )
 
 
@@ -120,7 +120,7 @@
         """Guards against a process that is restarted after a while and waits as if its host had
         taken the lease over from another host just now (soak test with seed 7).
         """
-        machine = make_machine("n1:z", process_started_s=7.0)
+        machine = make_machine("n1:z", alone_since=7.0)
         record = LeaseRecord("n1:x", 7, DURATION_S, "n1:x/1", held_s=1.0)
         self.assertEqual(self.acquire(machine, record, 10.0).held_s, 4.0)
         self.assertEqual(machine.term(10.0).sole_host_since, 6.0)
@@ -129,7 +129,7 @@
         """Guards against counting from the start of a process that has taken the lease over from
         another host since then, and has given it up.
         """
-        machine = make_machine("n1:z", process_started_s=7.0, process_instances=frozenset({"n1:x"}))
+        machine = make_machine("n1:z", alone_since=7.0, own_instances=frozenset({"n1:x"}))
         record = LeaseRecord("n1:x", 7, DURATION_S, "n1:x/1", held_s=1.0)
         self.acquire(machine, record, 10.0)
         self.assertEqual(machine.term(10.0).sole_host_since, 9.0)
