Let a new node stand in for the restarted process in its test

Cause: the test let the old node's mesh listen again under another process id, with the leadership that it had before. If a node connects to it as a member before the probe, it gets a view and promises not to take the lease, which extends the old node's term: the stand-in goes on as the coordinator, without giving orders. A restarted process has no leadership.

Change: a new node with the same name and address listens. The checks are unchanged, and fail without the probe (by a mutation).

--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -51,14 +51,16 @@
 class Node:
     """The mesh and leadership of one node, on the shared store."""
 
-    def __init__(self, name: str, store: MemoryObjectStore, orders: list) -> None:
+    def __init__(
+        self, name: str, store: MemoryObjectStore, orders: list, peer_listen: str = ""
+    ) -> None:
         self.name = name
         self.settings = EntrySettings(
             name=name,
             domain="a",
             caller_listen="",
             ready_listen="",
-            peer_listen=f"127.0.0.1:{free_port()}",
+            peer_listen=peer_listen or f"127.0.0.1:{free_port()}",
             object_store="",
             first_start=True,
             bounds=ServiceBounds(order_handover_s=HANDOVER_S),
@@ -367,9 +369,10 @@
         await self.eventually(lambda: self.orders)
         others = [node for node in self.nodes if node is not old]
         await old.stop()
-        del old.mesh._on_member_frame
-        old.mesh._process_id = "another"
-        await old.mesh.listen()
+        # The new process listens, but does not compete for the lease yet.
+        restarted = Node(old.name, self.store, self.orders, old.settings.peer_listen)
+        self.addAsyncCleanup(restarted.stop)
+        await restarted.mesh.listen()
         started_at = time.monotonic()
         await self.eventually(lambda: any(node.leads for node in others))
         self.assertLess(time.monotonic() - started_at, 1.5)
