Wait until the node that the test starts serves requests

A node that does not know the configuration yet refuses them with 503, as it should.

Change: the test waits until the node serves, as the test of a new node does. The checks are unchanged.

--- a/eelgrassferry/platform/tests/test_foreign_documents.py
+++ b/eelgrassferry/platform/tests/test_foreign_documents.py
@@ -39,6 +39,13 @@
         for event in ("task failed, stopping", "request abandoned", "callback failed"):
             self.assertEqual(self.log_count(event), 0, event)
 
+    async def start_another_node(self) -> None:
+        """Start one more node and wait until it serves requests."""
+        await self.start_node(self.NODES)
+        async with asyncio.timeout(10.0):
+            while not await self.is_serving(self.fronts[-1]):
+                await asyncio.sleep(0.05)
+
     async def test_registry_entries(self):
         """Guards against nodes that end, or do not serve, because of a registry entry that another
         writer has left (review case 2: slots 1e999).
@@ -62,7 +69,7 @@
         for number in range(3):
             await self.store.write("servers", f"i-large-{number}", "x" * 700_000)
             await self.store.write("nodes", f"large-{number}", "x" * 700_000)
-        await self.start_node(self.NODES)
+        await self.start_another_node()
         await self.check_serving()
         self.assertEqual(self.log_count("link closed"), 0)
         self.assertEqual(self.log_count("coordinator lost"), 0)
@@ -71,10 +78,7 @@
         """Guards against a node that cannot start while such entries are in the store."""
         for name, entry in FOREIGN_ENTRIES.items():
             await self.store.write("servers", name, entry)
-        await self.start_node(self.NODES)
-        async with asyncio.timeout(10.0):
-            while not await self.is_serving(self.fronts[-1]):
-                await asyncio.sleep(0.05)
+        await self.start_another_node()
 
 
 class FixedClient:
