Use the lease machine's former instances to tell an own record apart

Change: the coordinator's lease passes its given-up instances as former, and own_instances is removed. They were free to be taken before, as instances of the same host, so behaviour stays as it is.

--- a/eelgrassferry/coordination/lease_holder.py
+++ b/eelgrassferry/coordination/lease_holder.py
@@ -230,17 +230,17 @@
         return now - self._leaderless_since >= delay_s
 
     def _make_machine(self) -> LeaseMachine:
-        earlier, instance = self._instances, f"{self._settings.name}:{secrets.token_hex(4)}"
+        former, instance = self._instances, f"{self._settings.name}:{secrets.token_hex(4)}"
         self._instances |= {instance}
         return LeaseMachine(
             LEASE_AREA,
             instance,
             duration_s=self.handover_s + TERM_S,
+            former=former,
             stop_early_s=self.handover_s,
             renew_s=RENEW_S,
             one_per_host=True,
             takeover_factor=CLOCK_MARGIN,
-            own_instances=earlier,
             alone_since=self._alone_since,
         )
 
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -109,8 +109,8 @@
     process of the same host. A holder stops ``stop_early_s`` seconds before its lease expires and
     renews it every ``renew_s`` seconds, by default a third of ``duration_s``.
 
-    ``own_instances`` are the earlier instances of the same process. ``alone_since`` is a time at
-    which all other earlier instances of the host had ended.
+    ``alone_since`` is a time at which all earlier instances of the host but the ``former`` ones had
+    ended.
 
     >>> machine = LeaseMachine("uy-sur", "n1:a")
     >>> machine.tick(0.0)
@@ -127,7 +127,6 @@
         renew_s: float | None = None,
         one_per_host: bool = False,
         takeover_factor: float = TAKEOVER_FACTOR,
-        own_instances: frozenset[str] = frozenset(),
         alone_since: float = float("inf"),
     ) -> None:
         self.key = f"leases/{area}"
@@ -137,7 +136,6 @@
         self._stop_early_s = stop_early_s
         self._one_per_host = one_per_host
         self._takeover_factor = takeover_factor
-        self._own_instances = own_instances | {instance}
         self._alone_since = alone_since
         self._reported_version: tuple[int, float] = (-1, 0.0)
         self._former = former
@@ -327,11 +325,12 @@
         record = observed.record
         if record is None:
             return now - self._stop_early_s
-        if record.holder in self._own_instances:
-            return observed.first_observed_s - record.held_s
         if self._is_own_host(record.holder):
-            # The earlier process sent its last write before it ended.
-            return min(observed.first_observed_s, self._alone_since) - record.held_s
+            written_s = observed.first_observed_s
+            if record.holder not in self._former:
+                # The earlier process sent its last write before it ended.
+                written_s = min(written_s, self._alone_since)
+            return written_s - record.held_s
         # A holder stops ``stop_early_s`` before its lease expires.
         return min(now, self._expires_at(observed, record) - self._stop_early_s)
 
--- a/eelgrassferry/leases/tests/test_handover.py
+++ b/eelgrassferry/leases/tests/test_handover.py
@@ -129,7 +129,7 @@
         """Guards against counting from the start of a process that has taken the lease over from
         another host since then, and has given it up.
         """
-        machine = make_machine("n1:z", alone_since=7.0, own_instances=frozenset({"n1:x"}))
+        machine = make_machine("n1:z", alone_since=7.0, former=frozenset({"n1:x"}))
         record = LeaseRecord("n1:x", 7, DURATION_S, "n1:x/1", held_s=1.0)
         self.acquire(machine, record, 10.0)
         self.assertEqual(machine.term(10.0).sole_host_since, 9.0)
