Ask in one place whether an object is the configuration

The check of the configuration's key stood twice in RegistryView since, once as is_usable_config.

Change: one method, is_config, serves the update and the feed. Behaviour is unchanged.

--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -116,7 +116,7 @@
             self._registry.apply_upstreams_update,
             boot_clock,
         )
-        self._config_feed.is_usable = self._registry.is_usable_config
+        self._config_feed.is_usable = self._registry.is_config
         self._upstream_feed.is_usable = self._registry.is_usable_entry
         self._mesh = PeerMesh(
             settings,
--- a/eelgrassferry/entry/registry_view.py
+++ b/eelgrassferry/entry/registry_view.py
@@ -42,10 +42,10 @@
     def apply_config_update(self, update: FeedUpdate) -> None:
         """Apply a configuration that is newer than the one in force; ignore older versions."""
         for stored in update.written:
-            if stored.key == self._protocol.config_key:
+            if self.is_config(stored):
                 self._apply_config(stored)
 
-    def is_usable_config(self, stored: StoredObject) -> bool:
+    def is_config(self, stored: StoredObject) -> bool:
         """Return whether an object under the prefix is the configuration."""
         return stored.key == self._protocol.config_key
 
