Keep the registration of a node as one value

A node's entry was decoded to a tuple of four and kept in three dictionaries that are changed together.

Change: one frozen data class in one dictionary. A test that replaced the address of a node replaces it in the registration; its assertions are unchanged.

--- a/eelgrassferry/coordination/node_registry.py
+++ b/eelgrassferry/coordination/node_registry.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import structlog
 from result import Err, Ok, Result
@@ -25,6 +26,18 @@
 REMOVE_CHECK_INTERVAL_S = 1.0
 
 
+@dataclass(frozen=True)
+class _Registration:
+    """The address, failure domain and number of cores of a node."""
+
+    address: str
+    domain: str
+    cores: float
+
+
+UNREGISTERED = _Registration("", "", 0.0)
+
+
 class NodeRegistry:
     """Registry of the addresses and failure domains of all nodes, including this one.
 
@@ -45,16 +58,14 @@
         self._store = store
         self._clock = clock
         self._members = members
-        self._addresses: dict[str, str] = {}
-        self._domains: dict[str, str] = {}
-        self._cores: dict[str, float] = {}
+        self._nodes: dict[str, _Registration] = {}
         self._last_linked_at: dict[str, float] = {}
         self._has_written = False
         self._needs_registration = asyncio.Event()
         self._needs_registration.set()
 
     def __len__(self) -> int:
-        return len(self._addresses)
+        return len(self._nodes)
 
     @property
     def is_listed(self) -> bool:
@@ -69,18 +80,18 @@
     @property
     def others(self) -> list[str]:
         """The names of the other nodes."""
-        return [name for name in self._addresses if name != self._settings.name]
+        return [name for name in self._nodes if name != self._settings.name]
 
     def address(self, name: str) -> str:
         """Return the address of a node, or "" if it is not registered."""
-        return self._addresses.get(name, "")
+        return self._nodes.get(name, UNREGISTERED).address
 
     async def find_address(self, name: str) -> str:
         """Return the address of a node, "" if there is none.
 
         The store is asked for a node that is not in the copy of the registry.
         """
-        if name and name not in self._addresses:
+        if name and name not in self._nodes:
             read = await self._store.get(NODES_PREFIX + name)
             if not isinstance(read, Err) and read.ok_value is not None:
                 self._add_entry(read.ok_value)
@@ -88,19 +99,19 @@
 
     def domain(self, name: str) -> str:
         """Return the failure domain of a node, or "" if it is not registered."""
-        return self._domains.get(name, "")
+        return self._nodes.get(name, UNREGISTERED).domain
 
     def cores(self, name: str) -> float:
         """Return the number of cores of a node, 0 if it is not known."""
-        return self._cores.get(name, 0.0)
+        return self._nodes.get(name, UNREGISTERED).cores
 
     def domains(self) -> dict[str, str]:
         """Return a mapping from the address of each other node to its failure domain."""
-        return {self._addresses[name]: self._domains[name] for name in self.others}
+        return {self._nodes[name].address: self._nodes[name].domain for name in self.others}
 
     def peer_addresses(self) -> list[str]:
         """Return the addresses of the other nodes, or of the seeds if no other is registered."""
-        known = [self._addresses[name] for name in self.others]
+        known = [self._nodes[name].address for name in self.others]
         own = self._settings.peer_listen
         return known or [address for address in self._settings.seeds if address != own]
 
@@ -170,33 +181,28 @@
 
     def _apply_update(self, update: FeedUpdate) -> None:
         if update.complete:
-            self._addresses.clear()
-            self._domains.clear()
-            self._cores.clear()
+            self._nodes.clear()
         for key in update.removed:
-            self._addresses.pop(key.removeprefix(NODES_PREFIX), None)
-            self._domains.pop(key.removeprefix(NODES_PREFIX), None)
-            self._cores.pop(key.removeprefix(NODES_PREFIX), None)
+            self._nodes.pop(key.removeprefix(NODES_PREFIX), None)
         for stored in update.written:
             self._add_entry(stored)
-        if self._settings.name not in self._addresses:
+        if self._settings.name not in self._nodes:
             self._needs_registration.set()
 
     def _add_entry(self, stored: StoredObject) -> None:
         match _decode_entry(stored):
-            case Ok((name, address, domain, cores)):
-                self._addresses[name], self._domains[name] = address, domain
-                self._cores[name] = cores
+            case Ok(node):
+                self._nodes[stored.key.removeprefix(NODES_PREFIX)] = node
             case Err(detail):
                 log.warning("node entry not used", step="decode_node", detail=detail)
 
 
-def _decode_entry(stored: StoredObject) -> Result[tuple[str, str, str, float], str]:
-    """Return the name, address, failure domain and cores of a registered node, or the error."""
+def _decode_entry(stored: StoredObject) -> Result[_Registration, str]:
+    """Decode the entry of a node, whose name is sent in messages and has to be encodable."""
     try:
+        to_text(stored.key)
         entry = parse_json(stored.value)
-        name = to_text(stored.key.removeprefix(NODES_PREFIX))
         address, domain = to_text(entry["address"]), to_text(entry["domain"])
-        return Ok((name, address, domain, to_number(entry.get("cores", 0.0))))
+        return Ok(_Registration(address, domain, to_number(entry.get("cores", 0.0))))
     except MALFORMED as exc:
         return Err(repr(exc))
--- a/eelgrassferry/coordination/tests/test_coordination.py
+++ b/eelgrassferry/coordination/tests/test_coordination.py
@@ -4,6 +4,7 @@
 import socket
 import time
 import unittest
+from dataclasses import replace
 from unittest.mock import Mock
 
 from result import Ok
@@ -356,7 +357,8 @@
         others = [node for node in self.nodes if node is not old]
         for node in others:
             # Every connection to the leader is refused; the leader still reaches store and engines.
-            node.mesh.registry._addresses[old.name] = f"127.0.0.1:{free_port()}"
+            nodes = node.mesh.registry._nodes
+            nodes[old.name] = replace(nodes[old.name], address=f"127.0.0.1:{free_port()}")
         old.mesh.close()
         old.mesh._members.clear()
         await asyncio.sleep(2.0)
