Add tenants to the data model of the fleet

The types come first, so that keys, quotas and scheduling can be built side by side on them. Nothing reads tenants from a configuration yet.

--- a/eelgrassferry/dispatch/job.py
+++ b/eelgrassferry/dispatch/job.py
@@ -55,6 +55,9 @@
       with other requests.
     - ``fingerprint``: fingerprint of the whole request, "" if it is not known.
     - ``exchange``: the exchange that carries out the actions for this request.
+    - ``tenant``: name of the tenant whose key the caller has sent, "" if there is none.
+    - ``tenant_priority``: priority of that tenant, which replaces the priority of the route, or
+      None.
     - ``awaits_turn``: whether the request can be sent in time at its next turn at an upstream.
     - ``is_trial``: whether the request is sent although its content is blocked.
     - ``may_have_run_on``: upstreams that may have run the request.
@@ -76,6 +79,8 @@
     max_output_tokens: int = 0
     prompt_parts: tuple[tuple[str, int], ...] = ()
     fingerprint: str = ""
+    tenant: str = ""
+    tenant_priority: int | None = None
     exchange: Any = None
     attempt: Attempt | None = None
     waiting: bool = False
@@ -91,6 +96,11 @@
     first_event_ms: int | None = None
     longest_pause_ms: int = 0
 
+    @property
+    def priority(self) -> int:
+        """Rank of the job; 0 is the most urgent."""
+        return self.route.priority if self.tenant_priority is None else self.tenant_priority
+
     @property
     def target_at(self) -> float:
         """Time by which the answer meets its latency target."""
@@ -127,4 +137,4 @@
     @property
     def queue_key(self) -> tuple[int, float]:
         """Sort key of waiting jobs: priority, then start deadline."""
-        return (self.route.priority, self.start_deadline)
+        return (self.priority, self.start_deadline)
--- a/eelgrassferry/dispatch/load_view.py
+++ b/eelgrassferry/dispatch/load_view.py
@@ -78,7 +78,7 @@
         assert attempt is not None
         load = self._own.setdefault(attempt.instance, UpstreamLoad())
         load.requests += 1
-        level = job.route.priority
+        level = job.priority
         load.backlog[level] = load.backlog.get(level, 0.0) + attempt.prefill_s
         load.cache_tokens += attempt.cache_tokens
         key = (attempt.instance, job.model, job.adapter)
@@ -88,7 +88,7 @@
         """Remove the prompt of a job's attempt from the backlog, because it has been read."""
         attempt = job.attempt
         assert attempt is not None
-        self._own[attempt.instance].backlog[job.route.priority] -= attempt.prefill_s
+        self._own[attempt.instance].backlog[job.priority] -= attempt.prefill_s
 
     def remove(self, job: Job) -> None:
         """Remove the attempt that a job has ended."""
@@ -97,7 +97,7 @@
         load = self._own[attempt.instance]
         load.requests -= 1
         if attempt.first_event_at is None:
-            load.backlog[job.route.priority] -= attempt.prefill_s
+            load.backlog[job.priority] -= attempt.prefill_s
         load.cache_tokens -= attempt.cache_tokens
         key = (attempt.instance, job.model, job.adapter)
         self._attempt_counts[key] -= 1
--- a/eelgrassferry/dispatch/upstream_selector.py
+++ b/eelgrassferry/dispatch/upstream_selector.py
@@ -152,7 +152,7 @@
             now,
             prefill_s,
             float(tokens),
-            (prefill_s + load.prefill_ahead_s(job.route.priority)) * slowdown,
+            (prefill_s + load.prefill_ahead_s(job.priority)) * slowdown,
             assumes_cached_prefix=assumed > 0.0,
             slowness=self.slowness.factor(entry.instance, job.model),
             process_id=entry.process_id,
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -192,7 +192,7 @@
             self._request.headers,
             entry.instance,
             self.job.give_up_at - now,
-            self.job.route.priority,
+            self.job.priority,
             self.job.last_event_id,
         )
         has_body = self._request.body or any(
--- a/eelgrassferry/fleet/__init__.py
+++ b/eelgrassferry/fleet/__init__.py
@@ -5,6 +5,7 @@
 from .fleet_config import FleetConfig
 from .route import Backend, RequestKind, Route
 from .service import EngineSpec, ModelSpec, Service
+from .tenant import QuotaUnit, Tenant
 from .upstream_directory import DirectoryChange, UpstreamDirectory
 from .upstream_entry import UpstreamEntry, instance_of
 from .upstream_notice import NO_NOTICE, UpstreamNotice
@@ -18,10 +19,12 @@
     "EntrySettings",
     "FleetConfig",
     "ModelSpec",
+    "QuotaUnit",
     "RequestKind",
     "Route",
     "Service",
     "ServiceBounds",
+    "Tenant",
     "UpstreamDirectory",
     "UpstreamEntry",
     "UpstreamNotice",
--- a/eelgrassferry/fleet/route.py
+++ b/eelgrassferry/fleet/route.py
@@ -29,7 +29,7 @@
     Times are in seconds. ``priority`` 0 is the most urgent. ``max_attempts`` is the number of
     upstreams on which one request may run. ``resumable`` streams can be continued at another
     upstream. ``gap_target_s`` is the longest pause between two events of a stream with which the
-    answer still counts as on time.
+    answer still counts as on time. Requests on ``anonymous`` routes need no tenant's key.
     """
 
     name: str
@@ -43,6 +43,7 @@
     max_attempts: int
     resumable: bool = False
     gap_target_s: float = 0.0
+    anonymous: bool = False
 
     @property
     def repeatable(self) -> bool:
