--- a/eelgrassferry/cli/app.py
+++ b/eelgrassferry/cli/app.py
@@ -4,6 +4,7 @@
 
 from .. import __version__
 from .apply_command import apply
+from .config_commands import config
 from .entry_command import entry
 from .exit_code import ExitCode
 from .local_commands import check, effective
@@ -20,6 +21,7 @@
 
 for command in (node, entry, demo, check, effective, diff, apply, status, drain, explain):
     app.command(command)
+app.command(config)
 # The stand-ins parse their own options, including --help.
 app.command(standin, help_flags=[], version_flags=[])
 
--- a/eelgrassferry/platform/config_codec.py
+++ b/eelgrassferry/platform/config_codec.py
@@ -1,5 +1,6 @@
 """Decoder of the configuration object that operators write."""
 
+from collections.abc import Callable
 from typing import Any
 
 from result import Err, Ok, Result
@@ -17,7 +18,7 @@
 )
 from .codec_error import CodecError
 
-__all__ = ["decode_config"]
+__all__ = ["ENTRY_DECODERS", "decode_config"]
 
 # Timeout and target latency of a route that does not set them, in seconds.
 DEFAULT_TIMEOUT_S = 30.0
@@ -115,3 +116,10 @@
 
 def _whole(value: Any) -> int:
     return int(to_number(value))
+
+
+# Kind of the entries of each list of a configuration, and the decoder of one entry.
+ENTRY_DECODERS: dict[str, tuple[str, Callable[[dict[str, Any]], object]]] = {
+    "routes": ("route", _decode_route),
+    "services": ("service", _decode_service),
+}
