Identify the tenant of a request by its key

Change: the configuration's tenants and anonymous routes are decoded; an ambiguous key or name makes the version unusable, with an error that does not contain a key. The new package tenants decides by key: a tenant, 401, or 503 while this node's copy of the configuration may be out of date, because callers do not retry after 401. The key and a tenant header of the caller are removed and the tenant is named to the upstream. Log lines about malformed requests no longer quote the bytes received, nor do those about an unreadable configuration, because either may contain a key.

--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -32,6 +32,7 @@
 from ..ordering import NodeStatus, PendingDemand
 from ..routing import UpstreamState
 from .boot_clock import boot_clock
+from .config_freshness import ConfigFreshness
 from .platform_protocol import PlatformProtocol
 from .registry_view import RegistryView
 from .request_handler import RequestHandler
@@ -116,6 +117,9 @@
             self._registry.apply_upstreams_update,
             boot_clock,
         )
+        self._handler.config_may_be_behind = ConfigFreshness(
+            self._config_feed, protocol.object_store, boot_clock
+        ).may_be_behind
         self._config_feed.is_usable = self._registry.is_config
         self._upstream_feed.is_usable = self._registry.is_usable_entry
         self._mesh = PeerMesh(
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -194,6 +194,7 @@
             self.job.give_up_at - now,
             self.job.priority,
             self.job.last_event_id,
+            self._handler.tenant_to_name(self.job),
         )
         has_body = self._request.body or any(
             name.lower() in (b"content-length", b"transfer-encoding")
--- a/eelgrassferry/entry/platform_protocol.py
+++ b/eelgrassferry/entry/platform_protocol.py
@@ -24,7 +24,9 @@
 
     object_store: MonitoredStore
     decode_request: Callable[[RawHeaders], Result[RequestMetadata, Any]]
-    encode_request: Callable[[RawHeaders, str, float, int, str], list[tuple[bytes, bytes]]]
+    encode_request: Callable[
+        [RawHeaders, str, float, int, str, str | None], list[tuple[bytes, bytes]]
+    ]
     decode_answer: Callable[[int, RawHeaders], AnswerHead]
     decode_config: Callable[[bytes], Result[FleetConfig, Any]]
     decode_entry: Callable[[str, bytes], Result[UpstreamEntry, Any]]
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -17,11 +17,12 @@
     RefuseReason,
     request_fingerprint,
 )
-from ..fleet import FleetConfig, Route, UpstreamDirectory, UpstreamEntry
+from ..fleet import FleetConfig, Route, Tenant, UpstreamDirectory, UpstreamEntry
 from ..forwarding import AnswerHead, CallerConn, CallerRequest, RequestMetadata, UpstreamPool
 from ..http import ExecutionStatus, Problem
 from ..logs import to_whole_ms
 from ..metrics import Metrics
+from ..tenants import Identified, UnknownKey, Unsure, check_key
 from .exchange import Exchange
 from .platform_protocol import PlatformProtocol
 
@@ -60,7 +61,8 @@
     ``protocol`` decodes and encodes the heads of requests and answers. ``directory_freshness``
     returns the version of the upstream directory and its age in seconds. ``on_waiting`` is called
     when a request starts to wait for a model, and ``on_turn_wanted`` when it starts to wait for a
-    turn at an upstream that limits its rate.
+    turn at an upstream that limits its rate. ``config_may_be_behind`` returns whether a newer
+    configuration than the one in force here may exist.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.clock = clock
         self.loop = asyncio.get_running_loop()
         self.config: FleetConfig | None = None
+        self.config_may_be_behind: Callable[[], bool] = lambda: False
         self.in_flight = 0
         self.encode_request = protocol.encode_request
         self._protocol = protocol
@@ -129,7 +132,18 @@
         if route is None:
             detail = f"no route for {facts.host}{request.path}"
             return self._reject(conn, facts, 404, "no_route", detail)
-        job = self._make_job(facts, route, request)
+        tenant: Tenant | None = None
+        match check_key(self.config, route, facts.key, self.config_may_be_behind()):
+            case UnknownKey():
+                return self._reject(
+                    conn, facts, 401, "unknown_key", "the request needs the key of a tenant"
+                )
+            case Unsure(retry_after_s):
+                detail = "this node may not know the newest keys"
+                return self._reject(conn, facts, 503, "unsure_key", detail, retry_after_s)
+            case Identified(tenant):
+                pass
+        job = self._make_job(facts, route, request, tenant)
         exchange = Exchange(self, conn, request, facts, job)
         job.exchange = exchange
         conn.set_listener(exchange)
@@ -207,7 +221,21 @@
         finally:
             del self._probes[instance]
 
-    def _make_job(self, facts: RequestMetadata, route: Route, request: CallerRequest) -> Job:
+    def tenant_to_name(self, job: Job) -> str | None:
+        """Return the tenant to name to a job's upstream, "" if it belongs to none.
+
+        None means that the fleet has no tenants.
+        """
+        has_tenants = self.config is not None and bool(self.config.tenants)
+        return job.tenant if has_tenants or job.tenant else None
+
+    def _make_job(
+        self,
+        facts: RequestMetadata,
+        route: Route,
+        request: CallerRequest,
+        tenant: Tenant | None,
+    ) -> Job:
         now = self.clock()
         remaining_s = route.timeout_s
         if facts.deadline_s is not None:
@@ -230,6 +258,8 @@
                 f"{facts.model}/{facts.adapter}".encode(),
                 *(part_id.encode() for part_id, _ in facts.prompt_parts),
             ),
+            tenant=tenant.name if tenant is not None else "",
+            tenant_priority=tenant.priority if tenant is not None else None,
         )
 
     def _choose_service(self, route: Route) -> str:
@@ -269,14 +299,20 @@
         conn.send(res.status, headers, res.body)
 
     def _reject(
-        self, conn: CallerConn, facts: RequestMetadata, status: int, reason: str, detail: str
+        self,
+        conn: CallerConn,
+        facts: RequestMetadata,
+        status: int,
+        reason: str,
+        detail: str,
+        retry_after_s: float | None = None,
     ) -> None:
-        """Answer a request that has no route or cannot be decoded."""
+        """Answer a request that has no route or tenant, or cannot be decoded."""
         self._metrics.count(f"refused.{reason}")
         log.info(
             "request refused",
             request_id=facts.request_id,
-            step="match_route",
+            step="accept",
             peer=conn.peer,
             reason=reason,
             detail=detail,
@@ -284,7 +320,8 @@
             config_version=self.config.version if self.config else 0,
         )
         self._send_problem(
-            conn, Problem(status, reason, ExecutionStatus.NO, detail, facts.request_id)
+            conn,
+            Problem(status, reason, ExecutionStatus.NO, detail, facts.request_id, retry_after_s),
         )
 
     def _count_refusal(
--- a/eelgrassferry/forwarding/caller_conn.py
+++ b/eelgrassferry/forwarding/caller_conn.py
@@ -1,6 +1,7 @@
 """The server side of one caller's connection, which handles one request at a time."""
 
 import asyncio
+import re
 from typing import TYPE_CHECKING, Protocol
 
 import h11
@@ -69,7 +70,7 @@
             self._h11.receive_data(data)
             self._process_events()
         except h11.RemoteProtocolError as exc:
-            self._reject(exc.error_status_hint, str(exc))
+            self._reject(exc.error_status_hint, _describe(exc))
 
     def eof_received(self) -> bool:
         """Close the connection: the caller has closed it, so an answer would not be received."""
@@ -158,7 +159,7 @@
             try:
                 self._process_events()
             except h11.RemoteProtocolError as exc:
-                self._reject(exc.error_status_hint, str(exc))
+                self._reject(exc.error_status_hint, _describe(exc))
         else:
             self.close()
 
@@ -239,3 +240,8 @@
     def time_out(self) -> None:
         """Answer an incomplete request with 408 and close the connection."""
         self._reject(408, "the request did not arrive in time")
+
+
+def _describe(exc: h11.RemoteProtocolError) -> str:
+    """Return the parser's message without the bytes that it quotes, which may contain a key."""
+    return re.split(r"[: ]*\b(?:bytearray\()?b['\"]", str(exc), maxsplit=1)[0]
--- a/eelgrassferry/forwarding/facts.py
+++ b/eelgrassferry/forwarding/facts.py
@@ -1,7 +1,7 @@
 """The decoded heads of requests and answers."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..fleet import NO_NOTICE, UpstreamNotice
 
@@ -16,7 +16,10 @@
 
     ``deadline_s`` is the time until the caller's deadline, or None if the request has none.
     ``prompt_parts`` are the parts of the prompt in order, each as (part id, number of tokens). All
-    parts but the last may be shared with other requests.
+    parts but the last may be shared with other requests. ``key`` is the tenant's key that the
+    caller has sent, "" if there is none that a tenant could hold; it is secret, so the
+    representation omits it. ``tokens`` is the sum of the token counts, or None if the request names
+    none.
     """
 
     request_id: str
@@ -27,6 +30,8 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     prompt_parts: tuple[tuple[str, int], ...] = ()
+    key: str = field(default="", repr=False)
+    tokens: int | None = None
 
 
 @dataclass(frozen=True)
--- a/eelgrassferry/platform/config_codec.py
+++ b/eelgrassferry/platform/config_codec.py
@@ -4,16 +4,18 @@
 
 from result import Err, Ok, Result
 
-from ..documents import MALFORMED, parse_json, to_number, to_text
+from ..documents import MALFORMED, parse_json, to_flag, to_number, to_text
 from ..fleet import (
     Backend,
     CallerLimits,
     EngineSpec,
     FleetConfig,
     ModelSpec,
+    QuotaUnit,
     RequestKind,
     Route,
     Service,
+    Tenant,
 )
 from .codec_error import CodecError
 
@@ -25,7 +27,10 @@
 
 
 def decode_config(value: bytes) -> Result[FleetConfig, CodecError]:
-    """Decode the value of the object ``CONFIG_KEY``. Ignore unknown fields."""
+    """Decode the value of the object ``CONFIG_KEY``. Ignore unknown fields.
+
+    The error never contains a tenant's key.
+    """
     try:
         spec = parse_json(value)
         return Ok(
@@ -34,10 +39,12 @@
                 routes=tuple(_decode_route(route) for route in spec["routes"]),
                 services={entry["name"]: _decode_service(entry) for entry in spec["services"]},
                 limits=_decode_limits(spec.get("limits") or {}),
+                tenants=_decode_tenants(spec.get("tenants") or []),
             )
         )
     except MALFORMED as exc:
-        return Err(CodecError("decode_config", "", repr(exc)))
+        # The representation of a UnicodeError contains the whole text, which may be a key.
+        return Err(CodecError("decode_config", "", f"{type(exc).__name__}: {exc}"))
 
 
 def _decode_route(spec: dict[str, Any]) -> Route:
@@ -63,6 +70,7 @@
         max_attempts=max(1, _whole(spec.get("max_attempts", 1))),
         resumable=bool(spec.get("resumable", False)),
         gap_target_s=_seconds(spec.get("gap_aim_ms"), 0.0),
+        anonymous=to_flag(spec.get("anonymous", False)),
     )
 
 
@@ -109,6 +117,46 @@
     )
 
 
+def _decode_tenants(specs: list[dict[str, Any]]) -> dict[str, Tenant]:
+    """Return the tenants by name; raise ``ValueError`` for an ambiguous name or key."""
+    tenants: dict[str, Tenant] = {}
+    holders: dict[str, str] = {}
+    for spec in specs:
+        tenant = _decode_tenant(spec)
+        if tenant.name in tenants:
+            raise ValueError(f"two tenants have the name {tenant.name!r}")
+        tenants[tenant.name] = tenant
+        for key in tenant.keys:
+            if not key:
+                raise ValueError(f"tenant {tenant.name!r} has an empty key")
+            holder = holders.setdefault(key, tenant.name)
+            if holder != tenant.name:
+                raise ValueError(f"tenants {holder!r} and {tenant.name!r} have the same key")
+        if len(set(tenant.keys)) < len(tenant.keys):
+            raise ValueError(f"tenant {tenant.name!r} has the same key twice")
+    return tenants
+
+
+def _decode_tenant(spec: dict[str, Any]) -> Tenant:
+    name = to_text(spec["name"])
+    # The name is sent to upstreams in a header.
+    if not name.isprintable() or not name or name != name.strip():
+        raise ValueError(f"{name!r} cannot be the name of a tenant")
+    priority = spec.get("priority")
+    keys = spec["api_keys"]
+    if type(keys) is not list:
+        raise TypeError(f"the keys of tenant {name!r} are not a list")
+    return Tenant(
+        name=name,
+        keys=tuple(to_text(key) for key in keys),
+        priority=None if priority is None else _whole(priority),
+        rate_per_s=to_number(spec.get("rate_per_s") or 0.0),
+        burst=to_number(spec.get("burst") or 0.0),
+        unit=QuotaUnit(spec.get("unit") or QuotaUnit.REQUESTS.value),
+        plain_tokens=_whole(spec.get("plain_tokens") or 0),
+    )
+
+
 def _seconds(milliseconds: Any, default: float) -> float:
     return default if milliseconds is None else to_number(milliseconds) / 1000.0
 
--- a/eelgrassferry/platform/request_codec.py
+++ b/eelgrassferry/platform/request_codec.py
@@ -19,6 +19,8 @@
 NOT_EXECUTED = b"eelgrassferry-not-executed"
 INSTANCE = b"eelgrassferry-instance-id"
 LAST_EVENT_ID = b"last-event-id"
+API_KEY = b"x-api-key"
+TENANT = b"eelgrassferry-tenant"
 SERVER_LEAVING = b"server-leaving"
 SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
@@ -73,7 +75,7 @@
 
 
 def decode_request(headers: RawHeaders) -> Result[RequestMetadata, CodecError]:
-    """Return the model, deadline, token counts and identity given by a request's headers.
+    """Return the model, deadline, token counts, key and identity given by a request's headers.
 
     Absent headers give empty values or zero. A malformed number is a ``CodecError``.
     """
@@ -96,6 +98,8 @@
                 prompt_tokens=counts[0] if counts else 0,
                 max_output_tokens=counts[1] if len(counts) > 1 else 0,
                 prompt_parts=_parse_prompt_parts(values.get(PROMPT_PREFIX, b"")),
+                key=_read_key(headers),
+                tokens=sum(counts) if counts else None,
             )
         )
     except ValueError as exc:
@@ -103,13 +107,21 @@
 
 
 def encode_request(
-    headers: RawHeaders, instance: str, remaining_s: float, urgency: int, last_event_id: str
+    headers: RawHeaders,
+    instance: str,
+    remaining_s: float,
+    urgency: int,
+    last_event_id: str,
+    tenant: str | None = None,
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers of a request that is forwarded to one upstream.
 
     Hop-by-hop headers and system headers of the caller are removed, and the system's own are added.
     ``remaining_s`` is the time in seconds that the upstream has to answer. ``last_event_id`` is the
     id of the event after which a broken stream is resumed at another upstream, else empty.
+
+    The key and any tenant named by the caller are removed, and ``tenant`` is named unless it is
+    empty. None means that the fleet has no tenants: these headers are then the caller's own.
     """
     connection_names = _connection_names(headers)
     forwarded = []
@@ -119,12 +131,16 @@
             continue
         if lower == LAST_EVENT_ID and last_event_id:
             continue
+        if tenant is not None and lower in (API_KEY, TENANT):
+            continue
         forwarded.append((name, value))
     forwarded += (
         (b"Eelgrassferry-Deadline-Ms", str(max(1, int(remaining_s * 1000))).encode()),
         (b"Eelgrassferry-Expect-Instance", instance.encode("latin-1")),
         (b"Eelgrassferry-Request-Urgency", str(min(9, max(0, urgency))).encode()),
     )
+    if tenant:
+        forwarded.append((b"Eelgrassferry-Tenant", tenant.encode()))
     if last_event_id:
         forwarded.append((b"Last-Event-Id", last_event_id.encode("latin-1")))
     return forwarded
@@ -168,6 +184,15 @@
     return values
 
 
+def _read_key(headers: RawHeaders) -> str:
+    """Return the caller's key, "" if there is none that a tenant could hold.
+
+    Of two keys, neither counts: which one is meant would be a guess.
+    """
+    keys = [value for name, value in headers if name.lower() == API_KEY]
+    return keys[0].decode() if len(keys) == 1 and keys[0].isascii() else ""
+
+
 def _connection_names(headers: RawHeaders) -> frozenset[bytes]:
     """Return the header names that Connection headers declare as hop-by-hop.
 
--- a/eelgrassferry/platform/tests/test_request_handler.py
+++ b/eelgrassferry/platform/tests/test_request_handler.py
@@ -31,9 +31,11 @@
 
     def __init__(self):
         self.listener = None
+        self.request = None
         self.aborted = False
 
-    def send(self, _request, _body, listener, _request_id):
+    def send(self, request, _body, listener, _request_id):
+        self.request = request
         self.listener = listener
 
     def abort(self):
--- /dev/null
+++ b/eelgrassferry/tenants/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on tenants."""
