--- a/eelgrassferry/platform/config_codec.py
+++ b/eelgrassferry/platform/config_codec.py
@@ -170,4 +170,5 @@
 ENTRY_DECODERS: dict[str, tuple[str, Callable[[dict[str, Any]], object]]] = {
     "routes": ("route", _decode_route),
     "services": ("service", _decode_service),
+    "tenants": ("tenant", lambda spec: _decode_tenants([spec])),
 }
