Share overloaded upstreams among tenants

Change: FairShares orders waiting requests of equal priority by what their tenants have used, in proportion to the rates of their quotas. The dispatcher calls it for its waiting list; without tenants nothing is reordered. Requests are refused, as before, once they cannot be answered in time, which now are those of the tenants that ask for more than their share.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
     UpstreamNotice,
 )
 from ..routing import RetryBudget
+from ..tenants import FairShares
 from .actions import (
     Abandon,
     Action,
@@ -116,6 +117,7 @@
         self._rng = rng
         self._waits = WaitPolicy(self.selector, directory, residency, rng)
         self._waiting: list[Job] = []
+        self._shares = FairShares()
         self._unanswered: set[Job] = set()
         self._enforced_verdicts = 0
         self._returning: list[tuple[float, Job]] = []
@@ -305,6 +307,8 @@
     def set_config(self, config: FleetConfig) -> None:
         """Replace the configuration."""
         self.selector.config = config
+        self._shares.set_config(config)
+        self._waiting.sort(key=lambda waiting: waiting.queue_key)
 
     def set_node_count(self, nodes: int) -> None:
         """Set the number of live nodes, which share the retry budget."""
@@ -383,14 +387,17 @@
     def dispatch_waiting(self, now: float) -> list[Action]:
         """Send the waiting requests for which an upstream has capacity, urgent ones first.
 
+        Of equally urgent ones, those of tenants that have used less than their share come first.
+
         Requests for which further waiting is useless get their final answer or refusal.
         """
         self.turns.clear_wanted()
         if not self._waiting:
             self._queued_since.clear()
+            self._shares.forget_idle(())
             return []
         actions: list[Action] = []
-        waiting, self._waiting = self._waiting, []
+        waiting, self._waiting = self._shares.order(self._waiting), []
         for job in waiting:
             job.waiting = False
             action = self._contained(self._send_or_stop, job, now)
@@ -410,6 +417,7 @@
         """Record since when requests have waited for each model without a pause."""
         queued = {(job.service, job.model) for job in self._waiting if job.model}
         self._queued_since = {key: self._queued_since.get(key, now) for key in queued}
+        self._shares.forget_idle(self._waiting)
 
     # Steps
 
@@ -448,9 +456,10 @@
 
     def _send_or_queue(self, job: Job, now: float) -> list[Action]:
         """Send a job, queue it, or end it if waiting is useless."""
-        action = self._send_or_stop(job, now)
-        if action is not None:
-            return [action]
+        if not self._shares.must_wait(job, self._waiting):
+            action = self._send_or_stop(job, now)
+            if action is not None:
+                return [action]
         job.waiting = True
         insort(self._waiting, job, key=lambda waiting: waiting.queue_key)
         return []
@@ -583,6 +592,7 @@
         job.attempt = attempt
         self._unanswered.add(job)
         self.load.add(job)
+        self._shares.record_sent(job)
         if job.adapter:
             self.adapters_used.add((attempt.instance, job.model, job.adapter))
         return Send(job, attempt.instance, job.declined_attempts > 0 or job.may_have_run)
