--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -21,7 +21,7 @@
 from ..forwarding import AnswerHead, CallerConn, CallerRequest, RequestMetadata, UpstreamPool
 from ..http import ExecutionStatus, Problem
 from ..logs import to_whole_ms
-from ..metrics import Metrics
+from ..metrics import Metrics, TenantLabels
 from ..tenants import Identified, UnknownKey, Unsure, check_key
 from .exchange import Exchange
 from .platform_protocol import PlatformProtocol
@@ -85,6 +85,7 @@
         self.config: FleetConfig | None = None
         self.config_may_be_behind: Callable[[], bool] = lambda: False
         self.in_flight = 0
+        self.tenant_labels = TenantLabels()
         self.encode_request = protocol.encode_request
         self._protocol = protocol
         self._metrics = metrics
@@ -346,6 +347,7 @@
             request_id=job.request_id,
             step="dispatch",
             route=job.route.name,
+            tenant=job.tenant,
             model=job.model,
             adapter=job.adapter,
             reason=self.dispatcher.waiting_reason(job, self.clock()).value,
@@ -371,6 +373,7 @@
             peer=entry.address,
             upstream=entry.instance,
             route=job.route.name,
+            tenant=job.tenant,
             model=job.model,
             adapter=job.adapter,
             repeat=repeat,
@@ -419,6 +422,9 @@
         took_s = self.clock() - job.arrived_at
         self._metrics.observe(f"request_seconds.{outcome}", took_s)
         self._metrics.count(f"{outcome}.{reason}" if reason else outcome)
+        if job.tenant:
+            label = self.tenant_labels.label(job.tenant)
+            self._metrics.count(f"tenant_{outcome}.{label}.{reason}")
         log.info(
             f"request {outcome}",
             routine=outcome in ("served", "caller_gone"),
@@ -426,6 +432,7 @@
             step="answer",
             upstream=job.may_have_run_on[-1] if job.may_have_run_on else "",
             route=job.route.name,
+            tenant=job.tenant,
             model=job.model,
             adapter=job.adapter,
             reason=reason,
--- a/eelgrassferry/metrics/__init__.py
+++ b/eelgrassferry/metrics/__init__.py
@@ -3,5 +3,13 @@
 from .exposition import CONTENT_TYPE, format_metrics
 from .histogram import Histogram
 from .metrics import Metrics
+from .tenant_labels import OTHER_TENANTS, TenantLabels
 
-__all__ = ["CONTENT_TYPE", "Histogram", "Metrics", "format_metrics"]
+__all__ = [
+    "CONTENT_TYPE",
+    "OTHER_TENANTS",
+    "Histogram",
+    "Metrics",
+    "TenantLabels",
+    "format_metrics",
+]
--- a/eelgrassferry/metrics/exposition.py
+++ b/eelgrassferry/metrics/exposition.py
@@ -9,6 +9,8 @@
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "eelgrassferry"
+# Families of counters of single tenants begin so. The tenant's label comes before the reason.
+TENANT_FAMILIES = "tenant_"
 
 
 def format_metrics(metrics: Metrics) -> bytes:
@@ -16,7 +18,8 @@
 
     A counter ``refused.no_capacity`` becomes ``eelgrassferry_refused_total`` with the label
     ``reason="no_capacity"``; a histogram ``request_seconds.served`` becomes
-    ``eelgrassferry_request_seconds`` with the label ``reason="served"``.
+    ``eelgrassferry_request_seconds`` with the label ``reason="served"``. A counter
+    ``tenant_refused.press.no_capacity`` also has the label ``tenant="press"``.
     """
     # Imported here so that a process whose metrics are never requested does not load the library.
     from prometheus_client import CollectorRegistry, generate_latest
@@ -37,9 +40,12 @@
         from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
 
         for family, entries in _by_family(self._metrics.counters).items():
-            counter_family = CounterMetricFamily(f"{PREFIX}_{family}", family, labels=["reason"])
+            of_tenants = family.startswith(TENANT_FAMILIES)
+            labels = ["tenant", "reason"] if of_tenants else ["reason"]
+            counter_family = CounterMetricFamily(f"{PREFIX}_{family}", family, labels=labels)
             for reason, value in sorted(entries.items()):
-                counter_family.add_metric([reason], value)
+                tenant, _, cause = reason.partition(".")
+                counter_family.add_metric([tenant, cause] if of_tenants else [reason], value)
             yield counter_family
         for family, entries in _by_family(self._metrics.histograms).items():
             histogram_family = HistogramMetricFamily(
--- a/eelgrassferry/platform/tests/test_keys.py
+++ b/eelgrassferry/platform/tests/test_keys.py
@@ -4,10 +4,12 @@
 import unittest
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ...dispatch import Job, Refuse, RefuseReason
 from ...dispatch.tests.fixtures import make_route
 from ...fleet import Backend, FleetConfig, QuotaUnit, Service, Tenant
 from ..config_codec import decode_config
@@ -140,6 +142,11 @@
         self.assertIn((KEY, b"own"), encode_request([(KEY, b"own")], "i", 1.0, 0, ""))
 
 
+def refusal(job: Job) -> Refuse:
+    """Return the refusal of a request for lack of capacity."""
+    return Refuse(job, RefuseReason.NO_CAPACITY, 1.0)
+
+
 class RequestKeyCase(RequestHandlerCase):
     """A request handler whose configuration has two tenants and an anonymous route."""
 
@@ -196,6 +203,17 @@
             self.assertEqual(self.status([key]), 200)
         self.assertEqual(self.named_tenants(), [b"press", b"desk", b"desk"])
 
+    async def test_outcomes_are_counted_and_logged_by_tenant(self):
+        """Guards against an operator who cannot tell whose requests are refused, and why."""
+        self.status([b"kp-1"])
+        with patch.object(self.dispatcher, "submit", lambda job, _now: [refusal(job)]):
+            self.status([b"kd-1"])
+        self.status([], b"/open/x")
+        counts = {k: v for k, v in self.metrics.counters.items() if k.startswith("tenant_")}
+        self.assertEqual(counts, {"tenant_answered.press.": 1, "tenant_refused.desk.no_capacity": 1})
+        tenants = [line["tenant"] for line in self.logs if line["event"] != "request sent"]
+        self.assertEqual(tenants, ["press", "desk", ""])
+
     async def test_bad_keys_do_not_run_and_are_not_logged(self):
         """Guards against a request that runs without a tenant, and a key in logs or answers."""
         for case, keys in BAD_KEYS.items():
