Weigh what a caller gains by leaving the failure domain

A fixed cost of 6 ms sent a request to another domain for any small difference of load, whatever its size, its target and the link, and also took the last places of a domain whose own callers needed them.

A request now leaves if the other domain answers earlier by more than the measured time of the link and a share of the slack that its own domain leaves until the target; the share grows with the bytes that would cross. A request that would be late at home leaves for any gain, a patient one waits for a place at home, and an upstream keeps a reserve for the callers of its own domain. A share that is lowered for a second after a request has left gives hysteresis. Causes and bytes are counted and logged.

Two test classes assumed that requests sent at the same time spread over three domains. Their node is now in a domain without upstreams, where they still do; what they assert is unchanged.

--- a/eelgrassferry/dispatch/dispatcher.py
+++ b/eelgrassferry/dispatch/dispatcher.py
@@ -144,6 +144,10 @@
             job.attempt.on_wire = True
             job.may_have_run_on.append(job.attempt.instance)
 
+    def record_connected(self, entry: UpstreamEntry, took_s: float) -> None:
+        """Record the time that it took to open a connection to an upstream, in seconds."""
+        self.selector.leaving.links.record(entry.domain, took_s)
+
     def record_notice(self, job: Job, notice: UpstreamNotice, now: float) -> None:
         """Record what the upstream of a job says of itself in the head of its answer."""
         if job.attempt is not None:
--- a/eelgrassferry/dispatch/job.py
+++ b/eelgrassferry/dispatch/job.py
@@ -27,7 +27,8 @@
     the slowness factor used for the estimate. ``process_id`` is the id of the upstream's process,
     and ``turn_wait_s`` the expected time until it takes a request, if it limits its rate.
     ``on_wire`` is set once bytes may have reached the upstream, and ``answered`` once it has sent
-    an event or a whole answer.
+    an event or a whole answer. ``load_share`` is the share of the upstream's capacity that was in
+    use before, and ``leave_cause`` why the attempt leaves the failure domain, "" if it does not.
     """
 
     instance: str
@@ -42,6 +43,8 @@
     turn_wait_s: float = 0.0
     on_wire: bool = False
     answered: bool = False
+    load_share: float = 0.0
+    leave_cause: str = ""
 
 
 @dataclass(eq=False)
@@ -54,6 +57,7 @@
     - ``prompt_parts``: keys and token counts of the prompt parts. All but the last may be shared
       with other requests.
     - ``fingerprint``: fingerprint of the whole request, "" if it is not known.
+    - ``request_bytes``: size of the request's body.
     - ``exchange``: the exchange that carries out the actions for this request.
     - ``tenant``: name of the tenant whose key the caller has sent, "" if there is none.
     - ``tenant_priority``: priority of that tenant, which replaces the priority of the route, or
@@ -81,6 +85,7 @@
     fingerprint: str = ""
     tenant: str = ""
     tenant_priority: int | None = None
+    request_bytes: int = 0
     exchange: Any = None
     attempt: Attempt | None = None
     waiting: bool = False
--- a/eelgrassferry/dispatch/tests/test_crashing_requests.py
+++ b/eelgrassferry/dispatch/tests/test_crashing_requests.py
@@ -12,7 +12,8 @@
     """Stream requests with a deadly part, at a node with three engines."""
 
     def setUp(self):
-        self.fixture = DispatcherFixture()
+        # The node is in a domain without engines, so that none of them is preferred.
+        self.fixture = DispatcherFixture(domain="z")
         self.dispatcher = self.fixture.dispatcher
         self.count = 0
 
--- a/eelgrassferry/dispatch/tests/test_pauses.py
+++ b/eelgrassferry/dispatch/tests/test_pauses.py
@@ -45,7 +45,8 @@
     """A node with three plain upstreams and three engines with one model."""
 
     def setUp(self):
-        self.fixture = DispatcherFixture()
+        # The node is in a domain without upstreams, so that none of them is preferred.
+        self.fixture = DispatcherFixture(domain="z")
         self.dispatcher = self.fixture.dispatcher
 
     def pause(self, name: str, pause_s: float, now: float = 0.0) -> None:
--- a/eelgrassferry/dispatch/upstream_selector.py
+++ b/eelgrassferry/dispatch/upstream_selector.py
@@ -9,6 +9,7 @@
 from .failure_rate_estimator import FailureRateEstimator
 from .fleet_residency import FleetResidency
 from .job import Attempt, Job
+from .leaving_policy import DomainOption, LeavingPolicy
 from .load_view import LoadView
 from .prefill_slowness_estimator import PrefillSlownessEstimator
 from .prefix_cache_tracker import PrefixCacheTracker
@@ -25,9 +26,8 @@
 # Limit of the requests in flight at a plain upstream (one that runs no models), as a multiple of
 # its slots. Further requests would only queue there.
 PLAIN_REQUESTS_PER_SLOT = 2.5
-# Cost and bonus in seconds, applied to the estimated time: traffic to another failure domain is
-# charged for its bytes, and the prefix owner of a prompt, on which all nodes agree, is preferred.
-OTHER_DOMAIN_COST_S = 0.006
+# Bonus in seconds, subtracted from the estimated time: the prefix owner of a prompt, on which all
+# nodes agree, is preferred.
 PREFIX_OWNER_BONUS_S = 0.015
 # Share of the shared prompt parts that is assumed to be cached at the prefix owner if this node has
 # not sent them there, because other nodes have. The rest accounts for first prompts and evictions.
@@ -66,6 +66,7 @@
         self.token_gaps = TokenGapEstimator()
         self.failure_rates = FailureRateEstimator()
         self.backoffs = BackoffTracker()
+        self.leaving = LeavingPolicy(domain)
         self._domain = domain
         self._directory = directory
         self._residency = residency
@@ -80,7 +81,7 @@
         An upstream that limits its rate has none if it cannot take the job in time. The attempt has
         to wait for a turn if ``turn_wait_s`` is above 0.
         """
-        best: tuple[float, Attempt] | None = None
+        options: list[DomainOption] = []
         candidates = self.candidates(job, now)
         owner = self._prefix_owner(job, candidates)
         for entry in candidates:
@@ -93,15 +94,19 @@
             if attempt.turn_wait_s > 0.0 and now + attempt.expected_s > job.target_at:
                 continue
             cost_s = attempt.expected_s + self.failure_rates.penalty_s(entry.instance, now)
-            if entry.domain != self._domain:
-                cost_s += OTHER_DOMAIN_COST_S
             if entry.instance == owner:
                 cost_s -= PREFIX_OWNER_BONUS_S
             cost_s += self._gap_cost_s(job, attempt)
             cost_s += TIE_SPREAD_S * self._rng.random()
-            if best is None or cost_s < best[0]:
-                best = (cost_s, attempt)
-        return best[1] if best is not None else None
+            options.append(DomainOption(cost_s, attempt, entry.domain))
+        return self.leaving.choose(job, options, self._has_copy_at_home(job, now), now)
+
+    def _has_copy_at_home(self, job: Job, now: float) -> bool:
+        """Return whether an upstream of the own failure domain can run a job."""
+        entries = self._directory.of_service(job.service)
+        return any(
+            entry.domain == self._domain and self._is_capable(entry, job, now) for entry in entries
+        )
 
     def _gap_cost_s(self, job: Job, attempt: Attempt) -> float:
         """Return the cost of the expected token gaps of a stream, in seconds.
@@ -131,7 +136,15 @@
             mean_s = self._plain_latency_s.get(entry.instance, INITIAL_PLAIN_LATENCY_S)
             ahead = max(0.0, load.requests + 1 - entry.slots)
             expected_s = mean_s * (1.0 + 0.3 * load.requests / entry.slots + ahead / entry.slots)
-            return Attempt(entry.instance, now, 0.0, 0.0, expected_s, process_id=entry.process_id)
+            return Attempt(
+                entry.instance,
+                now,
+                0.0,
+                0.0,
+                expected_s,
+                process_id=entry.process_id,
+                load_share=load.requests / (PLAIN_REQUESTS_PER_SLOT * max(1, entry.slots)),
+            )
         if load.requests >= SLOT_SHARE * engine.batch_slots:
             return None
         tokens = job.prompt_tokens + job.max_output_tokens
@@ -156,6 +169,10 @@
             assumes_cached_prefix=assumed > 0.0,
             slowness=self.slowness.factor(entry.instance, job.model),
             process_id=entry.process_id,
+            load_share=max(
+                load.requests / (SLOT_SHARE * engine.batch_slots),
+                load.cache_tokens / (MEMORY_SHARE * engine.cache_tokens),
+            ),
         )
 
     def candidates(self, job: Job, now: float) -> list[UpstreamEntry]:
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -61,7 +61,8 @@
 class Exchange:
     """The forwarding of one request, as directed by the dispatcher.
 
-    ``answer_bytes`` is the number of bytes of the answer's body that the current attempt received.
+    ``answer_bytes`` is the number of bytes of the answer's body that the current attempt received,
+    and ``leave_cause`` why that attempt left the failure domain, "" if it did not.
 
     Streamed answers are relayed as they arrive. Other answers are read completely first, so that
     the request can still be retried or refused if the upstream's answer breaks off.
@@ -79,6 +80,7 @@
         self.facts = facts
         self.done = False
         self.answer_bytes = 0
+        self.leave_cause = ""
         self._handler = handler
         self._caller_conn = conn
         self._request = request
@@ -149,6 +151,7 @@
         self._attempt_number += 1
         self._answer_head = None
         self.answer_bytes = 0
+        self.leave_cause = self.job.attempt.leave_cause if self.job.attempt else ""
         self._body.clear()
         self._handler.record_send(self, entry, repeat)
         conn = self._handler.pool.take_idle(instance, self.facts.request_id)
@@ -160,7 +163,11 @@
         )
 
     async def _connect(self, entry: UpstreamEntry, attempt_number: int) -> None:
+        started_at = self._handler.clock()
         result = await self._handler.pool.connect(entry.instance, entry.address)
+        if not isinstance(result, Err):
+            took_s = self._handler.clock() - started_at
+            self._handler.dispatcher.record_connected(entry, took_s)
         self._on_connected(entry, attempt_number, result)
 
     @_contained
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -223,6 +223,7 @@
             prompt_tokens=facts.prompt_tokens,
             max_output_tokens=facts.max_output_tokens,
             prompt_parts=facts.prompt_parts,
+            request_bytes=len(request.body),
             fingerprint=request_fingerprint(
                 request.method,
                 request.target,
@@ -326,6 +327,9 @@
         attempt = job.attempt
         if repeat:
             self._metrics.count("retried")
+        if exchange.leave_cause:
+            self._metrics.count(f"left_domain.{exchange.leave_cause}")
+            self._count_left_bytes(exchange, job.request_bytes)
         log.info(
             "request sent",
             routine=not repeat,
@@ -341,6 +345,7 @@
             left_ms=round((job.give_up_at - now) * 1000),
             expected_ms=round(attempt.expected_s * 1000) if attempt else None,
             load=round(self.dispatcher.load.total_at(entry.instance, now).requests),
+            left_domain=exchange.leave_cause,
             fingerprints=job.fingerprints,
             **self._version_fields(),
         )
@@ -349,6 +354,7 @@
         """Log and count an attempt that failed."""
         attempt = exchange.job.attempt
         self._metrics.count(f"run_failed.{end.value}")
+        self._count_left_bytes(exchange, exchange.answer_bytes)
         log.warning(
             "run failed",
             request_id=exchange.job.request_id,
@@ -362,6 +368,12 @@
             fingerprints=exchange.job.fingerprints,
             **self._version_fields(),
         )
+        exchange.leave_cause = ""
+
+    def _count_left_bytes(self, exchange: Exchange, size: int) -> None:
+        """Count bytes of a request or answer that cross between failure domains, by cause."""
+        if exchange.leave_cause:
+            self._metrics.count(f"left_domain_bytes.{exchange.leave_cause}", size)
 
     def record_mismatched_answer(self, exchange: Exchange, head: AnswerHead) -> None:
         """Log and count an answer that belongs to another request."""
@@ -382,6 +394,9 @@
         took_s = self.clock() - job.arrived_at
         self._metrics.observe(f"request_seconds.{outcome}", took_s)
         self._metrics.count(f"{outcome}.{reason}" if reason else outcome)
+        self._count_left_bytes(exchange, exchange.answer_bytes)
+        if outcome == "served":
+            self.dispatcher.selector.leaving.record_answer(job, exchange.answer_bytes)
         log.info(
             f"request {outcome}",
             routine=outcome in ("served", "caller_gone"),
@@ -397,6 +412,7 @@
             took_ms=round(took_s * 1000),
             declined=job.declined_attempts,
             ran_on=len(job.may_have_run_on),
+            left_domain=exchange.leave_cause,
             waiting=self.dispatcher.waiting,
             **self._version_fields(),
             **fields,
