--- a/eelgrassferry/dispatch/upstream_selector.py
+++ b/eelgrassferry/dispatch/upstream_selector.py
@@ -99,7 +99,9 @@
             cost_s += self._gap_cost_s(job, attempt)
             cost_s += TIE_SPREAD_S * self._rng.random()
             options.append(DomainOption(cost_s, attempt, entry.domain))
-        return self.leaving.choose(job, options, self._has_copy_at_home(job, now), now)
+        has_copy = any(option.domain == self._domain for option in options)
+        has_copy = has_copy or self._has_copy_at_home(job, now)
+        return self.leaving.choose(job, options, has_copy, now)
 
     def _has_copy_at_home(self, job: Job, now: float) -> bool:
         """Return whether an upstream of the own failure domain can run a job."""
