Load further copies only of models that requests keep arriving for

Change: the overload of a model's copies leads to a further copy only if two requests for the model arrive during a load from the weight store. Design note, and a test that fails on the code before.

--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -22,6 +22,10 @@
 # multiple of the live ones. Work is underestimated where engines read shared parts of prompts
 # again, so loading one copy after the other would follow a jump in demand too slowly.
 GROWTH_FACTOR = 1.0
+# A model whose copies are overloaded gets a further one only if at least this many requests for it
+# arrive while that copy is loaded from the weight store. The backlog of a rarer model ends before
+# its copy could help, and it is due to the other models on the same engines.
+MIN_REQUESTS_PER_LOAD = 2.0
 # A model with this arrival rate, in requests per second, gets a second copy if that is cheap, so
 # that one copy survives a crash.
 SPARE_COPY_RATE = 1.5
@@ -187,12 +191,21 @@
         )
         if len(holders) == len(state.trackers) or has_enough_loading:
             return None
-        if rate > 0.0 and self._is_overloaded(live, state):
+        if self._outlasts_load(model, rate) and self._is_overloaded(live, state):
             return ModelNeed(model, "engines too busy", rate, copies_overloaded=True)
         if len(holders) == 1 and rate >= SPARE_COPY_RATE:
             return ModelNeed(model, "spare copy", rate / 10.0, spare=True)
         return None
 
+    def _outlasts_load(self, model: str, rate: float) -> bool:
+        """Return whether a model's requests go on arriving while a further copy is loaded.
+
+        ``rate`` is in requests per second.
+        """
+        engine = self._service.engine
+        assert engine is not None
+        return rate * engine.models[model].load_s >= MIN_REQUESTS_PER_LOAD
+
     def _need_on_disk(self, model: str, state: PlanState) -> ModelNeed | None:
         """Return the need to prefetch a model whose weights no engine has locally, else None."""
         if state.copy_count(model) or model in state.local_models:
--- a/eelgrassferry/ordering/tests/test_load_patterns.py
+++ b/eelgrassferry/ordering/tests/test_load_patterns.py
@@ -91,6 +91,35 @@
         self.assertEqual(len(fleet.orders), 0)
 
 
+class RareModelOnBusyEngineTest(unittest.TestCase):
+    """A common model keeps the engine busy that also has the only copy of a rare model."""
+
+    def orders(self, common_per_step: int, steps: int = 30) -> list[str]:
+        """Return the models ordered while the engine of both models has a long backlog."""
+        entries = [make_entry("u0", "m0", "m1"), *(make_entry(f"u{n}") for n in range(1, 8))]
+        service = make_service()
+        service = replace(service, engine=replace(service.engine, cold_loads_per_s=10.0))
+        fleet = SimulatedFleet(service, entries)
+        fleet.run(1.0)
+        late = {"u0": UpstreamLoad(5.0, 0.0, {0: 1.0})}
+        for step in range(steps):
+            rare = 1 if step % 20 == 0 else 0
+            fleet.report_demand({}, {"m0": common_per_step, "m1": rare}, 0.05, loads=late)
+            fleet.run(0.1)
+        return [order.model for _, _, order in fleet.orders]
+
+    def test_rare_model_gets_no_further_copy(self):
+        """Guards against copies that are ready after the backlog has ended and evict models in
+        demand: 45 of 116 loads for busy engines were for models with less than one request a
+        second (day quiet-1 with 104 models on 30 engines).
+        """
+        self.assertNotIn("m1", self.orders(common_per_step=1))
+
+    def test_common_model_still_gets_one(self):
+        """Guards against a busy engine that keeps all requests of a model in demand."""
+        self.assertIn("m0", self.orders(common_per_step=1))
+
+
 class LimitedEngineTest(unittest.TestCase):
     """Three engines, some of which limit their rate of requests."""
 
