Share the quotas of tenants among all nodes

Change: the coordinator keeps a book of each tenant's use. While much of the burst is unused, nodes admit at once and report within 0.1 s; otherwise they ask, and requests are booked like turns, by a pace that the turns of upstreams now use too. A node without contact uses its share of the rate, with randomised rounding, and hands in what is left of it when it connects. The decisions have no I/O; the exchange of messages is a module that the peer mesh holds. Requests are not yet checked.

--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -44,6 +44,7 @@
 from .node_registry import NodeRegistry
 from .object_relay import ObjectRelay
 from .peer_link import PeerLink
+from .quota_exchange import QUOTAS, QuotaExchange
 from .succession import Succession
 from .turn_codec import (
     decode_turn_replies,
@@ -132,6 +133,9 @@
             lambda: self._leader if self.has_leader else None,
             self.registry.peer_addresses,
         )
+        self.quotas = QuotaExchange(
+            settings.bounds, clock, self._term_epoch, lambda: len(self.registry)
+        )
         self._members: set[PeerLink] = set()
         self._links: set[PeerLink] = set()
         self._server: asyncio.Server | None = None
@@ -231,6 +235,10 @@
         leadership = self.leadership
         return leadership if leadership is not None and leadership.term() is not None else None
 
+    def _term_epoch(self) -> int | None:
+        term = None if self.leadership is None else self.leadership.term()
+        return None if term is None else term.epoch
+
     def request_turns(self, requests: list[TurnRequest]) -> None:
         """Ask the coordinator for turns at upstreams that limit their rate."""
         leadership = self._term_leadership
@@ -285,6 +293,7 @@
         self._early_members.discard(link)
         self._copied_versions.pop(link, None)
         self._links.discard(link)
+        self.quotas.remove_member(link)
         if link.peer and self.leadership is not None and self.leadership.coordinator is not None:
             self.leadership.coordinator.remove_node(link.peer)
             log.info("node lost", step="peer_link", peer=link.peer)
@@ -299,6 +308,8 @@
                 self._copied_versions.setdefault(link, {})[prefix] = version
         elif frame.kind == TURNS:
             self._on_turn_requests(link, frame)
+        elif frame.kind == QUOTAS:
+            self.quotas.on_member_frame(link, frame)
         elif frame.kind == WHO:
             link.send(WHO, self._process_id)
 
@@ -336,6 +347,7 @@
             leadership.lease.on_store_reached()
         if link not in self._members:
             self._add_member(link, leadership)
+        self.quotas.record_status(link)
         leadership.update_status(status)
 
     def _add_member(self, link: PeerLink, leadership: Leadership) -> None:
@@ -459,6 +471,7 @@
         self._store_lost = self._store_reached = False
         self._last_view_sent_at = 0.0
         self._relay.follow(link)
+        self.quotas.follow(link)
         # A new coordinator may lack observations that were sent to the previous one.
         self._crashes.share_all()
         self._notices.share_all()
@@ -485,6 +498,7 @@
 
     def _leave_leader(self) -> None:
         self._relay.stop_following()
+        self.quotas.stop_following()
         self._last_view_at = float("-inf")
         if self._leader is not None:
             link, self._leader = self._leader, None
@@ -587,6 +601,8 @@
             self._on_view_frame(frame)
         if frame.kind == TURNS:
             self._on_turn_replies(frame)
+        if frame.kind == QUOTAS:
+            self.quotas.on_leader_frame(frame)
 
     def _on_turn_replies(self, frame: Frame) -> None:
         decoded = decode_turn_replies(frame.body, self._clock())
@@ -622,6 +638,7 @@
         if view.complete or view.epoch > self._epoch:
             self._total_loads.clear()
         self._epoch = view.epoch
+        self.quotas.record_view()
         self._total_loads.update(view.loads)
         others = {
             instance: load.plus(self._own_loads.get(instance, NO_LOAD), sign=-1.0)
--- a/eelgrassferry/dispatch/turn_book.py
+++ b/eelgrassferry/dispatch/turn_book.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ..pacing import Pace
+
 __all__ = ["TurnBook", "TurnReply", "TurnRequest"]
 
 # An upstream that was idle takes the requests of this time at once, in seconds.
@@ -47,23 +49,28 @@
 
     def __init__(self, burst_s: float = BURST_S) -> None:
         self._burst_s = burst_s
-        self._next_at: dict[str, float] = {}
+        self._paces: dict[str, Pace] = {}
 
     def book(self, request: TurnRequest, per_s: float, now: float) -> TurnReply:
         """Book as many of the requested turns as there are within the longest wait."""
-        interval_s = 1.0 / per_s
-        next_at = max(self._next_at.get(request.process_id, now), now - self._burst_s)
+        interval_s, pace = 1.0 / per_s, self._pace(request.process_id, now)
         turns: list[float] = []
-        while len(turns) < request.count and next_at <= now + request.max_wait_s:
-            turns.append(max(now, next_at))
-            next_at += interval_s
-        self._next_at[request.process_id] = next_at
-        return TurnReply(request.process_id, request.count, tuple(turns), max(now, next_at))
+        while len(turns) < request.count:
+            start_at = pace.start_at(now, self._burst_s)
+            if start_at > now + request.max_wait_s:
+                break
+            pace.spend(interval_s, now, self._burst_s)
+            turns.append(start_at)
+        next_at = pace.start_at(now, self._burst_s)
+        return TurnReply(request.process_id, request.count, tuple(turns), next_at)
 
     def delay(self, process_id: str, until: float) -> None:
         """Book no turn at a process before a time, in seconds."""
-        self._next_at[process_id] = max(until, self._next_at.get(process_id, until))
+        self._pace(process_id, until).delay(until)
 
     def forget(self, process_id: str) -> None:
         """Remove a process that has ended or no longer limits its rate."""
-        self._next_at.pop(process_id, None)
+        self._paces.pop(process_id, None)
+
+    def _pace(self, process_id: str, now: float) -> Pace:
+        return self._paces.setdefault(process_id, Pace(now))
--- a/eelgrassferry/fleet/entry_settings.py
+++ b/eelgrassferry/fleet/entry_settings.py
@@ -14,7 +14,9 @@
     the same upstream. In any period of ``retry_window_s``, the retries to a service, summed over
     all nodes, are at most ``retry_ratio`` times its requests plus ``retry_slack``. In any period of
     ``cold_load_window_s``, at most ``cold_load_factor`` times the number of loads that the weight
-    store's rate allows, plus three, may begin.
+    store's rate allows, plus three, may begin. In any period of ``quota_window_s``, the requests
+    of a tenant that run, summed over all nodes, count at most ``1 + quota_over`` times what its
+    quota allows, plus ``quota_slack`` units.
     """
 
     stop_grace_s: float = 8.0
@@ -24,6 +26,9 @@
     retry_slack: float = 54.0
     cold_load_window_s: float = 5.0
     cold_load_factor: float = 1.1
+    quota_window_s: float = 8.0
+    quota_over: float = 0.1
+    quota_slack: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/eelgrassferry/platform/settings_file.py
+++ b/eelgrassferry/platform/settings_file.py
@@ -24,6 +24,9 @@
     ("bounds.budget_slack", "retry_slack", 1.0),
     ("bounds.ceiling_window_s", "cold_load_window_s", 1.0),
     ("bounds.ceiling_over", "cold_load_factor", 1.0),
+    ("bounds.quota_window_s", "quota_window_s", 1.0),
+    ("bounds.quota_over", "quota_over", 1.0),
+    ("bounds.quota_slack", "quota_slack", 1.0),
 )
 
 
--- /dev/null
+++ b/eelgrassferry/tenants/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tenants and their quotas."""
