--- a/eelgrassferry/tenants/__init__.py
+++ b/eelgrassferry/tenants/__init__.py
@@ -1,5 +1,7 @@
-"""Tenants: their quotas over all nodes together, as decisions without I/O."""
+"""Decisions on the tenants of requests and on their quotas, without I/O."""
 
+from .fair_shares import FairShares, WaitingRequest
+from .key_check import Identified, KeyDecision, UnknownKey, Unsure, check_key
 from .quota_admission import Admission, Admitted, Deferred, OverQuota
 from .quota_book import QuotaBook
 from .quota_gate import QuotaGate
@@ -10,6 +12,9 @@
     "Admission",
     "Admitted",
     "Deferred",
+    "FairShares",
+    "Identified",
+    "KeyDecision",
     "OverQuota",
     "QuotaAsk",
     "QuotaBook",
@@ -18,4 +23,8 @@
     "QuotaLimit",
     "QuotaReply",
     "QuotaReport",
+    "UnknownKey",
+    "Unsure",
+    "WaitingRequest",
+    "check_key",
 ]
--- a/eelgrassferry/tenants/tests/__init__.py
+++ b/eelgrassferry/tenants/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of tenants and their quotas."""
+"""Tests of the decisions on tenants."""
