Check requests against the quotas of their tenants

Change: after the key check, a request of a tenant with a quota is submitted, deferred until the coordinator's answer, or refused with 429 and Retry-After. Units of requests that did not run are given back, also if the caller leaves.

--- a/eelgrassferry/coordination/quota_exchange.py
+++ b/eelgrassferry/coordination/quota_exchange.py
@@ -1,5 +1,6 @@
 """Exchange of messages on the quotas of tenants between a node and the coordinator."""
 
+import asyncio
 import random
 from collections.abc import Callable, Mapping
 
@@ -54,6 +55,7 @@
         self._epoch: int | None = None
         self._leader: PeerLink | None = None
         self._is_new_leader = False
+        self._send_timer: asyncio.TimerHandle | None = None
         self._members: dict[str, PeerLink] = {}
         self._heard_at: dict[str, float] = {}
 
@@ -73,12 +75,21 @@
         self.gate.node_count = max(1, self._registered())
         if self._book is not None:
             self._coordinate(self._book, now)
-        self.send(now)
+        self._send_report(now)
         decisions = self.gate.due(now)
         if decisions:
             self.on_decisions(decisions)
 
-    def send(self, now: float) -> None:
+    def send_soon(self) -> None:
+        """Send this node's questions in the next event loop iteration."""
+        if self._send_timer is None:
+            self._send_timer = asyncio.get_running_loop().call_later(0.0, self._send_now)
+
+    def _send_now(self) -> None:
+        self._send_timer = None
+        self._send_report(self._clock())
+
+    def _send_report(self, now: float) -> None:
         """Send this node's questions and reports, if it is in touch with a coordinator."""
         if self._book is None and (self._leader is None or self._is_new_leader):
             return
--- a/eelgrassferry/dispatch/actions.py
+++ b/eelgrassferry/dispatch/actions.py
@@ -31,6 +31,7 @@
     UNKNOWN_MODEL = "unknown_model"
     NOT_RUN_UPSTREAM = "not_run_upstream"
     CRASHED_UPSTREAMS = "crashed_upstreams"
+    OVER_QUOTA = "over_quota"
     STOPPING = "stopping"
 
 
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -176,6 +176,8 @@
         )
         self._mesh.leadership = self._leadership
         self._mesh.on_turns = self._on_turns
+        quotas = self._mesh.quotas
+        quotas.on_decisions = self._handler.use_quotas(quotas.gate, quotas.send_soon).apply
 
     async def run(self) -> int:
         """Serve until SIGTERM or SIGINT, then stop gracefully.
@@ -261,6 +263,7 @@
                 self._apply_notices,
                 self._dispatch_waiting,
                 self._request_turns,
+                self._mesh.quotas.step,
             ):
                 self._run_step(step)
             if boot_clock() - last_idle_check >= IDLE_CHECK_INTERVAL_S:
@@ -309,6 +312,7 @@
 
     def _apply_config(self, config: FleetConfig) -> None:
         self._callers.limits = config.limits
+        self._mesh.quotas.set_tenants(config.tenants)
         self._handler.set_config(config)
         self._leadership.set_config(config)
 
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -22,9 +22,10 @@
 from ..http import ExecutionStatus, Problem
 from ..logs import to_whole_ms
 from ..metrics import Metrics
-from ..tenants import Identified, UnknownKey, Unsure, check_key
+from ..tenants import Identified, QuotaGate, UnknownKey, Unsure, check_key
 from .exchange import Exchange
 from .platform_protocol import PlatformProtocol
+from .quota_admission import QuotaAdmission
 
 __all__ = ["RequestHandler"]
 
@@ -41,6 +42,7 @@
     RefuseReason.NOT_RUN_UPSTREAM: "the upstreams declined the request",
     RefuseReason.STOPPING: "this node is stopping",
     RefuseReason.CRASHED_UPSTREAMS: "requests with this content crash upstreams",
+    RefuseReason.OVER_QUOTA: "the tenant's quota is used up",
 }
 FAILURE_DETAILS = {
     FailReason.CONNECTION_LOST: "the connection to the upstream was lost",
@@ -62,7 +64,8 @@
     returns the version of the upstream directory and its age in seconds. ``on_waiting`` is called
     when a request starts to wait for a model, and ``on_turn_wanted`` when it starts to wait for a
     turn at an upstream that limits its rate. ``config_may_be_behind`` returns whether a newer
-    configuration than the one in force here may exist.
+    configuration than the one in force here may exist. ``use_quotas`` has to be called before
+    requests of tenants with a quota are limited.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         self.encode_request = protocol.encode_request
         self._protocol = protocol
         self._metrics = metrics
+        self._quotas: QuotaAdmission | None = None
         self._directory_freshness = directory_freshness
         self._on_waiting = on_waiting
         self._on_turn_wanted = on_turn_wanted
@@ -101,6 +105,16 @@
         self.config = config
         self.dispatcher.set_config(config)
 
+    def use_quotas(self, gate: QuotaGate, send_soon: Callable[[], None]) -> QuotaAdmission:
+        """Admit requests by the decisions of ``gate`` from now on.
+
+        ``send_soon`` is called when the gate has a question for the coordinator.
+        """
+        self._quotas = QuotaAdmission(
+            gate, self._metrics, self._submit, lambda refusal: self.perform([refusal]), send_soon
+        )
+        return self._quotas
+
     # Requests
 
     def accept(self, conn: CallerConn, request: CallerRequest) -> Exchange | None:
@@ -148,6 +162,17 @@
         job.exchange = exchange
         conn.set_listener(exchange)
         self.in_flight += 1
+        try:
+            if self._quotas is None:
+                self._submit(job)
+            else:
+                self._quotas.admit(job, tenant, facts.tokens, self.clock())
+        except Exception as exc:
+            self.abandon(exchange, exc)
+        return None if exchange.done else exchange
+
+    def _submit(self, job: Job) -> None:
+        """Dispatch a job that the quota of its tenant allows."""
         try:
             self.perform(self.dispatcher.submit(job, self.clock()))
             if job.waiting:
@@ -155,8 +180,7 @@
             elif self.dispatcher.is_returning(job):
                 self._on_waiting()
         except Exception as exc:
-            self.abandon(exchange, exc)
-        return None if exchange.done else exchange
+            self.abandon(job.exchange, exc)
 
     def perform(self, actions: list[Action]) -> None:
         """Execute actions in order.
@@ -279,9 +303,12 @@
     ) -> None:
         """Answer with a problem which states that the request did not run and will not run."""
         detail = REFUSAL_DETAILS[reason]
+        status = 429 if reason is RefuseReason.OVER_QUOTA else 503
         self._send_problem(
             conn,
-            Problem(503, reason.value, ExecutionStatus.NO, detail, facts.request_id, retry_after_s),
+            Problem(
+                status, reason.value, ExecutionStatus.NO, detail, facts.request_id, retry_after_s
+            ),
         )
 
     def send_failure(
@@ -416,6 +443,8 @@
         """Log and count the outcome of a request, which is no longer in flight."""
         job = exchange.job
         self.in_flight -= 1
+        if self._quotas is not None:
+            self._quotas.finish(job)
         took_s = self.clock() - job.arrived_at
         self._metrics.observe(f"request_seconds.{outcome}", took_s)
         self._metrics.count(f"{outcome}.{reason}" if reason else outcome)
--- a/eelgrassferry/tenants/quota_gate.py
+++ b/eelgrassferry/tenants/quota_gate.py
@@ -28,6 +28,9 @@
 REPORT_INTERVAL_S = 0.1
 # A request that was booked for a time is not sent later than this after it, in seconds.
 GRANT_VALID_S = 0.5
+# Requests wait for a grant this long at most, in seconds. Otherwise patient requests would take the
+# grants ahead of urgent ones.
+MAX_HOLD_S = 0.1
 # The coordinator may have granted everything until this time after its last message, in seconds:
 # the time between two views and the longest wait of a request.
 GRANTED_AHEAD_S = 0.25
@@ -115,6 +118,7 @@
             return Admitted(tenant, units)
         if silent_s > CONTACT_LOST_AFTER_S:
             return self._admit_by_share(tenant, state, units, now)
+        max_wait_s = min(MAX_HOLD_S, max_wait_s)
         if now + max_wait_s < state.next_at:
             return self._refuse(tenant, state.next_at - now)
         ask = QuotaAsk(self._next_id, tenant, units, max_wait_s)
