--- a/eelgrassferry/platform/tests/node_fleet.py
+++ b/eelgrassferry/platform/tests/node_fleet.py
@@ -111,16 +111,19 @@
         """Send one request to a node as a caller, and return the response."""
         return (await self.send(front, path, model)).unwrap()
 
-    async def send(self, front: int, path: str, model: str) -> Result[HttpResponse, HttpError]:
+    async def send(
+        self, front: int, path: str, model: str, *more: tuple[str, str]
+    ) -> Result[HttpResponse, HttpError]:
         """Send one request to a node, and return the response or the error of the connection.
 
-        The request's id begins with the port of the node.
+        The request's id begins with the port of the node. ``more`` are further headers.
         """
         self._count += 1
         headers = [
             ("Host", HOST),
             ("Eelgrassferry-Request-Id", f"{front}-{self._count}"),
             ("Eelgrassferry-Deadline-Ms", "4000"),
+            *more,
         ]
         if model:
             headers += [("Eelgrassferry-Model", model), ("Eelgrassferry-Token-Counts", "10,5")]
--- a/eelgrassferry/platform/tests/test_keys.py
+++ b/eelgrassferry/platform/tests/test_keys.py
@@ -210,7 +210,9 @@
             self.status([b"kd-1"])
         self.status([], b"/open/x")
         counts = {k: v for k, v in self.metrics.counters.items() if k.startswith("tenant_")}
-        self.assertEqual(counts, {"tenant_answered.press.": 1, "tenant_refused.desk.no_capacity": 1})
+        self.assertEqual(
+            counts, {"tenant_answered.press.": 1, "tenant_refused.desk.no_capacity": 1}
+        )
         tenants = [line["tenant"] for line in self.logs if line["event"] != "request sent"]
         self.assertEqual(tenants, ["press", "desk", ""])
 
