Let the soak send keys of tenants

Servers record the tenant and the key headers of each run; the check compares them with the callers' records, and the nodes' logs are searched for keys.

--- a/eelgrassferry/platform/tests/soak/__main__.py
+++ b/eelgrassferry/platform/tests/soak/__main__.py
@@ -27,6 +27,7 @@
     notices: bool = False,
     extra: bool = False,
     nodes: int = NODES,
+    tenants: bool = False,
 ) -> int:
     """Print one JSON line per seed. Exit with 1 if an invariant was violated, 143 after SIGTERM.
 
@@ -35,7 +36,7 @@
     With ``notices``, servers also say in their answers that they leave, pause or limit requests.
     With ``extra``, they also fail part of their requests, other writers register entries, and the
     store is away just after a planned stop.
-    ``nodes`` is the number of node processes.
+    ``nodes`` is the number of node processes. With ``tenants``, requests need keys, which change.
     """
     structlog.configure(logger_factory=structlog.PrintLoggerFactory(sys.stderr))
     first, _, last = seeds.partition("-")
@@ -45,7 +46,7 @@
             folder = Path(temporary) if logs is None else logs / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
             try:
-                options = (notices, extra, nodes)
+                options = (notices, extra, nodes, tenants)
                 report = asyncio.run(_run_until_stopped(seed, seconds, folder, *options))
             except asyncio.CancelledError:
                 return STOPPED
@@ -64,13 +65,19 @@
 
 
 async def _run_until_stopped(
-    seed: int, seconds: float, folder: Path, notices: bool, extra: bool, nodes: int
+    seed: int,
+    seconds: float,
+    folder: Path,
+    notices: bool,
+    extra: bool,
+    nodes: int,
+    tenants: bool,
 ) -> SoakReport:
     """Run one seed; SIGTERM cancels the run, so that its node processes are ended too."""
     task = asyncio.current_task()
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await run_soak(seed, seconds, folder, notices, extra, nodes)
+    return await run_soak(seed, seconds, folder, notices, extra, nodes, tenants)
 
 
 if __name__ == "__main__":
--- a/eelgrassferry/platform/tests/soak/caller.py
+++ b/eelgrassferry/platform/tests/soak/caller.py
@@ -9,6 +9,7 @@
 
 from ....http import HttpClient
 from ..documents import HOST
+from .key_ring import choose_keys
 from .records import CallRecord, SoakRecord
 
 __all__ = ["Caller"]
@@ -76,12 +77,18 @@
             self._client.close()
 
     async def send(
-        self, kind: str, path: str, model: str, abandon_after_s: float | None = None
+        self,
+        kind: str,
+        path: str,
+        model: str,
+        abandon_after_s: float | None = None,
+        with_good_key: bool = False,
     ) -> CallRecord:
         """Send one request and return its record.
 
         The caller disconnects after ``abandon_after_s`` seconds, or, if that is None, after
-        ``CALLER_TIMEOUT_S``.
+        ``CALLER_TIMEOUT_S``. If the fleet has tenants, some requests have a bad key, unless
+        ``with_good_key`` is set, and name another tenant themselves.
         """
         request_id = f"{self._node}-{next(request_numbers)}"
         body = (request_id + ":").encode() * self._rng.randrange(1, 200)
@@ -92,6 +99,10 @@
             ("Eelgrassferry-Request-Id", request_id),
             ("Eelgrassferry-Deadline-Ms", str(round(DEADLINE_S * 1000))),
         ]
+        if self._record.keys:
+            call.keys = choose_keys(self._record, self._rng, with_good_key)
+            headers += [("Eelgrassferry-Tenant", "forged")]
+            headers += [("X-Api-Key", key) for key in call.keys]
         if kind in ("stream", "resumable"):
             headers.append(("Eelgrassferry-Model", model))
         call.abandoned = abandon_after_s is not None
--- a/eelgrassferry/platform/tests/soak/invariants.py
+++ b/eelgrassferry/platform/tests/soak/invariants.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from itertools import pairwise
 
+from .key_invariants import find_key_violations
 from .notice_invariants import find_notice_violations
 from .records import CallRecord, OrderRecord, RunRecord, SoakRecord
 from .violation import Violation
@@ -41,6 +42,7 @@
         _check_times(record),
         _check_late_runs(record),
         find_notice_violations(record),
+        find_key_violations(record),
         (Violation("exits", name) for name in record.exits),
         (Violation("recovers", detail) for detail in record.unserved),
     )
@@ -69,10 +71,11 @@
     """Check that a successful answer is a server's complete answer to that request.
 
     A 3xx or 4xx status that does not mean "not run" is a violation too, unless it is a 404 and the
-    node may not have loaded the route yet.
+    node may not have loaded the route yet, or a 401 in a fleet with tenants, which
+    ``key_invariants`` checks.
     """
     for call in record.calls:
-        if call.status is None or call.abandoned:
+        if call.status is None or call.abandoned or (call.status == 401 and record.keys):
             continue
         if call.status == 200 and call.complete:
             if not call.sealed or call.answer_id != call.request_id:
--- a/eelgrassferry/platform/tests/soak/records.py
+++ b/eelgrassferry/platform/tests/soak/records.py
@@ -9,6 +9,7 @@
     "ArrivalRecord",
     "CallRecord",
     "Disturbance",
+    "KeyRecord",
     "LimitRecord",
     "NoticeRecord",
     "OrderRecord",
@@ -23,7 +24,8 @@
 
     ``status`` is None if no status was received. ``complete`` is set when the whole answer was
     received, ``sealed`` when it carries a server's seal. ``abandoned`` is set when the caller
-    disconnected on purpose. ``answer_id`` is the request id in the answer.
+    disconnected on purpose. ``answer_id`` is the request id in the answer. ``keys`` are the values
+    of the header with the tenant's key.
     """
 
     request_id: str
@@ -40,17 +42,35 @@
     answer_id: str = ""
     answer: bytes = b""
     detail: str = ""
+    keys: tuple[str, ...] = ()
+
+
+@dataclass
+class KeyRecord:
+    """A tenant's key, and the times at which versions with and then without it were written.
+
+    ``since`` is minus infinity for a key of the first version, ``until`` None while it is held.
+    """
+
+    tenant: str
+    since: float
+    until: float | None = None
 
 
 @dataclass(frozen=True)
 class RunRecord:
-    """The start of a request's run at a server."""
+    """The start of a request's run at a server.
+
+    ``tenant`` is the tenant named to the server, and ``has_key`` whether a key came with it.
+    """
 
     at: float
     server: str
     request_id: str
     path: str
     body: bytes
+    tenant: str = ""
+    has_key: bool = False
 
 
 @dataclass(frozen=True)
@@ -127,6 +147,7 @@
 class SoakRecord:
     """Everything recorded during a run.
 
+    ``keys`` are the keys that tenants have held, none if the fleet has no tenants.
     ``routes`` maps an added path to the time from which every undisturbed node must route it.
     ``draining_since`` maps a server instance to the time at which it registered as draining.
     ``arrivals``, ``notices`` and ``limits`` are recorded in runs whose servers send notices.
@@ -141,6 +162,7 @@
     notices: list[NoticeRecord] = field(default_factory=list)
     limits: list[LimitRecord] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    keys: dict[str, KeyRecord] = field(default_factory=dict)
     routes: dict[str, float] = field(default_factory=dict)
     draining_since: dict[str, float] = field(default_factory=dict)
     exits: list[str] = field(default_factory=list)
--- a/eelgrassferry/platform/tests/soak/run_soak.py
+++ b/eelgrassferry/platform/tests/soak/run_soak.py
@@ -8,6 +8,7 @@
 from .caller import PATHS, Caller
 from .fault_plan import Fault, draw_extra_faults, draw_notices, draw_plan
 from .invariants import Violation, find_violations
+from .key_ring import KEY_PREFIX
 from .records import SoakRecord
 from .soak_fleet import NODES, SoakFleet
 
@@ -43,17 +44,19 @@
     notices: bool = False,
     extra: bool = False,
     nodes: int = NODES,
+    tenants: bool = False,
 ) -> SoakReport:
     """Run a fleet under the faults of a seed and check the invariants.
 
     The nodes' settings and logs are written to ``folder``. With ``notices``, servers also speak of
-    themselves in their answers; with ``extra``, the faults of ``draw_extra_faults`` are added.
+    themselves in their answers; with ``extra``, the faults of ``draw_extra_faults`` are added. With
+    ``tenants``, requests need keys, and the nodes' logs must not contain any.
     """
     plan = draw_plan(seed, seconds)
     plan += draw_notices(seed, seconds) if notices else []
     plan += draw_extra_faults(seed, seconds) if extra else []
     plan.sort(key=lambda fault: fault.at)
-    fleet = SoakFleet(seed, folder, nodes)
+    fleet = SoakFleet(seed, folder, nodes, tenants)
     try:
         await fleet.start()
         callers = fleet.start_callers()
@@ -72,6 +75,7 @@
         violations = tuple(find_violations(fleet.record))
     finally:
         await fleet.stop()
+    violations += tuple(_find_logged_keys(folder))
     record = fleet.record
     outcomes = Counter(_outcome(call.status, call.abandoned) for call in record.calls)
     notice_counts = Counter(kind for notice in record.notices for kind in notice.kinds)
@@ -99,7 +103,7 @@
 ) -> None:
     kind, model = wanted
     while True:
-        call = await caller.send(kind, PATHS[kind], model)
+        call = await caller.send(kind, PATHS[kind], model, with_good_key=True)
         if call.status == 200:
             return
         if fleet.clock() > until:
@@ -108,6 +112,12 @@
         await asyncio.sleep(0.2)
 
 
+def _find_logged_keys(folder: Path) -> list[Violation]:
+    """Return a violation for each log of a node that contains a key."""
+    logs = [path for path in folder.glob("*.log") if KEY_PREFIX in path.read_text()]
+    return [Violation("logged", f"{path.name} contains a key") for path in logs]
+
+
 def _mark_unfinished_as_abandoned(record: SoakRecord) -> None:
     """Mark the requests that were in flight when the callers ended as abandoned."""
     for call in record.calls:
--- a/eelgrassferry/platform/tests/soak/soak_fleet.py
+++ b/eelgrassferry/platform/tests/soak/soak_fleet.py
@@ -13,6 +13,7 @@
 from .fault_proxy import FaultProxy
 from .free_ports import free_ports, own_loopback_ip
 from .invariants import CONFIG_APPLY_S
+from .key_ring import KeyRing
 from .records import Disturbance, LimitRecord, SoakRecord
 from .soak_node import SoakNode
 from .soak_server import SoakServer
@@ -57,13 +58,17 @@
 class SoakFleet:
     """Nodes, servers, store and proxies of one run, with the record of what happens.
 
-    Times are in seconds of the event loop's clock.
+    Times are in seconds of the event loop's clock. With ``tenants``, requests need keys, which
+    change with the configuration.
     """
 
-    def __init__(self, seed: int, folder: Path, node_count: int = NODES) -> None:
+    def __init__(
+        self, seed: int, folder: Path, node_count: int = NODES, tenants: bool = False
+    ) -> None:
         self.record = SoakRecord()
         self.clock = asyncio.get_running_loop().time
         self._rng = Random(seed)
+        self._key_ring = KeyRing(self.record, Random(seed)) if tenants else None
         self._node_count = node_count
         self._folder = folder
         # Nodes keep their ports across restarts.
@@ -82,7 +87,7 @@
     async def start(self) -> None:
         """Start the store, the servers and the nodes, and wait until all nodes are ready."""
         store_address = await self._store.start()
-        await self._store.write("config", "main", make_config())
+        await self._write_config(make_config())
         for name, (_service, models) in SERVERS.items():
             proxy = self._server_proxies[name] = FaultProxy(self._address_of(name))
             self._server_addresses[name] = await proxy.start()
@@ -235,9 +240,16 @@
         known = [*self.record.routes, f"{path}x"]
         for prefix in (known_path.removesuffix("x") for known_path in known):
             config["routes"].append({**look, "name": f"r{prefix}", "path_prefix": prefix})
-        await self._store.write("config", "main", config)
+        if self._key_ring is not None:
+            self._key_ring.rotate(self.clock())
+        await self._write_config(config)
         self.record.routes[f"{path}x"] = self.clock() + CONFIG_APPLY_S
 
+    async def _write_config(self, config: dict[str, Any]) -> None:
+        if self._key_ring is not None:
+            config = self._key_ring.apply_to(config)
+        await self._store.write("config", "main", config)
+
     async def _write_foreign_entry(self) -> None:
         """Let another writer register something that no node can use."""
         name, entry = self._rng.choice(sorted(FOREIGN_ENTRIES.items()))
--- a/eelgrassferry/platform/tests/soak/soak_server.py
+++ b/eelgrassferry/platform/tests/soak/soak_server.py
@@ -51,7 +51,11 @@
     def record_run(self, req: HttpRequest, request_id: str) -> None:
         """Record the start of a request's run."""
         super().record_run(req, request_id)
-        run = RunRecord(self._clock(), self.instance, request_id, req.path, req.body)
+        tenant = req.header("eelgrassferry-tenant") or ""
+        has_key = req.header("x-api-key") is not None
+        run = RunRecord(
+            self._clock(), self.instance, request_id, req.path, req.body, tenant, has_key
+        )
         self._record.runs.append(run)
 
     async def _run(self, req: HttpRequest, responder: Responder) -> None:
--- a/eelgrassferry/platform/tests/test_soak.py
+++ b/eelgrassferry/platform/tests/test_soak.py
@@ -12,6 +12,7 @@
     CallRecord,
     Disturbance,
     FaultProxy,
+    KeyRecord,
     LimitRecord,
     NoticeRecord,
     OrderRecord,
@@ -179,6 +180,45 @@
         self.assertEqual(self.invariants_of(early, limited, limits=limits), [])
 
 
+class KeyInvariantsTest(unittest.TestCase):
+    """Each check of tenants' keys, on one call with a key that was held from 5.0 to 20.0."""
+
+    def invariants_of(self, keys=("k",), kind="order", sent_at=10.0, status=200, run=None, **more):
+        """Return the violations of a call whose run has the fields ``run``, None if not run."""
+        call = make_call(kind=kind, sent_at=sent_at, status=status, keys=keys)
+        call.ended_at = sent_at + 0.1
+        runs = []
+        if run is not None:
+            request = (call.request_id, call.path, call.body)
+            runs.append(RunRecord(sent_at + 0.05, "i-desk-0", *request, **run))
+        record = SoakRecord([call], runs, keys={"k": KeyRecord("press", 5.0, 20.0)}, **more)
+        return [violation.invariant for violation in find_violations(record)]
+
+    def test_runs(self):
+        """Guards against a soak that misses requests of the wrong tenant, or with a key."""
+        press, nobody = {"tenant": "press"}, {"tenant": ""}
+        self.assertEqual(self.invariants_of(run=press), [])
+        self.assertEqual(self.invariants_of(run={**press, "has_key": True}), ["key"])
+        for run in ({"tenant": "desk"}, nobody):
+            self.assertEqual(self.invariants_of(run=run), ["tenant"])
+        for bad in ((), ("x",), ("k", "k")):
+            self.assertEqual(self.invariants_of(bad, run=press), ["tenant"])
+            self.assertEqual(self.invariants_of(bad, kind="look", run=nobody), [])
+            self.assertEqual(self.invariants_of(bad, kind="look", run=press), ["tenant"])
+
+    def test_changes(self):
+        """Guards against a soak that misses a removed key in force, or a key that is not known."""
+        press, cut = {"tenant": "press"}, [Disturbance(19.0, 22.4, "front-1")]
+        self.assertEqual(self.invariants_of(sent_at=21.9, run=press), [])
+        self.assertEqual(self.invariants_of(sent_at=22.5, run=press), ["tenant"])
+        self.assertEqual(self.invariants_of(sent_at=22.5, run=press, disturbances=cut), [])
+        self.assertEqual(self.invariants_of(status=401), ["denied"])
+        for sent_at in (6.9, 20.1):
+            self.assertEqual(self.invariants_of(sent_at=sent_at, status=401), [])
+        self.assertEqual(self.invariants_of(("x",), status=401), [])
+        self.assertEqual(self.invariants_of(("x",), kind="look", status=401), ["denied"])
+
+
 class FaultPlanTest(unittest.TestCase):
     """Random fault schedules."""
 
@@ -235,9 +275,9 @@
 class SoakTest(unittest.IsolatedAsyncioTestCase):
     """Short soak runs; ``python -m eelgrassferry.platform.tests.soak`` makes longer ones."""
 
-    async def check(self, seed, seconds, notices=False, extra=False):
+    async def check(self, seed, seconds, notices=False, extra=False, tenants=False):
         with tempfile.TemporaryDirectory() as folder:
-            report = await run_soak(seed, seconds, Path(folder), notices, extra)
+            report = await run_soak(seed, seconds, Path(folder), notices, extra, tenants=tenants)
         self.assertEqual(report.violations, ())
         return report
 
@@ -254,8 +294,11 @@
     async def test_short_run_with_extra_faults(self):
         """Guards against the faults of the review: servers that fail part of their requests or send
         rejections twice, foreign registry entries, and outages of the store after a planned stop.
+        Callers send keys of tenants, which change, and keys that no tenant holds: guards against
+        requests that run for the wrong tenant, or with a key.
         """
-        report = await self.check(EXTRA_SEED, 2 * SHORT_S, extra=True)
+        report = await self.check(EXTRA_SEED, 2 * SHORT_S, extra=True, tenants=True)
+        self.assertGreater(report.outcomes["401"], 0)
         self.assertEqual(
             {fault.kind for fault in report.faults} & set(EXTRA_FAULTS), set(EXTRA_FAULTS)
         )
