--- /dev/null
+++ b/eelgrassferry/platform/tests/door/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of one node against crowds of clients that do not behave."""
