Keep a node within its memory and descriptors whatever its clients do

Bodies in arrival, requests sent ahead, answers that are not read and answers in arrival were kept without a common bound, asyncio accepted the whole backlog at once, and the allocator kept 34 MB after a crowd. Change: CallerConn counts what it holds and pauses reading behind a request in progress; the next request waits until the answers before it are read. Bodies over the limit are refused by their length, bodies without a route are dropped, and parsing takes turns. CallerServer ends connections by the budget, AnswerGate lets one answer go on while the budget is used up, Listener accepts 16 connections in an iteration, and freed memory is returned. The readiness and metrics listeners have a small body limit, a time limit for a whole request and a number of connections, and links of unidentified peers have a budget. The tests' last check sent a body of the greatest legal size to a server that answered with the body and 8 bytes, which is over the answer limit of 4 MiB, so it could not pass. The server now checks the size of the body and answers without one; the body has the full 4 MiB, one byte more than before.

--- a/eelgrassferry/coordination/__init__.py
+++ b/eelgrassferry/coordination/__init__.py
@@ -4,6 +4,7 @@
 from .isolation_detector import IsolationDetector
 from .leadership import Leadership
 from .lease_holder import LeaseHolder
+from .link_admission import LinkAdmission
 from .messages import FleetView, ObjectsCopy
 from .order_runner import OrderRunner
 from .peer_link import PeerLink
@@ -16,6 +17,7 @@
     "IsolationDetector",
     "Leadership",
     "LeaseHolder",
+    "LinkAdmission",
     "ObjectsCopy",
     "OrderRunner",
     "PeerLink",
--- a/eelgrassferry/coordination/peer_link.py
+++ b/eelgrassferry/coordination/peer_link.py
@@ -31,8 +31,9 @@
     """Protocol that sends and receives frames over one connection.
 
     The callbacks receive the link itself: ``on_frame`` is called for each received frame,
-    ``on_closed`` after the connection has ended and ``on_open`` after it was made. ``peer`` is the
-    name of the other node once its owner has set it, "" before.
+    ``on_closed`` after the connection has ended, ``on_open`` after it was made, and
+    ``on_received`` after each part of received data. ``peer`` is the name of the other node once
+    its owner has set it, "" before.
     """
 
     def __init__(
@@ -40,11 +41,13 @@
         on_frame: Callable[["PeerLink", Frame], None],
         on_closed: Callable[["PeerLink"], None],
         on_open: Callable[["PeerLink"], None] | None = None,
+        on_received: Callable[["PeerLink"], None] | None = None,
     ) -> None:
         self.peer = ""
         self._on_frame = on_frame
         self._on_closed = on_closed
         self._on_open = on_open
+        self._on_received = on_received
         self._decoder = FrameDecoder()
         self._compressor = zlib.compressobj(
             COMPRESSION_LEVEL, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL
@@ -71,6 +74,8 @@
                 return
             self._decoder.feed(part)
             self._decode_frames()
+            if self._on_received is not None:
+                self._on_received(self)
             data = self._decompressor.unconsumed_tail
             # After a part of full size, output may be pending although all input was consumed.
             if not data and len(part) < DECOMPRESS_BYTES:
@@ -92,6 +97,11 @@
         """Call ``on_closed``."""
         self._on_closed(self)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of a frame that has not been received completely."""
+        return self._decoder.buffered_bytes
+
     @property
     def is_open(self) -> bool:
         """Whether frames can be sent."""
@@ -126,3 +136,4 @@
         """Close the link at once and drop buffered data."""
         if self._transport is not None:
             self._transport.abort()
+            self._decoder = FrameDecoder()
--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -9,6 +9,7 @@
 import structlog
 from result import Err
 
+from ..admission import DoorBudget, DoorLimits
 from ..dispatch import (
     NO_LOAD,
     CrashAnalyzer,
@@ -18,12 +19,13 @@
     UpstreamNotices,
 )
 from ..fleet import EntrySettings
-from ..http import split_address
+from ..http import Listener, split_address
 from ..objects import MonitoredStore, ObjectFeed
 from ..ordering import NodeStatus
 from ..peers.frame import Frame, encode_frame
 from .connect_peer import connect_peer, fetch_process_id
 from .leadership import Leadership
+from .link_admission import LinkAdmission
 from .messages import (
     CHANGES,
     COPY,
@@ -95,7 +97,8 @@
     coordinator and with the loads that other nodes cause at each upstream. ``crashes`` contains the
     observations on crashed upstreams to exchange, and ``notices`` what upstreams say of themselves.
     No statuses are exchanged until ``leadership`` is set. ``on_turns`` is called with the
-    coordinator's replies to ``request_turns``.
+    coordinator's replies to ``request_turns``. ``admission`` limits the links of unidentified
+    peers.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         on_view: Callable[[FleetView, dict[str, UpstreamLoad]], None],
         crashes: CrashAnalyzer,
         notices: UpstreamNotices,
+        admission: LinkAdmission | None = None,
     ) -> None:
         self.leadership: Leadership | None = None
         self.on_turns: Callable[[list[TurnReply]], None] = lambda _replies: None
@@ -134,7 +138,10 @@
         )
         self._members: set[PeerLink] = set()
         self._links: set[PeerLink] = set()
-        self._server: asyncio.Server | None = None
+        self._admission = admission or LinkAdmission(
+            DoorBudget(DoorLimits()), clock, lambda _cause: None
+        )
+        self._listener = Listener(self._make_member_link, self._admission.make_room)
         self._leader: PeerLink | None = None
         self._leader_name = ""
         self._leader_holder = ""
@@ -193,16 +200,23 @@
 
     async def listen(self) -> None:
         """Accept links from other nodes."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: PeerLink(self._on_member_frame, self._on_member_closed, self._links.add),
-            *split_address(self._settings.peer_listen),
+        self._listener.start(*split_address(self._settings.peer_listen))
+
+    def _make_member_link(self) -> PeerLink:
+        return PeerLink(
+            self._on_member_frame,
+            self._on_member_closed,
+            self._on_member_open,
+            self._admission.update,
         )
 
+    def _on_member_open(self, link: PeerLink) -> None:
+        self._links.add(link)
+        self._admission.add(link)
+
     def close(self) -> None:
         """Close all links and stop accepting new ones."""
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         for link in (*self._links, *filter(None, [self._leader])):
             link.close()
         for task in self._tasks:
@@ -285,6 +299,7 @@
         self._early_members.discard(link)
         self._copied_versions.pop(link, None)
         self._links.discard(link)
+        self._admission.remove(link)
         if link.peer and self.leadership is not None and self.leadership.coordinator is not None:
             self.leadership.coordinator.remove_node(link.peer)
             log.info("node lost", step="peer_link", peer=link.peer)
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -8,11 +8,13 @@
 import structlog
 from result import Err, Result
 
+from ..admission import DoorBudget, DoorLimits, split_connections, split_memory
 from ..coordination import (
     FleetView,
     IsolationDetector,
     Leadership,
     LeaseHolder,
+    LinkAdmission,
     OrderRunner,
     PeerMesh,
     VerdictStore,
@@ -26,12 +28,21 @@
     UpstreamEntry,
 )
 from ..forwarding import CallerServer, UpstreamPool
-from ..http import HttpClient, HttpRequest, HttpResponse, HttpServer, Responder, split_address
+from ..http import (
+    HttpClient,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    Responder,
+    split_address,
+)
 from ..metrics import CONTENT_TYPE, Metrics, format_metrics
 from ..objects import ObjectFeed
 from ..ordering import NodeStatus, PendingDemand
 from ..routing import UpstreamState
 from .boot_clock import boot_clock
+from .door_report import DoorReport
 from .platform_protocol import PlatformProtocol
 from .registry_view import RegistryView
 from .request_handler import RequestHandler
@@ -48,6 +59,8 @@
 # its health checks, one per second. During this time a stopping node still serves new requests;
 # afterwards it refuses them so that callers retry at another node.
 LEAVE_ROTATION_S = 2.3
+# Largest body of a request for readiness or metrics, which needs none, in bytes.
+SERVICE_BODY_BYTES = 16 * 1024
 # Part of the grace period that is reserved for the process to exit, in seconds.
 EXIT_RESERVE_S = 0.6
 
@@ -84,6 +97,10 @@
             settings.domain, self._directory, self._residency, settings.bounds, random.Random()
         )
         self._pool = UpstreamPool(protocol.decode_answer, boot_clock)
+        self._door = DoorReport(self._metrics, boot_clock)
+        memory = split_memory(settings.memory_mb)
+        connections = split_connections(settings.max_fds)
+        budget = DoorBudget(DoorLimits(memory[0], connections[0]))
         self._handler = RequestHandler(
             protocol,
             self._dispatcher,
@@ -94,8 +111,24 @@
             self._directory_freshness,
             self._on_request_waiting,
             self._request_turns,
+            budget,
+        )
+        self._service_limits = HttpLimits(
+            max_body_bytes=SERVICE_BODY_BYTES, max_connections=connections[2]
+        )
+        self._callers = CallerServer(
+            self._handler.accept,
+            self._on_rejected,
+            boot_clock,
+            budget,
+            self._handler.needs_body,
+            self._on_turned_away,
+        )
+        admission = LinkAdmission(
+            DoorBudget(DoorLimits(memory[1], connections[1])),
+            boot_clock,
+            lambda cause: self._on_turned_away("", cause),
         )
-        self._callers = CallerServer(self._handler.accept, self._on_rejected, boot_clock)
         self._registry = RegistryView(
             protocol,
             self._directory,
@@ -127,6 +160,7 @@
             self._apply_view,
             self._dispatcher.crashes,
             self._dispatcher.notices,
+            admission,
         )
         lease = LeaseHolder(
             settings,
@@ -216,10 +250,13 @@
 
     async def _listen(self) -> None:
         ready_host, ready_port = split_address(self._settings.ready_listen)
-        await HttpServer(self._serve_readiness, host=ready_host, port=ready_port).start()
+        limits = self._service_limits
+        await HttpServer(
+            self._serve_readiness, host=ready_host, port=ready_port, limits=limits
+        ).start()
         if self._metrics_listen:
             host, port = split_address(self._metrics_listen)
-            await HttpServer(self._serve_metrics, host=host, port=port).start()
+            await HttpServer(self._serve_metrics, host=host, port=port, limits=limits).start()
         await self._mesh.listen()
         await self._callers.start(*split_address(self._settings.caller_listen))
 
@@ -257,6 +294,7 @@
                 self._apply_notices,
                 self._dispatch_waiting,
                 self._request_turns,
+                self._handler.answer_gate.release,
             ):
                 self._run_step(step)
             if boot_clock() - last_idle_check >= IDLE_CHECK_INTERVAL_S:
@@ -440,10 +478,11 @@
         return self._upstream_feed.version, self._upstream_feed.age_s
 
     def _on_rejected(self, peer: str, status: int, detail: str) -> None:
-        self._metrics.count(f"rejected.{status}")
-        log.info(
-            "invalid request rejected", step="read_request", peer=peer, status=status, detail=detail
-        )
+        self._door.record(f"rejected.{status}", "invalid request rejected", peer, detail)
+
+    def _on_turned_away(self, peer: str, cause: str) -> None:
+        detail = "a limit of the process's memory or connections is reached"
+        self._door.record(f"turned_away.{cause}", "client turned away", peer, detail)
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -37,6 +37,8 @@
 # part of a stream after its last complete event. An upstream that sends more is treated as broken,
 # because bytes without end would use up the memory of the node.
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+# Answers up to this size are not counted in the budget of memory while they arrive.
+SMALL_ANSWER_BYTES = 16 * 1024
 # Statuses that tell callers that a request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -148,6 +150,9 @@
             return
         self._attempt_number += 1
         self._answer_head = None
+        if self.answer_bytes:
+            self._caller_conn.hold_answer(0)
+            self._handler.answer_gate.leave(self)
         self.answer_bytes = 0
         self._body.clear()
         self._handler.record_send(self, entry, repeat)
@@ -248,6 +253,9 @@
             self._body += data
             if len(self._body) > MAX_BUFFERED_BYTES:
                 self._abandon_answer()
+            elif len(self._body) > SMALL_ANSWER_BYTES:
+                self._caller_conn.hold_answer(len(self._body))
+                self._handler.answer_gate.admit(self)
             return
         self._record_pause()
         complete = self._events.feed(data)
@@ -261,6 +269,16 @@
         if self._events.incomplete_bytes > MAX_BUFFERED_BYTES:
             self._abandon_answer()
 
+    def pause_answer(self) -> None:
+        """Stop reading the answer in arrival."""
+        if self._upstream_conn is not None:
+            self._upstream_conn.pause_reading()
+
+    def resume_answer(self) -> None:
+        """Go on reading the answer in arrival."""
+        if self._upstream_conn is not None:
+            self._upstream_conn.resume_reading()
+
     def _abandon_answer(self) -> None:
         """Close the connection to an upstream whose answer cannot be buffered."""
         if self._upstream_conn is not None:
@@ -406,6 +424,11 @@
         if self._upstream_conn is not None:
             self._upstream_conn.abort()
             self._upstream_conn = None
+        # The job and this exchange refer to each other, so what they hold is freed late.
+        self._body = bytearray()
+        self._request = CallerRequest(self._request.method, self._request.target, (), b"")
+        if self.answer_bytes > SMALL_ANSWER_BYTES:
+            self._handler.answer_gate.leave(self)
         self._handler.record_outcome(self, outcome, reason, **fields)
 
     def _cancel_response_timer(self) -> None:
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -8,6 +8,7 @@
 import structlog
 from result import Err
 
+from ..admission import DoorBudget, DoorLimits
 from ..dispatch import (
     Action,
     AttemptFailure,
@@ -18,10 +19,18 @@
     request_fingerprint,
 )
 from ..fleet import FleetConfig, Route, UpstreamDirectory, UpstreamEntry
-from ..forwarding import AnswerHead, CallerConn, CallerRequest, RequestMetadata, UpstreamPool
+from ..forwarding import (
+    AnswerHead,
+    CallerConn,
+    CallerRequest,
+    RawHeaders,
+    RequestMetadata,
+    UpstreamPool,
+)
 from ..http import ExecutionStatus, Problem
 from ..logs import to_whole_ms
 from ..metrics import Metrics
+from .answer_gate import AnswerGate
 from .exchange import Exchange
 from .platform_protocol import PlatformProtocol
 
@@ -60,7 +69,7 @@
     ``protocol`` decodes and encodes the heads of requests and answers. ``directory_freshness``
     returns the version of the upstream directory and its age in seconds. ``on_waiting`` is called
     when a request starts to wait for a model, and ``on_turn_wanted`` when it starts to wait for a
-    turn at an upstream that limits its rate.
+    turn at an upstream that limits its rate. ``budget`` limits the memory of answers in arrival.
     """
 
     def __init__(
@@ -74,6 +83,7 @@
         directory_freshness: Callable[[], tuple[int, float]],
         on_waiting: Callable[[], None],
         on_turn_wanted: Callable[[], None],
+        budget: DoorBudget | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.directory = directory
@@ -83,6 +93,7 @@
         self.config: FleetConfig | None = None
         self.in_flight = 0
         self.encode_request = protocol.encode_request
+        self.answer_gate = AnswerGate(budget or DoorBudget(DoorLimits()))
         self._protocol = protocol
         self._metrics = metrics
         self._directory_freshness = directory_freshness
@@ -144,6 +155,14 @@
             self.abandon(exchange, exc)
         return None if exchange.done else exchange
 
+    def needs_body(self, target: bytes, headers: RawHeaders) -> bool:
+        """Return whether a request may be forwarded, so that its body has to be kept."""
+        decoded = self._protocol.decode_request(headers)
+        if isinstance(decoded, Err) or self.config is None:
+            return False
+        path = target.decode("latin-1").partition("?")[0]
+        return self.config.match(decoded.ok_value.host, path) is not None
+
     def perform(self, actions: list[Action]) -> None:
         """Execute actions in order.
 
--- a/eelgrassferry/fleet/entry_settings.py
+++ b/eelgrassferry/fleet/entry_settings.py
@@ -32,7 +32,8 @@
 
     ``domain`` is the node's failure domain, and ``seeds`` are peer addresses, which may be stale.
     ``first_start`` is true only if the whole system starts for the first time. ``cores`` is the
-    processor time available to this node, in cores.
+    processor time available to this node, in cores. ``memory_mb`` and ``max_fds`` are the memory
+    and the descriptors that its process may use; 0 means that they are not limited.
     """
 
     name: str
@@ -44,4 +45,6 @@
     seeds: tuple[str, ...] = ()
     first_start: bool = False
     cores: float = 1.0
+    memory_mb: float = 0.0
+    max_fds: float = 0.0
     bounds: ServiceBounds = field(default_factory=ServiceBounds)
--- a/eelgrassferry/http/__init__.py
+++ b/eelgrassferry/http/__init__.py
@@ -3,6 +3,7 @@
 from .address import split_address
 from .client import HttpClient, HttpError, HttpStream
 from .limits import HttpLimits
+from .listener import Listener
 from .liveness import set_liveness_options
 from .message import HttpRequest, HttpResponse, find_header
 from .problem import ExecutionStatus, Problem
@@ -19,6 +20,7 @@
     "HttpResponse",
     "HttpServer",
     "HttpStream",
+    "Listener",
     "Problem",
     "Responder",
     "SseParser",
--- a/eelgrassferry/http/server.py
+++ b/eelgrassferry/http/server.py
@@ -8,6 +8,7 @@
 import structlog
 
 from .limits import HttpLimits
+from .listener import Listener
 from .message import HttpRequest
 from .problem import ExecutionStatus, Problem
 from .responder import Responder
@@ -39,8 +40,9 @@
         self._host = host
         self._port = port
         self._limits = limits or HttpLimits()
-        self._server: asyncio.Server | None = None
-        self._conn_tasks: set[asyncio.Task[None]] = set()
+        self._listener = Listener(self._make_protocol, self._make_room)
+        # In the order of their last request, so that the first one has made least progress.
+        self._conn_tasks: dict[asyncio.Task[None], None] = {}
         self._handler_tasks: set[asyncio.Task[None]] = set()
         self._closing = False
 
@@ -61,8 +63,19 @@
 
     async def start(self) -> None:
         """Bind the address and start accepting connections."""
-        self._server = await asyncio.start_server(self._accept, self._host, self._port, backlog=512)
-        self._port = self._server.sockets[0].getsockname()[1]
+        self._port = self._listener.start(self._host, self._port)
+
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        return asyncio.StreamReaderProtocol(asyncio.StreamReader(), self._accept)
+
+    def _make_room(self) -> bool:
+        """Return True, after ending the connection whose last request is oldest if necessary."""
+        limit = self._limits.max_connections
+        if limit is not None and len(self._conn_tasks) >= limit:
+            task = next(iter(self._conn_tasks))
+            del self._conn_tasks[task]
+            task.cancel()
+        return True
 
     async def close(self, grace_s: float | None = None) -> None:
         """Stop accepting, wait up to ``grace_s`` for exchanges in flight, then close the rest.
@@ -70,8 +83,7 @@
         ``None`` waits without a limit.
         """
         self._closing = True
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         if self._handler_tasks and grace_s != 0:
             await asyncio.wait(set(self._handler_tasks), timeout=grace_s)
         for task in set(self._conn_tasks):
@@ -82,7 +94,7 @@
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
-        self._conn_tasks.add(task)
+        self._conn_tasks[task] = None
         host, port = (writer.get_extra_info("peername") or ("", 0))[:2]
         try:
             await self._serve(reader, writer, f"{host}:{port}")
@@ -91,7 +103,7 @@
         except Exception as exc:
             log.error("connection failed", step="serve", peer=f"{host}:{port}", exc_info=exc)
         finally:
-            self._conn_tasks.discard(task)
+            self._conn_tasks.pop(task, None)
             writer.close()
 
     async def _serve(
@@ -109,21 +121,31 @@
             if not await self._answer(conn, req, reader, writer):
                 return
             conn.start_next_cycle()
+            task = asyncio.current_task()
+            if task in self._conn_tasks:
+                del self._conn_tasks[task]
+                self._conn_tasks[task] = None
 
     async def _read_request(
         self, conn: h11.Connection, reader: asyncio.StreamReader, peer: str
     ) -> HttpRequest | None:
         head: h11.Request | None = None
         body = bytearray()
+        loop = asyncio.get_running_loop()
+        began = False
+        deadline = loop.time() + self._limits.idle_timeout_s
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
-                limits = self._limits
-                wait_s = limits.idle_timeout_s if head is None else limits.request_timeout_s
-                async with asyncio.timeout(wait_s):
+                async with asyncio.timeout_at(deadline):
                     conn.receive_data(await reader.read(READ_BYTES))
+                if not began:
+                    began = True
+                    deadline = loop.time() + self._limits.request_timeout_s
             elif isinstance(event, h11.Request):
                 head = event
+                if int(dict(head.headers).get(b"content-length", 0)) > self._limits.max_body_bytes:
+                    raise h11.RemoteProtocolError("body too large", error_status_hint=413)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._limits.max_body_bytes:
--- a/eelgrassferry/peers/frame.py
+++ b/eelgrassferry/peers/frame.py
@@ -67,6 +67,11 @@
         self.limit_bytes = limit_bytes
         self._buffer = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that belong to no complete frame yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> None:
         """Append received bytes."""
         self._buffer += data
--- a/eelgrassferry/platform/settings_file.py
+++ b/eelgrassferry/platform/settings_file.py
@@ -64,6 +64,8 @@
     # "cpu_share" is the share of a core that the node may use, "cores" that core's speed factor.
     share = _read_number(values, "limits.cpu_share", 1.0, path, errors)
     speed = _read_number(values, "limits.cores", 1.0, path, errors)
+    memory_mb = _read_number(values, "limits.memory_mb", 0.0, path, errors)
+    max_fds = _read_number(values, "limits.max_fds", 0.0, path, errors)
     if errors:
         return Err(tuple(errors))
     return Ok(
@@ -77,6 +79,8 @@
             seeds=tuple(s for s in values.get("seeds", "").split(",") if s),
             first_start=values.get("bootstrap", "") == "true",
             cores=share * speed,
+            memory_mb=memory_mb,
+            max_fds=max_fds,
             bounds=bounds,
         )
     )
--- a/eelgrassferry/platform/tests/door/door_case.py
+++ b/eelgrassferry/platform/tests/door/door_case.py
@@ -36,13 +36,20 @@
 
 
 class BigAnswerServer(StandinServer):
-    """Server that answers requests whose path ends in ``big`` with ``BIG_ANSWER`` bytes."""
+    """Server that answers requests whose path ends in ``big`` with ``BIG_ANSWER`` bytes.
+
+    Those whose path ends in ``sink`` get no body if theirs has ``BIG`` bytes, and otherwise fail.
+    """
 
     async def _run(self, req: HttpRequest, responder: Responder) -> None:
-        if not req.path.endswith("big"):
-            return await super()._run(req, responder)
         request_id = ("Eelgrassferry-Request-Id", req.header("eelgrassferry-request-id") or "")
-        await responder.send(HttpResponse(200, (request_id, SEAL), bytes(BIG_ANSWER)))
+        if req.path.endswith("big"):
+            await responder.send(HttpResponse(200, (request_id, SEAL), bytes(BIG_ANSWER)))
+        elif req.path.endswith("sink"):
+            status = 200 if len(req.body) == BIG else 500
+            await responder.send(HttpResponse(status, (request_id, SEAL)))
+        else:
+            await super()._run(req, responder)
 
 
 class DoorCase(unittest.IsolatedAsyncioTestCase):
@@ -97,7 +104,7 @@
                 continue
         return sum(link.startswith(("socket:", "pipe:")) for link in links)
 
-    async def send(self, body: bytes = b"text", path: str = "/look/x") -> int:
+    async def send(self, body: bytes, path: str) -> int:
         """Send one ordinary request on a new connection; return the status, or 0 for none."""
         headers = (("Host", HOST), ("Eelgrassferry-Request-Id", "ordinary"))
         result = await self.client.request(
@@ -105,10 +112,10 @@
         )
         return result.ok_value.status if result.is_ok() else 0
 
-    async def check_served(self, body: bytes = b"text") -> None:
+    async def check_served(self, body: bytes = b"text", path: str = "/look/x") -> None:
         """Check that an ordinary request is answered, which may be repeated as clients do."""
         async with asyncio.timeout(WAIT_S):
-            while await self.send(body) != 200:
+            while await self.send(body, path) != 200:
                 self.assertIsNone(self.node.returncode, "the node has ended")
                 await asyncio.sleep(0.1)
 
@@ -137,7 +144,7 @@
         await self._check_released(
             lambda: self.memory("VmRSS"), memory_before + KEPT_BYTES, "resident bytes"
         )
-        await self.check_served(bytes(BIG - 1))
+        await self.check_served(bytes(BIG), "/look/sink")
 
     async def _check_released(self, measure, bound: int, what: str) -> None:
         loop = asyncio.get_running_loop()
