Merge the limits on what clients may use of a node

Conflicts in caller_conn, request_handler, entry_node, peer_mesh and configure.md: both sides are kept; rejections use the description without received bytes.

--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -8,6 +8,7 @@
 import structlog
 from result import Err
 
+from ..admission import DoorBudget, DoorLimits
 from ..dispatch import (
     Action,
     AttemptFailure,
@@ -18,11 +19,19 @@
     request_fingerprint,
 )
 from ..fleet import FleetConfig, Route, Tenant, UpstreamDirectory, UpstreamEntry
-from ..forwarding import AnswerHead, CallerConn, CallerRequest, RequestMetadata, UpstreamPool
+from ..forwarding import (
+    AnswerHead,
+    CallerConn,
+    CallerRequest,
+    RawHeaders,
+    RequestMetadata,
+    UpstreamPool,
+)
 from ..http import ExecutionStatus, Problem
 from ..logs import to_whole_ms
 from ..metrics import Metrics, TenantLabels
 from ..tenants import Identified, QuotaGate, UnknownKey, Unsure, check_key
+from .answer_gate import AnswerGate
 from .exchange import Exchange
 from .platform_protocol import PlatformProtocol
 from .quota_admission import QuotaAdmission
@@ -65,7 +74,8 @@
     when a request starts to wait for a model, and ``on_turn_wanted`` when it starts to wait for a
     turn at an upstream that limits its rate. ``config_may_be_behind`` returns whether a newer
     configuration than the one in force here may exist. ``use_quotas`` has to be called before
-    requests of tenants with a quota are limited.
+    requests of tenants with a quota are limited. ``budget`` limits the memory of answers in
+    arrival.
     """
 
     def __init__(
@@ -79,6 +89,7 @@
         directory_freshness: Callable[[], tuple[int, float]],
         on_waiting: Callable[[], None],
         on_turn_wanted: Callable[[], None],
+        budget: DoorBudget | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.directory = directory
@@ -90,6 +101,7 @@
         self.in_flight = 0
         self.tenant_labels = TenantLabels()
         self.encode_request = protocol.encode_request
+        self.answer_gate = AnswerGate(budget or DoorBudget(DoorLimits()))
         self._protocol = protocol
         self._metrics = metrics
         self._quotas: QuotaAdmission | None = None
@@ -188,6 +200,14 @@
         except Exception as exc:
             self.abandon(job.exchange, exc)
 
+    def needs_body(self, target: bytes, headers: RawHeaders) -> bool:
+        """Return whether a request may be forwarded, so that its body has to be kept."""
+        decoded = self._protocol.decode_request(headers)
+        if isinstance(decoded, Err) or self.config is None:
+            return False
+        path = target.decode("latin-1").partition("?")[0]
+        return self.config.match(decoded.ok_value.host, path) is not None
+
     def perform(self, actions: list[Action]) -> None:
         """Execute actions in order.
 
