--- a/eelgrassferry/admission/free_memory.py
+++ b/eelgrassferry/admission/free_memory.py
@@ -1,7 +1,5 @@
 """Return of freed memory to the operating system."""
 
-import ctypes
-
 __all__ = ["return_freed_memory"]
 
 
@@ -10,6 +8,9 @@
 
     The allocator of the GNU C library keeps what large blocks have left on its heap.
     """
+    # Imported here because most processes never need it, and it takes memory.
+    import ctypes
+
     trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
     if trim is not None:
         trim(0)
