--- a/eelgrassferry/platform/tests/test_request_handler.py
+++ b/eelgrassferry/platform/tests/test_request_handler.py
@@ -9,7 +9,7 @@
 from result import Ok
 from structlog.testing import capture_logs
 
-from ...dispatch import AttemptFailure, Fail, FailReason
+from ...dispatch import AttemptFailure, Fail, FailReason, UpstreamLoad
 from ...dispatch.tests.fixtures import DispatcherFixture, make_route
 from ...entry.request_handler import RequestHandler
 from ...fleet import Backend, FleetConfig, RequestKind, Service
@@ -170,6 +170,25 @@
         self.assert_others_are_served()
 
 
+class LeavingTest(RequestHandlerCase):
+    """A request that leaves the failure domain of the node."""
+
+    async def test_cause_and_bytes_are_counted_and_logged(self):
+        """Guards against bytes between domains whose cause an operator cannot see, and against
+        counting those of requests that stay.
+        """
+        self.send(b"r1")
+        self.serve(self.upstream_conns[0], "r1")
+        self.assertFalse(any(name.startswith("left_domain") for name in self.metrics.counters))
+        self.dispatcher.set_other_loads({"d0": UpstreamLoad(requests=15)}, 0.0)
+        self.send(b"r2")
+        self.serve(self.upstream_conns[1], "r2")
+        self.assertEqual(self.metrics.counters["left_domain.full"], 1)
+        self.assertEqual(self.metrics.counters["left_domain_bytes.full"], len(b"done"))
+        causes = [line["left_domain"] for line in self.logs if line["event"] == "request sent"]
+        self.assertEqual(causes, ["", "full"])
+
+
 class NewConnectionTest(RequestHandlerCase):
     """An upstream that resets a new connection before a request is sent on it."""
 
