--- a/eelgrassferry/ordering/plan_state.py
+++ b/eelgrassferry/ordering/plan_state.py
@@ -1,6 +1,5 @@
 """Input of one planning pass: the engines and the demand of a service at one moment."""
 
-from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
@@ -88,22 +87,6 @@
         """Return the number of live and loading copies of a model."""
         return len(self.holders.get(model, ()))
 
-    def is_crowded(self, model: str, domain: str) -> bool:
-        """Return whether a domain has more copies of a model than the domain with the fewest."""
-        return self._domain_counts(model)[domain] > min(self._domain_counts(model).values())
-
-    def _domain_counts(self, model: str) -> Counter[str]:
-        """Return the number of copies of a model by failure domain, of all that have engines."""
-        if model not in self._counts_by_model:
-            counts = Counter({tracker.entry.domain: 0 for tracker in self.trackers})
-            counts.update(tracker.entry.domain for tracker in self.holders.get(model, ()))
-            self._counts_by_model[model] = counts
-        return self._counts_by_model[model]
-
-    @cached_property
-    def _counts_by_model(self) -> dict[str, Counter[str]]:
-        return {}
-
     def rate(self, model: str) -> float:
         """Return the arrival rate of a model in requests per second."""
         return self.demand.rate(self.service, model, self.now)
--- a/eelgrassferry/ordering/planner.py
+++ b/eelgrassferry/ordering/planner.py
@@ -46,10 +46,6 @@
 # Cost of a further copy per unit of the engine's slowness factor, in seconds of load time. Models
 # in high demand belong on fast engines; slow engines suffice for rarely used ones.
 SLOWNESS_COST_S = 1.0
-# Cost of a copy in a failure domain that has more copies of the model than another one, as a share
-# of the time to load it. Callers of the other domains would leave theirs for the model, and the
-# copies may be lost together. A load from a disk, which takes a third of the time, is still better.
-CROWDED_DOMAIN_COST_SHARE = 0.5
 # A copy is not evicted for this long after it was loaded, in seconds.
 MIN_RESIDENCE_S = 1.5
 # The eviction loss of a last copy is higher if its model had a request within this time, in
@@ -256,10 +252,7 @@
             if found is None:
                 continue
             step, penalty = found
-            load_s = tracker.load_s(need.model)
-            cost = load_s + penalty + option.cost_s
-            if state.is_crowded(need.model, tracker.entry.domain):
-                cost += CROWDED_DOMAIN_COST_SHARE * load_s
+            cost = tracker.load_s(need.model) + penalty + option.cost_s
             if need.copies_overloaded:
                 cost += SLOWNESS_COST_S * state.slowness.upstream_factor(tracker.instance)
             if best is None or cost < best[0]:
