--- a/eelgrassferry/dispatch/leaving_policy.py
+++ b/eelgrassferry/dispatch/leaving_policy.py
@@ -27,7 +27,7 @@
 # Reserve of an upstream for callers of its own domain: it gets none from others that have capable
 # upstreams themselves beyond this share of its capacity, or when a request would wait there for
 # more than this share of the latency target.
-FOREIGN_LOAD_SHARE = 0.8
+FOREIGN_LOAD_SHARE = 0.9
 FOREIGN_WAIT_SHARE = 0.75
 # A request that would still have this many seconds until its target if it left waits for a place in
 # its own domain. Running requests end within that time, also long streams.
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -395,7 +395,7 @@
         self._metrics.observe(f"request_seconds.{outcome}", took_s)
         self._metrics.count(f"{outcome}.{reason}" if reason else outcome)
         self._count_left_bytes(exchange, exchange.answer_bytes)
-        if outcome == "served":
+        if outcome in ("served", "answered"):
             self.dispatcher.selector.leaving.record_answer(job, exchange.answer_bytes)
         log.info(
             f"request {outcome}",
