--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -492,7 +492,7 @@
             label = self.tenant_labels.label(job.tenant)
             self._metrics.count(f"tenant_{outcome}.{label}.{reason}")
         self._count_left_bytes(exchange, exchange.answer_bytes)
-        if outcome == "served":
+        if outcome in ("served", "answered"):
             self.dispatcher.selector.leaving.record_answer(job, exchange.answer_bytes)
         log.info(
             f"request {outcome}",
