--- a/eelgrassferry/entry/quota_admission.py
+++ b/eelgrassferry/entry/quota_admission.py
@@ -4,7 +4,6 @@
 
 from ..dispatch import Job, Refuse, RefuseReason
 from ..fleet import Tenant
-from ..metrics import Metrics
 from ..tenants import Admission, Admitted, Deferred, OverQuota, QuotaGate
 
 __all__ = ["QuotaAdmission"]
@@ -12,34 +11,32 @@
 # A request is held back for a grant for this share of its latency target at most. The rest is left
 # for its run.
 HOLD_SHARE = 0.2
-# Bounds the number of counters, whose names contain the tenant's.
-MAX_COUNTED_TENANTS = 64
 
 
 class QuotaAdmission:
     """Admits jobs by the decisions of ``gate``, some of which follow later.
 
     ``submit`` is called with each job that may run, ``refuse`` with the refusal of each other one,
-    and ``send_soon`` when the gate has a question to send.
+    ``send_soon`` when the gate has a question to send, and ``count_units`` with the tenant and the
+    units of each job that may have run.
     """
 
     def __init__(
         self,
         gate: QuotaGate,
-        metrics: Metrics,
         submit: Callable[[Job], None],
         refuse: Callable[[Refuse], None],
         send_soon: Callable[[], None],
+        count_units: Callable[[str, float], None],
     ) -> None:
         self._gate = gate
-        self._metrics = metrics
         self._submit = submit
         self._refuse = refuse
         self._send_soon = send_soon
+        self._count_units = count_units
         self._admitted: dict[Job, Admitted] = {}
         self._deferred: dict[int, Job] = {}
         self._asks: dict[Job, Deferred] = {}
-        self._counted: set[str] = set()
 
     def admit(self, job: Job, tenant: Tenant | None, tokens: int | None, now: float) -> None:
         """Submit or refuse a job, at once or after the coordinator's answer.
@@ -78,7 +75,7 @@
         if admitted is None:
             return
         if job.may_have_run:
-            self._metrics.count(f"quota_used.{self._label(admitted.tenant)}", int(admitted.units))
+            self._count_units(admitted.tenant, admitted.units)
         else:
             self._gate.give_back(admitted)
 
@@ -87,13 +84,5 @@
             case Admitted():
                 self._admitted[job] = decision
                 self._submit(job)
-            case OverQuota(tenant, retry_after_s):
-                self._metrics.count(f"over_quota.{self._label(tenant)}")
+            case OverQuota(_, retry_after_s):
                 self._refuse(Refuse(job, RefuseReason.OVER_QUOTA, retry_after_s))
-
-    def _label(self, tenant: str) -> str:
-        if tenant not in self._counted:
-            if len(self._counted) >= MAX_COUNTED_TENANTS:
-                return "other"
-            self._counted.add(tenant)
-        return tenant
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -21,7 +21,7 @@
 from ..forwarding import AnswerHead, CallerConn, CallerRequest, RequestMetadata, UpstreamPool
 from ..http import ExecutionStatus, Problem
 from ..logs import to_whole_ms
-from ..metrics import Metrics
+from ..metrics import Metrics, TenantLabels
 from ..tenants import Identified, QuotaGate, UnknownKey, Unsure, check_key
 from .exchange import Exchange
 from .platform_protocol import PlatformProtocol
@@ -88,6 +88,7 @@
         self.config: FleetConfig | None = None
         self.config_may_be_behind: Callable[[], bool] = lambda: False
         self.in_flight = 0
+        self.tenant_labels = TenantLabels()
         self.encode_request = protocol.encode_request
         self._protocol = protocol
         self._metrics = metrics
@@ -111,7 +112,11 @@
         ``send_soon`` is called when the gate has a question for the coordinator.
         """
         self._quotas = QuotaAdmission(
-            gate, self._metrics, self._submit, lambda refusal: self.perform([refusal]), send_soon
+            gate,
+            self._submit,
+            lambda refusal: self.perform([refusal]),
+            send_soon,
+            self._count_units,
         )
         return self._quotas
 
@@ -365,6 +370,10 @@
 
     # Logs and metrics
 
+    def _count_units(self, tenant: str, units: float) -> None:
+        """Count what a request has used of its tenant's quota."""
+        self._metrics.count(f"tenant_quota_used.{self.tenant_labels.label(tenant)}.", round(units))
+
     def _record_waiting(self, job: Job) -> None:
         """Log why a request waits, and notify the coordinator if it waits for a model."""
         log.info(
@@ -373,6 +382,7 @@
             request_id=job.request_id,
             step="dispatch",
             route=job.route.name,
+            tenant=job.tenant,
             model=job.model,
             adapter=job.adapter,
             reason=self.dispatcher.waiting_reason(job, self.clock()).value,
@@ -398,6 +408,7 @@
             peer=entry.address,
             upstream=entry.instance,
             route=job.route.name,
+            tenant=job.tenant,
             model=job.model,
             adapter=job.adapter,
             repeat=repeat,
@@ -448,6 +459,9 @@
         took_s = self.clock() - job.arrived_at
         self._metrics.observe(f"request_seconds.{outcome}", took_s)
         self._metrics.count(f"{outcome}.{reason}" if reason else outcome)
+        if job.tenant:
+            label = self.tenant_labels.label(job.tenant)
+            self._metrics.count(f"tenant_{outcome}.{label}.{reason}")
         log.info(
             f"request {outcome}",
             routine=outcome in ("served", "caller_gone"),
@@ -455,6 +469,7 @@
             step="answer",
             upstream=job.may_have_run_on[-1] if job.may_have_run_on else "",
             route=job.route.name,
+            tenant=job.tenant,
             model=job.model,
             adapter=job.adapter,
             reason=reason,
