--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -125,11 +125,10 @@
         """
         self._quotas = QuotaAdmission(
             gate,
-            self._metrics,
-            self.tenant_labels,
             self._submit,
             lambda refusal: self.perform([refusal]),
             send_soon,
+            self._count_units,
         )
         return self._quotas
 
@@ -392,6 +391,10 @@
 
     # Logs and metrics
 
+    def _count_units(self, tenant: str, units: float) -> None:
+        """Count what a request has used of its tenant's quota."""
+        self._metrics.count(f"tenant_quota_used.{self.tenant_labels.label(tenant)}.", round(units))
+
     def _record_waiting(self, job: Job) -> None:
         """Log why a request waits, and notify the coordinator if it waits for a model."""
         log.info(
