--- a/eelgrassferry/coordination/peer_mesh.py
+++ b/eelgrassferry/coordination/peer_mesh.py
@@ -9,6 +9,7 @@
 import structlog
 from result import Err
 
+from ..admission import DoorBudget, DoorLimits
 from ..dispatch import (
     NO_LOAD,
     CrashAnalyzer,
@@ -18,12 +19,13 @@
     UpstreamNotices,
 )
 from ..fleet import EntrySettings
-from ..http import split_address
+from ..http import Listener, split_address
 from ..objects import MonitoredStore, ObjectFeed
 from ..ordering import NodeStatus
 from ..peers.frame import Frame, encode_frame
 from .connect_peer import connect_peer, fetch_process_id
 from .leadership import Leadership
+from .link_admission import LinkAdmission
 from .messages import (
     CHANGES,
     COPY,
@@ -44,6 +46,7 @@
 from .node_registry import NodeRegistry
 from .object_relay import ObjectRelay
 from .peer_link import PeerLink
+from .quota_exchange import QUOTAS, QuotaExchange
 from .succession import Succession
 from .turn_codec import (
     decode_turn_replies,
@@ -95,7 +98,8 @@
     coordinator and with the loads that other nodes cause at each upstream. ``crashes`` contains the
     observations on crashed upstreams to exchange, and ``notices`` what upstreams say of themselves.
     No statuses are exchanged until ``leadership`` is set. ``on_turns`` is called with the
-    coordinator's replies to ``request_turns``.
+    coordinator's replies to ``request_turns``. ``admission`` limits the links of unidentified
+    peers.
     """
 
     def __init__(
@@ -108,6 +112,7 @@
         on_view: Callable[[FleetView, dict[str, UpstreamLoad]], None],
         crashes: CrashAnalyzer,
         notices: UpstreamNotices,
+        admission: LinkAdmission | None = None,
     ) -> None:
         self.leadership: Leadership | None = None
         self.on_turns: Callable[[list[TurnReply]], None] = lambda _replies: None
@@ -132,9 +137,15 @@
             lambda: self._leader if self.has_leader else None,
             self.registry.peer_addresses,
         )
+        self.quotas = QuotaExchange(
+            settings.bounds, clock, self._term_epoch, lambda: len(self.registry)
+        )
         self._members: set[PeerLink] = set()
         self._links: set[PeerLink] = set()
-        self._server: asyncio.Server | None = None
+        self._admission = admission or LinkAdmission(
+            DoorBudget(DoorLimits()), clock, lambda _cause: None
+        )
+        self._listener = Listener(self._make_member_link, self._admission.make_room)
         self._leader: PeerLink | None = None
         self._leader_name = ""
         self._leader_holder = ""
@@ -193,16 +204,23 @@
 
     async def listen(self) -> None:
         """Accept links from other nodes."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: PeerLink(self._on_member_frame, self._on_member_closed, self._links.add),
-            *split_address(self._settings.peer_listen),
+        self._listener.start(*split_address(self._settings.peer_listen))
+
+    def _make_member_link(self) -> PeerLink:
+        return PeerLink(
+            self._on_member_frame,
+            self._on_member_closed,
+            self._on_member_open,
+            self._admission.update,
         )
 
+    def _on_member_open(self, link: PeerLink) -> None:
+        self._links.add(link)
+        self._admission.add(link)
+
     def close(self) -> None:
         """Close all links and stop accepting new ones."""
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         for link in (*self._links, *filter(None, [self._leader])):
             link.close()
         for task in self._tasks:
@@ -231,6 +249,10 @@
         leadership = self.leadership
         return leadership if leadership is not None and leadership.term() is not None else None
 
+    def _term_epoch(self) -> int | None:
+        term = None if self.leadership is None else self.leadership.term()
+        return None if term is None else term.epoch
+
     def request_turns(self, requests: list[TurnRequest]) -> None:
         """Ask the coordinator for turns at upstreams that limit their rate."""
         leadership = self._term_leadership
@@ -285,6 +307,8 @@
         self._early_members.discard(link)
         self._copied_versions.pop(link, None)
         self._links.discard(link)
+        self.quotas.remove_member(link)
+        self._admission.remove(link)
         if link.peer and self.leadership is not None and self.leadership.coordinator is not None:
             self.leadership.coordinator.remove_node(link.peer)
             log.info("node lost", step="peer_link", peer=link.peer)
@@ -299,6 +323,8 @@
                 self._copied_versions.setdefault(link, {})[prefix] = version
         elif frame.kind == TURNS:
             self._on_turn_requests(link, frame)
+        elif frame.kind == QUOTAS:
+            self.quotas.on_member_frame(link, frame)
         elif frame.kind == WHO:
             link.send(WHO, self._process_id)
 
@@ -336,6 +362,7 @@
             leadership.lease.on_store_reached()
         if link not in self._members:
             self._add_member(link, leadership)
+        self.quotas.record_status(link)
         leadership.update_status(status)
 
     def _add_member(self, link: PeerLink, leadership: Leadership) -> None:
@@ -459,6 +486,7 @@
         self._store_lost = self._store_reached = False
         self._last_view_sent_at = 0.0
         self._relay.follow(link)
+        self.quotas.follow(link)
         # A new coordinator may lack observations that were sent to the previous one.
         self._crashes.share_all()
         self._notices.share_all()
@@ -485,6 +513,7 @@
 
     def _leave_leader(self) -> None:
         self._relay.stop_following()
+        self.quotas.stop_following()
         self._last_view_at = float("-inf")
         if self._leader is not None:
             link, self._leader = self._leader, None
@@ -587,6 +616,8 @@
             self._on_view_frame(frame)
         if frame.kind == TURNS:
             self._on_turn_replies(frame)
+        if frame.kind == QUOTAS:
+            self.quotas.on_leader_frame(frame)
 
     def _on_turn_replies(self, frame: Frame) -> None:
         decoded = decode_turn_replies(frame.body, self._clock())
@@ -622,6 +653,7 @@
         if view.complete or view.epoch > self._epoch:
             self._total_loads.clear()
         self._epoch = view.epoch
+        self.quotas.record_view()
         self._total_loads.update(view.loads)
         others = {
             instance: load.plus(self._own_loads.get(instance, NO_LOAD), sign=-1.0)
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -37,6 +37,8 @@
 # part of a stream after its last complete event. An upstream that sends more is treated as broken,
 # because bytes without end would use up the memory of the node.
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+# Answers up to this size are not counted in the budget of memory while they arrive.
+SMALL_ANSWER_BYTES = 16 * 1024
 # Statuses that tell callers that a request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -61,7 +63,8 @@
 class Exchange:
     """The forwarding of one request, as directed by the dispatcher.
 
-    ``answer_bytes`` is the number of bytes of the answer's body that the current attempt received.
+    ``answer_bytes`` is the number of bytes of the answer's body that the current attempt received,
+    and ``leave_cause`` why that attempt left the failure domain, "" if it did not.
 
     Streamed answers are relayed as they arrive. Other answers are read completely first, so that
     the request can still be retried or refused if the upstream's answer breaks off.
@@ -79,6 +82,7 @@
         self.facts = facts
         self.done = False
         self.answer_bytes = 0
+        self.leave_cause = ""
         self._handler = handler
         self._caller_conn = conn
         self._request = request
@@ -148,7 +152,11 @@
             return
         self._attempt_number += 1
         self._answer_head = None
+        if self.answer_bytes:
+            self._caller_conn.hold_answer(0)
+            self._handler.answer_gate.leave(self)
         self.answer_bytes = 0
+        self.leave_cause = self.job.attempt.leave_cause if self.job.attempt else ""
         self._body.clear()
         self._handler.record_send(self, entry, repeat)
         conn = self._handler.pool.take_idle(instance, self.facts.request_id)
@@ -160,7 +168,11 @@
         )
 
     async def _connect(self, entry: UpstreamEntry, attempt_number: int) -> None:
+        started_at = self._handler.clock()
         result = await self._handler.pool.connect(entry.instance, entry.address)
+        if not isinstance(result, Err):
+            took_s = self._handler.clock() - started_at
+            self._handler.dispatcher.record_connected(entry, took_s)
         self._on_connected(entry, attempt_number, result)
 
     @_contained
@@ -249,6 +261,9 @@
             self._body += data
             if len(self._body) > MAX_BUFFERED_BYTES:
                 self._abandon_answer()
+            elif len(self._body) > SMALL_ANSWER_BYTES:
+                self._caller_conn.hold_answer(len(self._body))
+                self._handler.answer_gate.admit(self)
             return
         self._record_pause()
         complete = self._events.feed(data)
@@ -262,6 +277,16 @@
         if self._events.incomplete_bytes > MAX_BUFFERED_BYTES:
             self._abandon_answer()
 
+    def pause_answer(self) -> None:
+        """Stop reading the answer in arrival."""
+        if self._upstream_conn is not None:
+            self._upstream_conn.pause_reading()
+
+    def resume_answer(self) -> None:
+        """Go on reading the answer in arrival."""
+        if self._upstream_conn is not None:
+            self._upstream_conn.resume_reading()
+
     def _abandon_answer(self) -> None:
         """Close the connection to an upstream whose answer cannot be buffered."""
         if self._upstream_conn is not None:
@@ -407,6 +432,11 @@
         if self._upstream_conn is not None:
             self._upstream_conn.abort()
             self._upstream_conn = None
+        # The job and this exchange refer to each other, so what they hold is freed late.
+        self._body = bytearray()
+        self._request = CallerRequest(self._request.method, self._request.target, (), b"")
+        if self.answer_bytes > SMALL_ANSWER_BYTES:
+            self._handler.answer_gate.leave(self)
         self._handler.record_outcome(self, outcome, reason, **fields)
 
     def _cancel_response_timer(self) -> None:
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -8,6 +8,7 @@
 import structlog
 from result import Err
 
+from ..admission import DoorBudget, DoorLimits
 from ..dispatch import (
     Action,
     AttemptFailure,
@@ -18,13 +19,22 @@
     request_fingerprint,
 )
 from ..fleet import FleetConfig, Route, Tenant, UpstreamDirectory, UpstreamEntry
-from ..forwarding import AnswerHead, CallerConn, CallerRequest, RequestMetadata, UpstreamPool
+from ..forwarding import (
+    AnswerHead,
+    CallerConn,
+    CallerRequest,
+    RawHeaders,
+    RequestMetadata,
+    UpstreamPool,
+)
 from ..http import ExecutionStatus, Problem
 from ..logs import to_whole_ms
-from ..metrics import Metrics
-from ..tenants import Identified, UnknownKey, Unsure, check_key
+from ..metrics import Metrics, TenantLabels
+from ..tenants import Identified, QuotaGate, UnknownKey, Unsure, check_key
+from .answer_gate import AnswerGate
 from .exchange import Exchange
 from .platform_protocol import PlatformProtocol
+from .quota_admission import QuotaAdmission
 
 __all__ = ["RequestHandler"]
 
@@ -41,6 +51,7 @@
     RefuseReason.NOT_RUN_UPSTREAM: "the upstreams declined the request",
     RefuseReason.STOPPING: "this node is stopping",
     RefuseReason.CRASHED_UPSTREAMS: "requests with this content crash upstreams",
+    RefuseReason.OVER_QUOTA: "the tenant's quota is used up",
 }
 FAILURE_DETAILS = {
     FailReason.CONNECTION_LOST: "the connection to the upstream was lost",
@@ -62,7 +73,9 @@
     returns the version of the upstream directory and its age in seconds. ``on_waiting`` is called
     when a request starts to wait for a model, and ``on_turn_wanted`` when it starts to wait for a
     turn at an upstream that limits its rate. ``config_may_be_behind`` returns whether a newer
-    configuration than the one in force here may exist.
+    configuration than the one in force here may exist. ``use_quotas`` has to be called before
+    requests of tenants with a quota are limited. ``budget`` limits the memory of answers in
+    arrival.
     """
 
     def __init__(
@@ -76,6 +89,7 @@
         directory_freshness: Callable[[], tuple[int, float]],
         on_waiting: Callable[[], None],
         on_turn_wanted: Callable[[], None],
+        budget: DoorBudget | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.directory = directory
@@ -85,9 +99,12 @@
         self.config: FleetConfig | None = None
         self.config_may_be_behind: Callable[[], bool] = lambda: False
         self.in_flight = 0
+        self.tenant_labels = TenantLabels()
         self.encode_request = protocol.encode_request
+        self.answer_gate = AnswerGate(budget or DoorBudget(DoorLimits()))
         self._protocol = protocol
         self._metrics = metrics
+        self._quotas: QuotaAdmission | None = None
         self._directory_freshness = directory_freshness
         self._on_waiting = on_waiting
         self._on_turn_wanted = on_turn_wanted
@@ -101,6 +118,20 @@
         self.config = config
         self.dispatcher.set_config(config)
 
+    def use_quotas(self, gate: QuotaGate, send_soon: Callable[[], None]) -> QuotaAdmission:
+        """Admit requests by the decisions of ``gate`` from now on.
+
+        ``send_soon`` is called when the gate has a question for the coordinator.
+        """
+        self._quotas = QuotaAdmission(
+            gate,
+            self._submit,
+            lambda refusal: self.perform([refusal]),
+            send_soon,
+            self._count_units,
+        )
+        return self._quotas
+
     # Requests
 
     def accept(self, conn: CallerConn, request: CallerRequest) -> Exchange | None:
@@ -148,6 +179,17 @@
         job.exchange = exchange
         conn.set_listener(exchange)
         self.in_flight += 1
+        try:
+            if self._quotas is None:
+                self._submit(job)
+            else:
+                self._quotas.admit(job, tenant, facts.tokens, self.clock())
+        except Exception as exc:
+            self.abandon(exchange, exc)
+        return None if exchange.done else exchange
+
+    def _submit(self, job: Job) -> None:
+        """Dispatch a job that the quota of its tenant allows."""
         try:
             self.perform(self.dispatcher.submit(job, self.clock()))
             if job.waiting:
@@ -155,8 +197,15 @@
             elif self.dispatcher.is_returning(job):
                 self._on_waiting()
         except Exception as exc:
-            self.abandon(exchange, exc)
-        return None if exchange.done else exchange
+            self.abandon(job.exchange, exc)
+
+    def needs_body(self, target: bytes, headers: RawHeaders) -> bool:
+        """Return whether a request may be forwarded, so that its body has to be kept."""
+        decoded = self._protocol.decode_request(headers)
+        if isinstance(decoded, Err) or self.config is None:
+            return False
+        path = target.decode("latin-1").partition("?")[0]
+        return self.config.match(decoded.ok_value.host, path) is not None
 
     def perform(self, actions: list[Action]) -> None:
         """Execute actions in order.
@@ -251,6 +300,7 @@
             prompt_tokens=facts.prompt_tokens,
             max_output_tokens=facts.max_output_tokens,
             prompt_parts=facts.prompt_parts,
+            request_bytes=len(request.body),
             fingerprint=request_fingerprint(
                 request.method,
                 request.target,
@@ -279,9 +329,12 @@
     ) -> None:
         """Answer with a problem which states that the request did not run and will not run."""
         detail = REFUSAL_DETAILS[reason]
+        status = 429 if reason is RefuseReason.OVER_QUOTA else 503
         self._send_problem(
             conn,
-            Problem(503, reason.value, ExecutionStatus.NO, detail, facts.request_id, retry_after_s),
+            Problem(
+                status, reason.value, ExecutionStatus.NO, detail, facts.request_id, retry_after_s
+            ),
         )
 
     def send_failure(
@@ -338,6 +391,10 @@
 
     # Logs and metrics
 
+    def _count_units(self, tenant: str, units: float) -> None:
+        """Count what a request has used of its tenant's quota."""
+        self._metrics.count(f"tenant_quota_used.{self.tenant_labels.label(tenant)}.", round(units))
+
     def _record_waiting(self, job: Job) -> None:
         """Log why a request waits, and notify the coordinator if it waits for a model."""
         log.info(
@@ -346,6 +403,7 @@
             request_id=job.request_id,
             step="dispatch",
             route=job.route.name,
+            tenant=job.tenant,
             model=job.model,
             adapter=job.adapter,
             reason=self.dispatcher.waiting_reason(job, self.clock()).value,
@@ -363,6 +421,9 @@
         attempt = job.attempt
         if repeat:
             self._metrics.count("retried")
+        if exchange.leave_cause:
+            self._metrics.count(f"left_domain.{exchange.leave_cause}")
+            self._count_left_bytes(exchange, job.request_bytes)
         log.info(
             "request sent",
             routine=not repeat,
@@ -371,6 +432,7 @@
             peer=entry.address,
             upstream=entry.instance,
             route=job.route.name,
+            tenant=job.tenant,
             model=job.model,
             adapter=job.adapter,
             repeat=repeat,
@@ -378,6 +440,7 @@
             left_ms=round((job.give_up_at - now) * 1000),
             expected_ms=round(attempt.expected_s * 1000) if attempt else None,
             load=round(self.dispatcher.load.total_at(entry.instance, now).requests),
+            left_domain=exchange.leave_cause,
             fingerprints=job.fingerprints,
             **self._version_fields(),
         )
@@ -386,6 +449,7 @@
         """Log and count an attempt that failed."""
         attempt = exchange.job.attempt
         self._metrics.count(f"run_failed.{end.value}")
+        self._count_left_bytes(exchange, exchange.answer_bytes)
         log.warning(
             "run failed",
             request_id=exchange.job.request_id,
@@ -399,6 +463,12 @@
             fingerprints=exchange.job.fingerprints,
             **self._version_fields(),
         )
+        exchange.leave_cause = ""
+
+    def _count_left_bytes(self, exchange: Exchange, size: int) -> None:
+        """Count bytes of a request or answer that cross between failure domains, by cause."""
+        if exchange.leave_cause:
+            self._metrics.count(f"left_domain_bytes.{exchange.leave_cause}", size)
 
     def record_mismatched_answer(self, exchange: Exchange, head: AnswerHead) -> None:
         """Log and count an answer that belongs to another request."""
@@ -416,9 +486,17 @@
         """Log and count the outcome of a request, which is no longer in flight."""
         job = exchange.job
         self.in_flight -= 1
+        if self._quotas is not None:
+            self._quotas.finish(job)
         took_s = self.clock() - job.arrived_at
         self._metrics.observe(f"request_seconds.{outcome}", took_s)
         self._metrics.count(f"{outcome}.{reason}" if reason else outcome)
+        if job.tenant:
+            label = self.tenant_labels.label(job.tenant)
+            self._metrics.count(f"tenant_{outcome}.{label}.{reason}")
+        self._count_left_bytes(exchange, exchange.answer_bytes)
+        if outcome in ("served", "answered"):
+            self.dispatcher.selector.leaving.record_answer(job, exchange.answer_bytes)
         log.info(
             f"request {outcome}",
             routine=outcome in ("served", "caller_gone"),
@@ -426,6 +504,7 @@
             step="answer",
             upstream=job.may_have_run_on[-1] if job.may_have_run_on else "",
             route=job.route.name,
+            tenant=job.tenant,
             model=job.model,
             adapter=job.adapter,
             reason=reason,
@@ -434,6 +513,7 @@
             took_ms=round(took_s * 1000),
             declined=job.declined_attempts,
             ran_on=len(job.may_have_run_on),
+            left_domain=exchange.leave_cause,
             waiting=self.dispatcher.waiting,
             **self._version_fields(),
             **fields,
