Serve quotas whose margin is less than one request

Cause: a limit of one request per second without a burst never let a request run, because a quarter of the margin and the depth together were less than one request; and it was opened, although the delay of reports exceeds such a margin. Change: what must be available before a request is at most the depth, one request counts as small enough in any quota, and a tenant with a depth of less than 0.3 s is never open.

--- a/eelgrassferry/tenants/quota_book.py
+++ b/eelgrassferry/tenants/quota_book.py
@@ -13,6 +13,9 @@
 # Nodes may admit alone again once this share has been unused for this time, in seconds.
 OPEN_SHARE = 0.75
 OPEN_AFTER_S = 1.0
+# A tenant whose depth is filled in less than this time is never open, in seconds: what nodes admit
+# until their reports arrive could exceed it.
+MIN_OPEN_DEPTH_S = 0.3
 
 
 @dataclass
@@ -92,10 +95,10 @@
         changes = {}
         for name, book in self._tenants.items():
             full_s, unused_s = self._full_s(book), self._unused_s(book)
-            if unused_s < OPEN_SHARE * full_s:
+            if unused_s < OPEN_SHARE * full_s or book.limit.depth_s < MIN_OPEN_DEPTH_S:
                 book.ample_since = now
             is_open = book.is_open
-            if unused_s < CLOSE_SHARE * full_s:
+            if unused_s < CLOSE_SHARE * full_s or book.limit.depth_s < MIN_OPEN_DEPTH_S:
                 is_open = False
             elif now - book.ample_since >= OPEN_AFTER_S:
                 is_open = True
--- a/eelgrassferry/tenants/quota_gate.py
+++ b/eelgrassferry/tenants/quota_gate.py
@@ -109,7 +109,7 @@
         state = self._tenants.get(tenant)
         if state is None or units <= 0.0:
             return Admitted(tenant, 0.0)
-        if not state.limit.can_run(units):
+        if units > state.limit.largest:
             return OverQuota(tenant, None)
         silent_s = now - self._contact_at
         if state.is_open and silent_s <= OPEN_GRACE_S:
--- a/eelgrassferry/tenants/quota_limit.py
+++ b/eelgrassferry/tenants/quota_limit.py
@@ -19,8 +19,9 @@
 class QuotaLimit:
     """The limit of one tenant over all nodes together.
 
-    ``depth`` is the largest amount that may run at once, and ``overdraft`` the part of one request
-    that may be paid for afterwards, both in units of the quota.
+    ``depth`` is the largest amount that may run at once, ``overdraft`` the part of one request that
+    may be paid for afterwards, and ``largest`` what one request may count. All are in units of the
+    quota.
 
     The rest of the margin covers the delay of reports and the time until the loss of a link is
     noticed on both sides.
@@ -29,6 +30,7 @@
     rate_per_s: float
     depth: float
     overdraft: float
+    largest: float
 
     @classmethod
     def of(cls, tenant: Tenant, bounds: ServiceBounds) -> "QuotaLimit | None":
@@ -41,6 +43,7 @@
             tenant.rate_per_s,
             tenant.burst + BURST_SHARE * margin,
             OVERDRAFT_SHARE * margin,
+            max(1.0, tenant.burst + margin),
         )
 
     @property
@@ -54,8 +57,4 @@
 
     def prepaid(self, units: float) -> float:
         """Return the part of a request that has to be available before it runs."""
-        return max(0.0, units - self.overdraft)
-
-    def can_run(self, units: float) -> bool:
-        """Return whether a request can run at all."""
-        return self.prepaid(units) <= self.depth
+        return min(self.depth, max(0.0, units - self.overdraft))
--- a/eelgrassferry/tenants/tests/test_quotas.py
+++ b/eelgrassferry/tenants/tests/test_quotas.py
@@ -3,7 +3,8 @@
 import unittest
 from dataclasses import replace
 
-from .. import Admitted, OverQuota
+from ...fleet import ServiceBounds, Tenant
+from .. import Admitted, OverQuota, QuotaAsk, QuotaBook, QuotaReport
 from .fixtures import QuotaFleet, make_tenants
 
 NODES = 83
@@ -184,5 +185,24 @@
         self.assertLessEqual(fleet.worst_window("t0"), 1.0)
 
 
+class SmallLimitTest(unittest.TestCase):
+    """A quota of one request per second without a burst."""
+
+    def test_each_second_one_request_runs(self):
+        """Guards against a limit whose margin is less than one request and that lets none run, and
+        against nodes that admit alone where the delay of reports exceeds the margin.
+        """
+        tenant = Tenant("press", ("k",), rate_per_s=1.0)
+        book = QuotaBook({"press": tenant}, ServiceBounds(), 1.0, 0.0)
+        granted = 0
+        for step in range(300):
+            now = step / 10.0
+            reply = book.apply(QuotaReport(asks=(QuotaAsk(step, "press", 1.0, 0.05),)), now)
+            granted += reply.grants[0].start_at is not None
+            self.assertEqual(book.update(now), {})
+        self.assertGreaterEqual(granted, 25)
+        self.assertLessEqual(granted, 31)
+
+
 if __name__ == "__main__":
     unittest.main()
