Wait until the restarted node listens in the test of an outage

Cause: test_outage_of_the_store failed once with a refused connection beside load: it slept 2 s after the start of the node, which was not listening yet (seen in the quotas part, load 16 to 26). Change: the test waits until the node accepts connections and then sleeps as before.

--- a/eelgrassferry/platform/tests/test_keys_of_fleet.py
+++ b/eelgrassferry/platform/tests/test_keys_of_fleet.py
@@ -46,6 +46,12 @@
         """Return the statuses of one request with a key to each node."""
         return [(await self.ask(front, key))[0] for front in self.fronts]
 
+    async def wait_until_listening(self, front: int) -> None:
+        """Wait until a node that was started accepts connections."""
+        async with asyncio.timeout(WAIT_S):
+            while (await self.send(front, "/book/x", "")).is_err():
+                await asyncio.sleep(0.05)
+
     async def wait_for(self, key: str, status: int, timeout_s: float = WAIT_S) -> None:
         """Wait until each node answers requests with a key with one status."""
         async with asyncio.timeout(timeout_s):
@@ -101,6 +107,7 @@
         await self.processes[2].wait()
         self.fronts.pop()
         await self.start_node(2)
+        await self.wait_until_listening(self.fronts[2])
         await asyncio.sleep(APPLY_S)
         for key in ("key-1", "key-9", ""):
             self.assertEqual((await self.ask(self.fronts[2], key))[0], 503)
