Mend five faults that a review of the merged parts has found

Change: a domain has a copy only if an upstream there accepts the request; the time of a plain run is not a wait; fresh connections are not ended for the next one; the head of a request sent ahead starts its time limit; the search is repeated at intervals; a failed attempt leaves the gate of answers. Also, a connection that was ended while its request was delivered does not forward it, and an upstream's connection reads again before it becomes idle.

--- a/eelgrassferry/admission/door_budget.py
+++ b/eelgrassferry/admission/door_budget.py
@@ -44,6 +44,10 @@
         self._holdings[holding] = None
         return holding
 
+    def is_open(self, holding: Holding) -> bool:
+        """Return whether a connection is still counted."""
+        return holding in self._holdings
+
     def close(self, holding: Holding) -> None:
         """Remove a connection, which may have been removed before."""
         if holding in self._holdings:
@@ -100,9 +104,14 @@
     def choose_over_connections(self, now: float) -> Holding | None:
         """Return the connection to end before another one can be accepted, or None.
 
-        Idle ones come first, and those that wait for this node are never ended.
+        Idle ones come first, unless they have just been accepted or answered, and those that wait
+        for this node are never ended.
         """
-        idle = [h for h in self._holdings if h.state is HoldingState.IDLE]
+        idle = [
+            h
+            for h in self._holdings
+            if h.state is HoldingState.IDLE and now - h.progress_at >= PROGRESS_STEP_S
+        ]
         waiting = (h for h in self._holdings if h.state in _WAITING_FOR_PEER)
         return self._choose(idle or waiting, now)
 
--- a/eelgrassferry/admission/tests/test_door_budget.py
+++ b/eelgrassferry/admission/tests/test_door_budget.py
@@ -67,6 +67,14 @@
         self.assertFalse(self.budget.has_free_connection)
         self.assertEqual(self.budget.choose_over_connections(10.0).owner, "idle")
 
+    def test_connection_that_was_just_accepted_is_kept(self):
+        """Guards against a crowd of stalled senders that keeps its connections, because each new
+        caller is ended for the next one.
+        """
+        self.hold("stalled", RECEIVING, 10)
+        self.hold("new", HoldingState.IDLE, 0, progress_at=10.0)
+        self.assertEqual(self.budget.choose_over_connections(10.0).owner, "stalled")
+
     def test_nothing_is_limited_without_settings(self):
         """Guards against limits at deployments that set none."""
         self.assertEqual({*split_memory(0.0), *split_connections(0.0)}, {float("inf")})
--- a/eelgrassferry/dispatch/leaving_policy.py
+++ b/eelgrassferry/dispatch/leaving_policy.py
@@ -81,8 +81,8 @@
     ) -> Attempt | None:
         """Return the best attempt, None if there is none or the request should wait at home.
 
-        ``has_copy`` is whether any upstream of the own domain can run the request. The cause is set
-        in the attempt if it leaves the domain.
+        ``has_copy`` is whether an upstream of the own domain can run the request and accepts it,
+        apart from its load. The cause is set in the attempt if it leaves the domain.
         """
         home: DomainOption | None = None
         away: DomainOption | None = None
@@ -125,11 +125,11 @@
 
     def _is_reserved(self, job: Job, attempt: Attempt) -> bool:
         """Return whether an upstream of another domain needs its capacity for its own callers."""
-        wait_s = attempt.expected_s - attempt.prefill_s
-        return (
-            attempt.load_share > FOREIGN_LOAD_SHARE
-            or wait_s > FOREIGN_WAIT_SHARE * job.route.target_latency_s
-        )
+        if attempt.load_share > FOREIGN_LOAD_SHARE:
+            return True
+        # The expected time of a plain upstream includes the run itself, not only a wait.
+        wait_s = attempt.expected_s - attempt.prefill_s if job.model else 0.0
+        return wait_s > FOREIGN_WAIT_SHARE * job.route.target_latency_s
 
     def _link_s(self, job: Job, domain: str) -> float:
         is_stream = job.route.kind is RequestKind.STREAM
--- a/eelgrassferry/dispatch/tests/test_leaving_policy.py
+++ b/eelgrassferry/dispatch/tests/test_leaving_policy.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from ...fleet import RequestKind
-from .. import UpstreamLoad
+from .. import AttemptFailure, Send, UpstreamLoad
 from .fixtures import DispatcherFixture
 
 # Size of a prompt and of an answer that are costly to send to another domain, in bytes.
@@ -206,3 +206,37 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class UnusableHomeTest(unittest.TestCase):
+    """Requests whose upstream in the own domain does not accept them, or has failed them."""
+
+    def setUp(self):
+        self.fixture = DispatcherFixture("a")
+        self.selector = self.fixture.dispatcher.selector
+
+    def make_job(self):
+        job = self.fixture.make_job(RequestKind.IDEMPOTENT, max_attempts=3)
+        job.route = replace(job.route, target_latency_s=0.5)
+        return job
+
+    def test_repeat_leaves_when_the_upstream_at_home_broke_off(self):
+        """Guards against a repeat that waits until its deadline for the upstream that it must not
+        be sent to again, while plain upstreams of 0.4 s elsewhere count as full.
+        """
+        for name in ("d0", "d1", "d2"):
+            for _ in range(200):
+                self.selector.record_plain_latency(name, 0.4)
+        job = self.make_job()
+        self.assertEqual(self.fixture.send(job), "d0")
+        self.fixture.dispatcher.record_sent(job)
+        actions = self.fixture.dispatcher.fail(job, AttemptFailure.BROKEN, 0.05)
+        sent = [action.instance for action in actions if isinstance(action, Send)]
+        self.assertIn(sent, (["d1"], ["d2"]))
+
+    def test_request_leaves_while_the_upstream_at_home_backs_off(self):
+        """Guards against a patient request that waits for an upstream which has crashed."""
+        self.selector.backoffs.record_crash("d0", 0.0)
+        job = self.make_job()
+        job.route = replace(job.route, target_latency_s=10.0)
+        self.assertIn(self.fixture.send(job, 0.01), ("d1", "d2"))
--- a/eelgrassferry/dispatch/upstream_selector.py
+++ b/eelgrassferry/dispatch/upstream_selector.py
@@ -99,17 +99,9 @@
             cost_s += self._gap_cost_s(job, attempt)
             cost_s += TIE_SPREAD_S * self._rng.random()
             options.append(DomainOption(cost_s, attempt, entry.domain))
-        has_copy = any(option.domain == self._domain for option in options)
-        has_copy = has_copy or self._has_copy_at_home(job, now)
+        has_copy = any(entry.domain == self._domain for entry in candidates)
         return self.leaving.choose(job, options, has_copy, now)
 
-    def _has_copy_at_home(self, job: Job, now: float) -> bool:
-        """Return whether an upstream of the own failure domain can run a job."""
-        entries = self._directory.of_service(job.service)
-        return any(
-            entry.domain == self._domain and self._is_capable(entry, job, now) for entry in entries
-        )
-
     def _gap_cost_s(self, job: Job, attempt: Attempt) -> float:
         """Return the cost of the expected token gaps of a stream, in seconds.
 
--- a/eelgrassferry/entry/exchange.py
+++ b/eelgrassferry/entry/exchange.py
@@ -341,6 +341,8 @@
         if self.done:
             return
         self._cancel_response_timer()
+        # The next attempt may have to wait; meanwhile another answer goes on.
+        self._handler.answer_gate.leave(self)
         self._handler.record_failed_attempt(self, end, detail)
         self._handler.perform(self._handler.dispatcher.fail(self.job, end, self._handler.clock()))
 
--- a/eelgrassferry/forwarding/caller_conn.py
+++ b/eelgrassferry/forwarding/caller_conn.py
@@ -85,6 +85,10 @@
         """Register the connection and set its socket options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if not self._server.budget.is_open(self._holding):
+            # It was turned away between its acceptance and this callback.
+            transport.abort()
+            return
         transport.set_write_buffer_limits(high=WRITE_BUFFER_LIMIT_BYTES)
         set_liveness_options(transport)
         self.idle_since = self._server.clock()
@@ -263,7 +267,8 @@
     def _pace_reading(self) -> None:
         """Pause reading while earlier requests are in progress, and resume it afterwards."""
         is_busy = self.answering or self._is_cycle_due or self._continuation is not None
-        if not is_busy and self._unparsed_bytes and self.head_since is None:
+        has_part = self._unparsed_bytes or self._head is not None
+        if not is_busy and has_part and self.head_since is None:
             self.head_since = self._server.clock()
         pauses = is_busy and self._unparsed_bytes > MAX_AHEAD_BYTES
         if pauses is self._is_reading_paused or not self.is_open:
@@ -395,6 +400,9 @@
         self._body = bytearray()
         self._unparsed_bytes = 0
         self._update_holding(self._server.clock())
+        if not self.is_open:
+            # This connection was ended to stay within the budget.
+            return
         if not self._server.budget.may_run(self._holding):
             self._refuse_delivery("memory")
             return
--- a/eelgrassferry/forwarding/caller_server.py
+++ b/eelgrassferry/forwarding/caller_server.py
@@ -20,6 +20,10 @@
 UNREAD_TIMEOUT_S = 60.0
 # Freed memory is returned to the operating system after this many bytes have been released.
 TRIM_BYTES = 8 * 1024 * 1024
+# Each search for connections to end looks at all of them. While memory stays used up, it is
+# repeated after this time in seconds, or once this part of the limit has been added.
+RELIEF_INTERVAL_S = 0.02
+RELIEF_STEP = 1 / 64
 
 
 class CallerServer:
@@ -56,6 +60,8 @@
         self._on_turned_away = on_turned_away
         self._listener: Listener | None = None
         self._is_relieving = False
+        self._relieved_at = float("-inf")
+        self._relieved_bytes = 0
 
     async def start(self, host: str, port: int) -> None:
         """Bind the address and start to accept connections."""
@@ -73,7 +79,11 @@
 
     def relieve(self) -> None:
         """End connections until all together hold no more memory than the budget allows."""
-        if self._is_relieving:
+        now, step = self.clock(), RELIEF_STEP * self.budget.limits.memory_bytes
+        is_recent = now - self._relieved_at < RELIEF_INTERVAL_S
+        if self._is_relieving or (
+            is_recent and self.budget.bytes_held <= self._relieved_bytes + step
+        ):
             return
         self._is_relieving = True
         try:
@@ -83,6 +93,7 @@
                 victim.owner.turn_away("memory")
         finally:
             self._is_relieving = False
+            self._relieved_at, self._relieved_bytes = now, self.budget.bytes_held
 
     def report_turned_away(self, conn: CallerConn, cause: str) -> None:
         """Report a connection that was ended to stay within the budget."""
--- a/eelgrassferry/forwarding/tests/test_caller_conn.py
+++ b/eelgrassferry/forwarding/tests/test_caller_conn.py
@@ -1,6 +1,8 @@
 """Tests of callers' connections at the level of bytes."""
 
+import asyncio
 import unittest
+from unittest import mock
 
 from ...fleet import CallerLimits
 from ..caller_conn import CallerConn
@@ -97,6 +99,24 @@
         self.server.sweep()
         self.assertIn(b" 408 ", self.transport.written)
 
+    def test_part_of_a_request_sent_ahead_is_timed_out(self):
+        """Guards against the body of a second request that is kept until the idle timeout, because
+        its head came along with the first request.
+        """
+        head = b"POST /y HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n"
+        self.conn.data_received(GET + head + b"part")
+        self.conn.send(200, [], b"one")
+        self.now = self.server.limits.header_timeout_s + 1.0
+        self.server.sweep()
+        self.assertIn(b"408", self.transport.written)
+
+    def test_connection_turned_away_before_it_was_made(self):
+        """Guards against a connection that is served but not counted."""
+        conn, transport = CallerConn(self.server), mock.create_autospec(asyncio.Transport)()
+        self.server.budget.close(conn._holding)
+        conn.connection_made(transport)
+        transport.abort.assert_called_once_with()
+
     def test_answers_close_connections_while_the_server_is_closing(self):
         """Guards against callers that stay connected to a node that is stopping or isolated."""
         self.server.closing = True
--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -222,6 +222,8 @@
         may_reuse = not self._close_after_answer and len(self._request_ids) < MAX_REQUESTS
         if is_clean and may_reuse:
             self._h11.start_next_cycle()
+            # An idle connection that does not read would not notice that the upstream closes it.
+            self.resume_reading()
             self._on_idle(self)
         else:
             self._transport.close()
