Read a request's named length and a configuration's spec in one place each

Cause: a last reading of the change. The caller's connection and the HTTP server each searched the head for the body's length; the check of a configuration unwrapped the store's object twice; the age of the configuration was looked up for each request, also without tenants; shares of memory and connections were passed by index. Change: named_body_length in http and _find_spec in the check; the age is looked up only if the fleet has tenants; the shares have names. Behaviour and tests are unchanged.

--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -99,9 +99,9 @@
         )
         self._pool = UpstreamPool(protocol.decode_answer, boot_clock)
         self._door = DoorReport(self._metrics, boot_clock)
-        memory = split_memory(settings.memory_mb)
-        connections = split_connections(settings.max_fds)
-        budget = DoorBudget(DoorLimits(memory[0], connections[0]))
+        caller_bytes, peer_bytes = split_memory(settings.memory_mb)
+        caller_conns, peer_conns, service_conns = split_connections(settings.max_fds)
+        budget = DoorBudget(DoorLimits(caller_bytes, caller_conns))
         self._handler = RequestHandler(
             protocol,
             self._dispatcher,
@@ -115,7 +115,7 @@
             budget,
         )
         self._service_limits = HttpLimits(
-            max_body_bytes=SERVICE_BODY_BYTES, max_connections=connections[2]
+            max_body_bytes=SERVICE_BODY_BYTES, max_connections=service_conns
         )
         self._callers = CallerServer(
             self._handler.accept,
@@ -126,7 +126,7 @@
             self._on_turned_away,
         )
         admission = LinkAdmission(
-            DoorBudget(DoorLimits(memory[1], connections[1])),
+            DoorBudget(DoorLimits(peer_bytes, peer_conns)),
             boot_clock,
             lambda cause: self._on_turned_away("", cause),
         )
--- a/eelgrassferry/entry/request_handler.py
+++ b/eelgrassferry/entry/request_handler.py
@@ -164,7 +164,8 @@
             detail = f"no route for {facts.host}{request.path}"
             return self._reject(conn, facts, 404, "no_route", detail)
         tenant: Tenant | None = None
-        match check_key(self.config, route, facts.key, self.config_may_be_behind()):
+        may_be_behind = bool(self.config.tenants) and self.config_may_be_behind()
+        match check_key(self.config, route, facts.key, may_be_behind):
             case UnknownKey():
                 return self._reject(
                     conn, facts, 401, "unknown_key", "the request needs the key of a tenant"
--- a/eelgrassferry/forwarding/caller_conn.py
+++ b/eelgrassferry/forwarding/caller_conn.py
@@ -7,7 +7,7 @@
 import h11
 
 from ..admission import Holding, HoldingState
-from ..http import set_liveness_options
+from ..http import named_body_length, set_liveness_options
 from .caller_request import CallerRequest
 from .facts import RawHeaders
 
@@ -352,7 +352,7 @@
                 self._head_bytes = size + FIELD_BYTES * len(event.headers)
                 self._drops_body = False
                 self._dropped_bytes = 0
-                self._expected_bytes = _find_length(event)
+                self._expected_bytes = named_body_length(event)
                 if self._expected_bytes > limits.max_body_bytes:
                     raise h11.RemoteProtocolError("body too large", error_status_hint=413)
                 if self._h11.they_are_waiting_for_100_continue:
@@ -442,14 +442,6 @@
         self._reject(408, "the request did not arrive in time")
 
 
-def _find_length(head: h11.Request) -> int:
-    """Return the length of the body that a request names, or 0."""
-    for name, value in head.headers:
-        if name == b"content-length":
-            return int(value)
-    return 0
-
-
 def _describe(exc: h11.RemoteProtocolError) -> str:
     """Return the parser's message without the bytes that it quotes, which may contain a key."""
     return re.split(r"[: ]*\b(?:bytearray\()?b['\"]", str(exc), maxsplit=1)[0]
--- a/eelgrassferry/http/__init__.py
+++ b/eelgrassferry/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client and server over asyncio streams, with h11 as the protocol implementation."""
 
 from .address import split_address
+from .body_length import named_body_length
 from .client import HttpClient, HttpError, HttpStream
 from .limits import HttpLimits
 from .listener import Listener
@@ -26,6 +27,7 @@
     "SseParser",
     "find_header",
     "format_event",
+    "named_body_length",
     "set_liveness_options",
     "split_address",
 ]
--- a/eelgrassferry/http/server.py
+++ b/eelgrassferry/http/server.py
@@ -7,6 +7,7 @@
 import h11
 import structlog
 
+from .body_length import named_body_length
 from .limits import HttpLimits
 from .listener import Listener
 from .message import HttpRequest
@@ -144,7 +145,7 @@
                     deadline = loop.time() + self._limits.request_timeout_s
             elif isinstance(event, h11.Request):
                 head = event
-                if int(dict(head.headers).get(b"content-length", 0)) > self._limits.max_body_bytes:
+                if named_body_length(head) > self._limits.max_body_bytes:
                     raise h11.RemoteProtocolError("body too large", error_status_hint=413)
             elif isinstance(event, h11.Data):
                 body += event.data
--- a/eelgrassferry/platform/config_check.py
+++ b/eelgrassferry/platform/config_check.py
@@ -68,8 +68,7 @@
     except (ValueError, RecursionError) as exc:
         line = exc.lineno if isinstance(exc, json.JSONDecodeError) else 1
         return Err((_located_error(line, "", Entry(EntryKind.FLEET), f"is not JSON: {exc}"),))
-    root: Path = ("spec",) if isinstance(document, dict) and "spec" in document else ()
-    spec = document["spec"] if root else document
+    root, spec = _find_spec(document)
     lines = map_lines(data.decode("utf-8", "replace"))
     decoded = decode_config(json.dumps(spec).encode())
     if isinstance(decoded, Err):
@@ -93,9 +92,15 @@
         document = parse_json(data)
     except ValueError:
         return None
+    _, spec = _find_spec(document)
+    return decode_config(json.dumps(spec).encode()).ok()
+
+
+def _find_spec(document: Any) -> tuple[Path, Any]:
+    """Return the configuration in a document, which may be an object of the store, and its path."""
     if isinstance(document, dict) and "spec" in document:
-        document = document["spec"]
-    return decode_config(json.dumps(document).encode()).ok()
+        return ("spec",), document["spec"]
+    return (), document
 
 
 def _find_undecodable(spec: Any, root: Path, lines: dict[Path, int]) -> Iterator[LocatedFinding]:
