--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,90 +1,55 @@
-"""A caller sends requests of legal size whose prompt has very many short parts."""
+"""A server that leaves, and says so in its answers only, loses its registration for a moment."""
 
 import asyncio
 import time
 from pathlib import Path
 
 from support_2.callers import call
-from support_2.fleet import HOST, MEMORY_MB, Fleet, Node, Record, make_config
+from support_2.fleet import Fleet, Node, Record, make_config
 from support_2.script import TROUBLE, main
 
 from eelgrassferry.platform.tests.standin_server import StandinServer
 from eelgrassferry.platform.tests.standin_store import StandinStore
 
-# The configuration's max_header_bytes is 16,384.
-HEADER_BYTES = 15_800
-REQUESTS, CONNECTIONS = 1200, 6
-# The caller stops after this time, in seconds, or once the process is that far over its memory.
-LONGEST_S, ENOUGH_MB = 75.0, 1.3 * MEMORY_MB
+DRAIN_S = 2.0
+# Three heartbeat intervals of 1.2 s, after which the store removes the entry of a silent server.
+SILENCE_S = 3.6
+# How long the server is cut off from the store in all.
+CUT_S = 5.0
+# The leaving server exits this long after its registration is back.
+EXITS_AFTER_S = 0.15
+CALLS_PER_S, WORK_S, DEADLINE_S = 10.0, 0.2, 1.0
 
 
-class Caller:
-    """Sends streams one after the other on each of its kept connections and reads all answers."""
+class Callers:
+    """Callers who send requests that may run once to one node at a steady rate."""
 
     def __init__(self, record: Record, node: Node) -> None:
-        self.statuses: dict[int, int] = {}
-        self.sent = 0
+        self.node = node
+        self.sent_at: dict[str, float] = {}
+        self.statuses: dict[str, int] = {}
+        self.told_at = float("inf")
         self._record = record
-        self._node = node
-        self._parts = 0
-        self._ends_at = time.monotonic() + LONGEST_S
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
-        """Send all requests."""
-        await asyncio.gather(*(self._connection() for _ in range(CONNECTIONS)))
-
-    async def _connection(self) -> None:
-        reader, writer = await asyncio.open_connection(self._node.ip, self._node.front)
-        try:
-            while self._goes_on():
-                self.sent += 1
-                writer.write(self._request(f"parts-{self.sent}"))
-                status = await read_answer(reader)
-                self.statuses[status] = self.statuses.get(status, 0) + 1
-                if self.sent % 100 == 0:
-                    memory = self._node.memory_mb("VmRSS")
-                    self._record.line(f"{self.sent} sent, {self.statuses}, {memory:.0f} MB")
-        except (OSError, asyncio.IncompleteReadError) as exc:
-            self._record.line(f"connection ended: {exc!r}")
-        finally:
-            writer.close()
-
-    def _goes_on(self) -> bool:
-        is_over = self._node.memory_mb("VmRSS") > ENOUGH_MB
-        return self.sent < REQUESTS and time.monotonic() < self._ends_at and not is_over
-
-    def _request(self, request_id: str) -> bytes:
-        parts = ["5c1e07a2:800", "91bd3f06:410", "e4402b7d:250"]
-        if TROUBLE:
-            parts, size = [], 0
-            while size < HEADER_BYTES:
-                self._parts += 1
-                parts.append(f"{self._parts:x}:0")
-                size += len(parts[-1]) + 1
-        lines = (
-            "POST /chat/x HTTP/1.1",
-            f"Host: {HOST}",
-            f"Eelgrassferry-Request-Id: {request_id}",
-            "Eelgrassferry-Deadline-Ms: 4000",
-            "Eelgrassferry-Model: m0",
-            "Eelgrassferry-Token-Counts: 1460,80",
-            f"Eelgrassferry-Prompt-Prefix: {','.join(parts)}",
-            "Content-Length: 4",
-        )
-        return "\r\n".join(lines).encode() + b"\r\n\r\ntext"
-
-
-async def read_answer(reader: asyncio.StreamReader) -> int:
-    """Read one whole answer and return its status."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-    if "content-length:" in head:
-        await reader.readexactly(int(head.partition("content-length:")[2].split()[0]))
-        return int(head.split()[1])
-    length = -1
-    while length:
-        length = int(await reader.readline() or b"0", 16)
-        await reader.readexactly(length + 2)
-    return int(head.split()[1])
+        """Send requests until cancelled."""
+        while True:
+            name = f"book-{self.node.name}-{len(self.sent_at) + 1}"
+            self._tasks.add(asyncio.ensure_future(self._call(name)))
+            await asyncio.sleep(1.0 / CALLS_PER_S)
+
+    async def finish(self) -> None:
+        """Wait for the answers that are due."""
+        await asyncio.gather(*self._tasks)
+
+    async def _call(self, name: str) -> None:
+        self.sent_at[name], sent = time.monotonic(), self._record.now()
+        answer = await call(self.node, "/book/x", name, DEADLINE_S)
+        self.statuses[name] = answer.status
+        if "server-leaving" in answer.headers:
+            self.told_at = min(self.told_at, time.monotonic())
+        self._record.line(f"{name} sent at {sent:.3f}: {answer.status} {answer.error}")
 
 
 async def run(record: Record) -> bool:
@@ -93,33 +58,61 @@
     address = await store.start()
     await store.write("config", "main", make_config())
     desk = StandinServer(store, "desk", "i-desk")
-    engine = StandinServer(store, "chat", "i-engine", ("m0",))
+    # One of five servers is cut off from the store.
+    engines = [StandinServer(store, "chat", f"i-engine-{number}", ("m0",)) for number in range(4)]
     try:
-        await desk.start()
-        await engine.start()
+        desk.pause_s = WORK_S
+        for server in (desk, *engines):
+            await server.start()
         await fleet.start([address, address])
         await asyncio.sleep(3.0)
-        node, other = fleet.nodes
-        record.line(f"{node.name} holds {node.memory_mb('VmRSS'):.0f} MB before")
-        caller = Caller(record, node)
-        await caller.run()
-        record.line(f"{caller.sent} requests sent, answers by status: {caller.statuses}")
-        record.line(f"i-engine has run {len(engine.runs)} requests")
-        await asyncio.sleep(5.0)
-        answer = await call(node, "/book/x", "ordinary", 3.0)
-        record.line(f"an ordinary request afterwards: {answer.status} {answer.error}")
-        for each in fleet.nodes:
-            record.line(
-                f"{each.name} runs: {each.is_running}, holds {each.memory_mb('VmRSS'):.0f} MB "
-                f"5 s after the last answer, at most {each.memory_mb():.0f} MB; limit {MEMORY_MB}"
-            )
-        return node.memory_mb() > MEMORY_MB and other.memory_mb() < MEMORY_MB
+        callers = [Callers(record, node) for node in fleet.nodes]
+        sending = [asyncio.ensure_future(each.run()) for each in callers]
+        await asyncio.sleep(1.0)
+        desk.is_leaving = True
+        record.line("i-desk leaves: its answers say so, its registration does not")
+        await asyncio.sleep(2.0)
+        entry = store.spec("servers", "i-desk")
+        record.line("the path of i-desk to the store is cut" if TROUBLE else "no cut")
+        await asyncio.sleep(SILENCE_S)
+        if TROUBLE:
+            await store.remove("servers", "i-desk")
+            record.line("the store removes the entry of i-desk after three silent intervals")
+        await asyncio.sleep(CUT_S - SILENCE_S)
+        if TROUBLE:
+            await store.write("servers", "i-desk", entry)
+            record.line("the path is back; i-desk has renewed its entry, with the same born")
+        await asyncio.sleep(EXITS_AFTER_S)
+        await desk.stop()
+        record.line("i-desk exits")
+        for task in sending:
+            task.cancel()
+        await asyncio.gather(*(each.finish() for each in callers))
+        return any([judge(record, each, desk) for each in callers])
     finally:
         await fleet.stop()
-        await engine.stop()
-        await desk.stop()
+        for server in (desk, *engines):
+            await server.stop()
         await store.stop()
 
 
+def judge(record: Record, callers: Callers, desk: StandinServer) -> bool:
+    """Return whether a request reached the leaving server that was sent too late."""
+    late = []
+    for req in desk.received:
+        name = req.header("eelgrassferry-request-id") or ""
+        after_s = callers.sent_at.get(name, 0.0) - callers.told_at
+        if after_s > DRAIN_S:
+            late.append(name)
+            ran = "ran" if name in desk.runs else "did not run"
+            record.line(
+                f"{name} was sent {after_s:.2f} s after {callers.node.name} had passed on "
+                f"Server-Leaving, reached i-desk and {ran}; answer {callers.statuses[name]}"
+            )
+    lost = [name for name in late if callers.statuses[name] != 200]
+    record.line(f"{callers.node.name}: {len(late)} sent too late, {len(lost)} of them lost")
+    return bool(late)
+
+
 if __name__ == "__main__":
-    main(run, "Fault", Path(__file__).parent)
+    main(run, "DRAIN", Path(__file__).parent)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,41 +1,44 @@
-"""A server that leaves, and says so in its answers only, loses its registration for a moment."""
+"""A server leaves just after a planned handover, long after the store turned a node away."""
 
 import asyncio
+import signal
 import time
 from pathlib import Path
 
 from support_2.callers import call
 from support_2.fleet import Fleet, Node, Record, make_config
+from support_2.node_store import NodeStore
 from support_2.script import TROUBLE, main
 
 from eelgrassferry.platform.tests.standin_server import StandinServer
-from eelgrassferry.platform.tests.standin_store import StandinStore
 
-DRAIN_S = 2.0
-# Three heartbeat intervals of 1.2 s, after which the store removes the entry of a silent server.
-SILENCE_S = 3.6
-# How long the server is cut off from the store in all.
-CUT_S = 5.0
-# The leaving server exits this long after its registration is back.
-EXITS_AFTER_S = 0.15
-CALLS_PER_S, WORK_S, DEADLINE_S = 10.0, 0.2, 1.0
+# How long the store turns the coordinator away, and the calm after it (contact_ms is 3 s).
+TURNED_AWAY_S, CALM_S = 4.0, 8.0
+# From the SIGTERM of the coordinator to the removal of the server's entry.
+LEAVES_AFTER_S = 0.7
+# drain_ms, and what the leaving server serves on beyond it before it exits.
+DRAIN_S, LITTLE_LONGER_S = 2.0, 0.25
+CALLS_PER_S, WORK_S, DEADLINE_S = 25.0, 0.1, 1.0
+# With these names the first and the third node follow each other as coordinators, and so do the
+# second and the fourth one (``rendezvous_owner``). With others, it may take several handovers.
+NAMES = ["front-a-1", "front-b-4", "front-c-2", "front-d-5"]
 
 
 class Callers:
     """Callers who send requests that may run once to one node at a steady rate."""
 
     def __init__(self, record: Record, node: Node) -> None:
-        self.node = node
-        self.sent_at: dict[str, float] = {}
-        self.statuses: dict[str, int] = {}
-        self.told_at = float("inf")
+        self.failed: list[str] = []
+        self.sent = 0
         self._record = record
+        self._node = node
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            name = f"book-{self.node.name}-{len(self.sent_at) + 1}"
+            self.sent += 1
+            name = f"book-{self._node.name}-{self.sent}"
             self._tasks.add(asyncio.ensure_future(self._call(name)))
             await asyncio.sleep(1.0 / CALLS_PER_S)
 
@@ -44,71 +47,82 @@
         await asyncio.gather(*self._tasks)
 
     async def _call(self, name: str) -> None:
-        self.sent_at[name], sent = time.monotonic(), self._record.now()
-        answer = await call(self.node, "/book/x", name, DEADLINE_S)
-        self.statuses[name] = answer.status
-        if "server-leaving" in answer.headers:
-            self.told_at = min(self.told_at, time.monotonic())
+        sent = self._record.now()
+        answer = await call(self._node, "/book/x", name, DEADLINE_S)
         self._record.line(f"{name} sent at {sent:.3f}: {answer.status} {answer.error}")
+        if answer.status != 200 or not answer.complete:
+            self.failed.append(name)
 
 
 async def run(record: Record) -> bool:
     """Run the case and return whether the rule was broken."""
-    store, fleet = StandinStore(), Fleet()
-    address = await store.start()
+    store, fleet = NodeStore(), Fleet()
+    await store.start()
     await store.write("config", "main", make_config())
-    desk = StandinServer(store, "desk", "i-desk")
+    desks = {f"zone-{zone}": StandinServer(store, "desk", f"i-desk-{zone}") for zone in "abcd"}
     try:
-        desk.pause_s = WORK_S
-        await desk.start()
-        await fleet.start([address, address])
-        await asyncio.sleep(3.0)
-        callers = [Callers(record, node) for node in fleet.nodes]
+        for zone, desk in desks.items():
+            desk.pause_s = WORK_S
+            await desk.start()
+            entry = store.spec("servers", desk.instance)
+            await store.write("servers", desk.instance, {**entry, "zone": zone})
+        await fleet.start([await store.open_door(name) for name in NAMES], NAMES)
+        await asyncio.sleep(4.0)
+        first = fleet.coordinator()
+        assert first is not None
+        record.line(f"{first.name} coordinates")
+        if TROUBLE:
+            store.turn_away(first.name)
+            record.line(f"the store turns {first.name} away with 503 and serves the other nodes")
+        await asyncio.sleep(TURNED_AWAY_S)
+        store.serve_all()
+        record.line("the store serves all nodes; calm begins")
+        await asyncio.sleep(CALM_S)
+        last = fleet.coordinator()
+        assert last is not None and last.process is not None
+        record.line(f"{last.name} coordinates")
+        # The server that leaves is in the zone of a node that is neither of the two.
+        bystander = next(node for node in fleet.nodes if node not in (first, last))
+        leaving = desks[bystander.zone]
+        callers = [Callers(record, node) for node in fleet.nodes if node is not last]
         sending = [asyncio.ensure_future(each.run()) for each in callers]
-        await asyncio.sleep(1.0)
-        desk.is_leaving = True
-        record.line("i-desk leaves: its answers say so, its registration does not")
         await asyncio.sleep(2.0)
-        entry = store.spec("servers", "i-desk")
-        record.line("the path of i-desk to the store is cut" if TROUBLE else "no cut")
-        await asyncio.sleep(SILENCE_S)
-        if TROUBLE:
-            await store.remove("servers", "i-desk")
-            record.line("the store removes the entry of i-desk after three silent intervals")
-        await asyncio.sleep(CUT_S - SILENCE_S)
-        if TROUBLE:
-            await store.write("servers", "i-desk", entry)
-            record.line("the path is back; i-desk has renewed its entry, with the same born")
-        await asyncio.sleep(EXITS_AFTER_S)
-        await desk.stop()
-        record.line("i-desk exits")
+        last.process.send_signal(signal.SIGTERM)
+        record.line(f"SIGTERM to {last.name}")
+        await asyncio.sleep(LEAVES_AFTER_S)
+        successor = fleet.coordinator()
+        assert successor is not None
+        await store.remove("servers", leaving.instance)
+        acknowledged, at = time.monotonic(), record.now()
+        record.line(
+            f"{successor.name} coordinates; the store has accepted the removal of "
+            f"{leaving.instance}, which serves on"
+        )
+        await asyncio.sleep(DRAIN_S + LITTLE_LONGER_S)
+        await leaving.stop()
+        record.line(f"{leaving.instance} exits")
+        await asyncio.sleep(1.5)
         for task in sending:
             task.cancel()
         await asyncio.gather(*(each.finish() for each in callers))
-        return any([judge(record, each, desk) for each in callers])
+        for desk in desks.values():
+            record.line(f"{desk.instance} has run {' '.join(desk.runs)}")
+        late = 0
+        for req, when in zip(leaving.received, leaving.received_at, strict=True):
+            if when - acknowledged > DRAIN_S:
+                late += 1
+                name = req.header("eelgrassferry-request-id")
+                delay = when - acknowledged
+                record.line(f"{name} reached {leaving.instance} {delay:.3f} s after the removal")
+        failed = [name for each in callers for name in each.failed]
+        record.line(f"removed at {at:.3f}; {late} requests came too late; failed: {failed}")
+        return late > 0
     finally:
         await fleet.stop()
-        await desk.stop()
+        for desk in desks.values():
+            await desk.stop()
         await store.stop()
 
 
-def judge(record: Record, callers: Callers, desk: StandinServer) -> bool:
-    """Return whether a request reached the leaving server that was sent too late."""
-    late = []
-    for req in desk.received:
-        name = req.header("eelgrassferry-request-id") or ""
-        after_s = callers.sent_at.get(name, 0.0) - callers.told_at
-        if after_s > DRAIN_S:
-            late.append(name)
-            ran = "ran" if name in desk.runs else "did not run"
-            record.line(
-                f"{name} was sent {after_s:.2f} s after {callers.node.name} had passed on "
-                f"Server-Leaving, reached i-desk and {ran}; answer {callers.statuses[name]}"
-            )
-    lost = [name for name in late if callers.statuses[name] != 200]
-    record.line(f"{callers.node.name}: {len(late)} sent too late, {len(lost)} of them lost")
-    return bool(late)
-
-
 if __name__ == "__main__":
     main(run, "DRAIN", Path(__file__).parent)
--- a/review/support_2/fleet.py
+++ b/review/support_2/fleet.py
@@ -180,17 +180,17 @@
         self.path = Path(self._folder.name)
         self.nodes: list[Node] = []
 
-    async def start(self, stores: list[str]) -> None:
+    async def start(self, stores: list[str], names: list[str] | None = None) -> None:
         """Start a node for each address of the store, in a zone each, and wait until all are
         ready.
         """
         count = len(stores)
+        names = names or [f"front-{number + 1}" for number in range(count)]
         pid = os.getpid()
         ips = [f"127.{1 + pid // 250 % 250}.{1 + pid % 250}.{10 + i}" for i in range(count)]
-        for number, ip in enumerate(ips):
-            name, zone = f"front-{number + 1}", f"zone-{'abcd'[number % 4]}"
+        for name, zone, ip in zip(names, "abcd", ips, strict=False):
             paths = (self.path / f"{name}.conf", self.path / f"{name}.log")
-            self.nodes.append(Node(name, zone, ip, *paths))
+            self.nodes.append(Node(name, f"zone-{zone}", ip, *paths))
         seeds = ",".join(f"{node.ip}:{node.control}" for node in self.nodes[:3])
         for node, store in zip(self.nodes, stores, strict=True):
             values = {
