Report delays of the event loop with their cause

A process that stands still could be told from a slow one by nobody: no metric and no log line said that the event loop was held, nor by what.

The tick of 20 ms now records by how much it is late (histogram loop_delay_seconds). Above 0.2 s it logs 'event loop delayed', at most once in 5 s, with the time that received bytes took by kind of connection and the peer of the longest such work.

--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -20,6 +20,7 @@
     VerdictStore,
 )
 from ..dispatch import Dispatcher, FleetResidency, TurnReply, UpstreamLoad
+from ..eventloop import current_meter
 from ..fleet import (
     DirectoryChange,
     EntrySettings,
@@ -44,6 +45,7 @@
 from .boot_clock import boot_clock
 from .config_freshness import ConfigFreshness
 from .door_report import DoorReport
+from .loop_report import LoopReport
 from .platform_protocol import PlatformProtocol
 from .registry_view import RegistryView
 from .request_handler import RequestHandler
@@ -99,6 +101,7 @@
         )
         self._pool = UpstreamPool(protocol.decode_answer, boot_clock)
         self._door = DoorReport(self._metrics, boot_clock)
+        self._loop_report = LoopReport(self._metrics, current_meter(), boot_clock)
         caller_bytes, peer_bytes = split_memory(settings.memory_mb)
         caller_conns, peer_conns, service_conns = split_connections(settings.max_fds)
         budget = DoorBudget(DoorLimits(caller_bytes, caller_conns))
@@ -291,9 +294,12 @@
         self._handler.perform(self._dispatcher.stop(boot_clock()))
 
     async def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
         last_idle_check = 0.0
         while True:
+            due_at = loop.time() + TICK_INTERVAL_S
             await asyncio.sleep(TICK_INTERVAL_S)
+            self._loop_report.record(loop.time() - due_at)
             for step in (
                 self._registry.expire,
                 self._exchange_crash_evidence,
--- /dev/null
+++ b/eelgrassferry/entry/loop_report.py
@@ -0,0 +1,59 @@
+"""Metric and log lines about delays of the event loop."""
+
+from collections.abc import Callable
+
+import structlog
+
+from ..eventloop import WorkMeter
+from ..logs import to_whole_ms
+from ..metrics import Metrics
+
+__all__ = ["LoopReport"]
+
+log = structlog.get_logger()
+
+# Delay of a timer above which it is logged, in seconds: a caller notices half of it.
+LOGGED_DELAY_S = 0.2
+# Time between two log lines, in seconds.
+LOG_INTERVAL_S = 5.0
+
+
+class LoopReport:
+    """Records by how much a periodic timer is late, and what the event loop did meanwhile.
+
+    A delay above ``LOGGED_DELAY_S`` is logged with the time that received bytes took by kind of
+    connection, and with the peer of the longest such work.
+    """
+
+    def __init__(self, metrics: Metrics, meter: WorkMeter, clock: Callable[[], float]) -> None:
+        self._metrics = metrics
+        self._meter = meter
+        self._clock = clock
+        self._logged_at = float("-inf")
+        self._unlogged = 0
+
+    def record(self, delay_s: float) -> None:
+        """Record that the timer was late by ``delay_s`` seconds."""
+        self._metrics.observe("loop_delay_seconds", max(0.0, delay_s))
+        if delay_s > LOGGED_DELAY_S:
+            self._log(delay_s)
+        self._meter.reset()
+
+    def _log(self, delay_s: float) -> None:
+        self._unlogged += 1
+        now = self._clock()
+        if now - self._logged_at < LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        meter = self._meter
+        log.warning(
+            "event loop delayed",
+            step="tick",
+            delay_ms=to_whole_ms(delay_s),
+            count=self._unlogged,
+            received_ms={kind: to_whole_ms(spent) for kind, spent in meter.spent_s.items()},
+            longest_ms=to_whole_ms(meter.longest_s),
+            longest_kind=meter.longest_kind,
+            peer=meter.longest_peer,
+        )
+        self._unlogged = 0
--- a/eelgrassferry/forwarding/caller_conn.py
+++ b/eelgrassferry/forwarding/caller_conn.py
@@ -7,6 +7,7 @@
 import h11
 
 from ..admission import Holding, HoldingState
+from ..eventloop import current_meter
 from ..http import named_body_length, set_liveness_options
 from .caller_request import CallerRequest
 from .facts import RawHeaders
@@ -238,7 +239,8 @@
         if self._processing or self._continuation is not None:
             return
         try:
-            self._process_events()
+            with current_meter().measure("caller", self.peer):
+                self._process_events()
         except h11.RemoteProtocolError as exc:
             self._reject(exc.error_status_hint, _describe(exc))
         self._pace_reading()
--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from ..eventloop import current_meter
 from ..http import set_liveness_options
 from .facts import AnswerHead, RawHeaders
 
@@ -79,6 +80,12 @@
         """Whether a request can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def peer(self) -> str:
+        """The upstream's address as ``host:port``."""
+        host, port = (self._transport and self._transport.get_extra_info("peername")) or ("", 0)
+        return f"{host}:{port}"
+
     def has_carried(self, request_id: str) -> bool:
         """Return whether an earlier attempt of a request was sent on this connection."""
         return request_id in self._request_ids
@@ -135,8 +142,9 @@
             self.abort()
             return
         try:
-            self._h11.receive_data(data)
-            self._process_events()
+            with current_meter().measure("upstream", self.peer):
+                self._h11.receive_data(data)
+                self._process_events()
         except h11.RemoteProtocolError as exc:
             self._fail(f"invalid HTTP answer: {exc}")
 
