--- a/eelgrassferry/coordination/peer_link.py
+++ b/eelgrassferry/coordination/peer_link.py
@@ -7,6 +7,7 @@
 import structlog
 from result import Err
 
+from ..eventloop import Work
 from ..http import set_liveness_options
 from ..peers.frame import Frame, FrameDecoder, encode_frame
 
@@ -54,6 +55,16 @@
         )
         self._decompressor = zlib.decompressobj(-WINDOW_BITS)
         self._transport: asyncio.Transport | None = None
+        # Received bytes that are not decompressed, and whether further output of them may follow.
+        self._compressed = b""
+        self._may_have_output = False
+        self._work = Work(
+            "peer",
+            self._decode_frames,
+            lambda: self.peer,
+            self._on_decoded,
+            lambda _exc: self.close(),
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options and call ``on_open``."""
@@ -65,33 +76,52 @@
 
     def data_received(self, data: bytes) -> None:
         """Decompress and decode received bytes; close the link if they are malformed."""
-        while self.is_open:
-            try:
-                part = self._decompressor.decompress(data, DECOMPRESS_BYTES)
-            except zlib.error as exc:
-                log.warning("link closed", step="expand_frames", peer=self.peer, detail=str(exc))
-                self.close()
-                return
-            self._decoder.feed(part)
-            self._decode_frames()
-            if self._on_received is not None:
-                self._on_received(self)
-            data = self._decompressor.unconsumed_tail
-            # After a part of full size, output may be pending although all input was consumed.
-            if not data and len(part) < DECOMPRESS_BYTES:
-                return
-
-    def _decode_frames(self) -> None:
-        while True:
+        self._compressed += data
+        self._may_have_output = True
+        self._work.submit()
+        if self._work.is_pending and self.is_open:
+            assert self._transport is not None
+            self._transport.pause_reading()
+
+    def _on_decoded(self) -> None:
+        if self.is_open:
+            assert self._transport is not None
+            self._transport.resume_reading()
+
+    def _decode_frames(self, limit: int) -> bool:
+        """Decode up to ``limit`` frames or parts of data and return whether there are more."""
+        for _ in range(limit):
+            if not self.is_open:
+                return False
             decoded = self._decoder.next()
             if isinstance(decoded, Err):
                 detail = repr(decoded.err_value)
                 log.warning("link closed", step="read_frame", peer=self.peer, detail=detail)
                 self.close()
-                return
-            if decoded.ok_value is None:
-                return
-            self._on_frame(self, decoded.ok_value)
+                return False
+            if decoded.ok_value is not None:
+                self._on_frame(self, decoded.ok_value)
+            elif not self._decompress_part():
+                return False
+        return self.is_open
+
+    def _decompress_part(self) -> bool:
+        """Decompress the next part of the received bytes; return False if there is none."""
+        if self._on_received is not None:
+            self._on_received(self)
+        if not self._may_have_output or not self.is_open:
+            return False
+        try:
+            part = self._decompressor.decompress(self._compressed, DECOMPRESS_BYTES)
+        except zlib.error as exc:
+            log.warning("link closed", step="expand_frames", peer=self.peer, detail=str(exc))
+            self.close()
+            return False
+        self._compressed = self._decompressor.unconsumed_tail
+        # After a part of full size, output may be pending although all input was consumed.
+        self._may_have_output = bool(self._compressed) or len(part) == DECOMPRESS_BYTES
+        self._decoder.feed(part)
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Call ``on_closed``."""
--- a/eelgrassferry/coordination/tests/test_peer_link.py
+++ b/eelgrassferry/coordination/tests/test_peer_link.py
@@ -4,6 +4,8 @@
 import unittest
 import unittest.mock
 
+from ...eventloop.work import EVENTS_PER_STEP
+from ...forwarding.tests.fake_transport import FakeTransport
 from ...peers.frame import Frame, encode_frame
 from ..peer_link import PeerLink
 
@@ -70,3 +72,23 @@
         for _ in range(2):
             self.link.send_bytes(frame)
         self.assertLess(len(written[1]), len(frame) / 5)
+
+    async def test_many_frames_are_handled_in_steps(self):
+        """Guards against a node that stands still while it handles all frames of a peer, or more
+        than all that a few bytes expand to.
+        """
+        received = []
+        link = PeerLink(lambda _link, frame: received.append(frame.body), lambda _link: None)
+        transport = FakeTransport()
+        link._transport = transport
+        sender = PeerLink(lambda *_: None, lambda _link: None)
+        sender._transport = FakeTransport()
+        sender.send_bytes(b"".join(encode_frame(Frame("x", number)) for number in range(5000)))
+        link.data_received(sender._transport.written)
+        self.assertLessEqual(len(received), EVENTS_PER_STEP)
+        self.assertTrue(transport.is_paused)
+        while len(received) < 5000:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertEqual(received, list(range(5000)))
+        self.assertFalse(transport.is_paused)
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -20,7 +20,7 @@
     VerdictStore,
 )
 from ..dispatch import Dispatcher, FleetResidency, TurnReply, UpstreamLoad
-from ..eventloop import current_meter
+from ..eventloop import current_work_queue
 from ..fleet import (
     DirectoryChange,
     EntrySettings,
@@ -101,7 +101,7 @@
         )
         self._pool = UpstreamPool(protocol.decode_answer, boot_clock)
         self._door = DoorReport(self._metrics, boot_clock)
-        self._loop_report = LoopReport(self._metrics, current_meter(), boot_clock)
+        self._loop_report = LoopReport(self._metrics, current_work_queue(), boot_clock)
         caller_bytes, peer_bytes = split_memory(settings.memory_mb)
         caller_conns, peer_conns, service_conns = split_connections(settings.max_fds)
         budget = DoorBudget(DoorLimits(caller_bytes, caller_conns))
--- a/eelgrassferry/entry/loop_report.py
+++ b/eelgrassferry/entry/loop_report.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from ..eventloop import WorkMeter
+from ..eventloop import WorkQueue
 from ..logs import to_whole_ms
 from ..metrics import Metrics
 
@@ -25,9 +25,9 @@
     connection, and with the peer of the longest such work.
     """
 
-    def __init__(self, metrics: Metrics, meter: WorkMeter, clock: Callable[[], float]) -> None:
+    def __init__(self, metrics: Metrics, work: WorkQueue, clock: Callable[[], float]) -> None:
         self._metrics = metrics
-        self._meter = meter
+        self._work = work
         self._clock = clock
         self._logged_at = float("-inf")
         self._unlogged = 0
@@ -37,7 +37,10 @@
         self._metrics.observe("loop_delay_seconds", max(0.0, delay_s))
         if delay_s > LOGGED_DELAY_S:
             self._log(delay_s)
-        self._meter.reset()
+        self._work.meter.reset()
+        for kind, count in self._work.deferred.items():
+            self._metrics.count(f"work_deferred.{kind}", count)
+        self._work.deferred.clear()
 
     def _log(self, delay_s: float) -> None:
         self._unlogged += 1
@@ -45,7 +48,7 @@
         if now - self._logged_at < LOG_INTERVAL_S:
             return
         self._logged_at = now
-        meter = self._meter
+        meter = self._work.meter
         log.warning(
             "event loop delayed",
             step="tick",
@@ -53,7 +56,8 @@
             count=self._unlogged,
             received_ms={kind: to_whole_ms(spent) for kind, spent in meter.spent_s.items()},
             longest_ms=to_whole_ms(meter.longest_s),
-            longest_kind=meter.longest_kind,
-            peer=meter.longest_peer,
+            longest_kind=meter.longest.kind if meter.longest else "",
+            peer=meter.longest.peer() if meter.longest else "",
+            waiting=len(self._work),
         )
         self._unlogged = 0
--- a/eelgrassferry/entry/tests/test_loop_report.py
+++ b/eelgrassferry/entry/tests/test_loop_report.py
@@ -4,7 +4,7 @@
 
 from structlog.testing import capture_logs
 
-from ...eventloop import WorkMeter
+from ...eventloop import Work, WorkQueue
 from ...metrics import Metrics
 from ..loop_report import LOG_INTERVAL_S, LoopReport
 
@@ -14,8 +14,11 @@
 
     def setUp(self):
         self.now = 0.0
-        self.metrics, self.meter = Metrics(), WorkMeter()
-        self.report = LoopReport(self.metrics, self.meter, lambda: self.now)
+        self.metrics, self.queue = Metrics(), WorkQueue()
+        self.report = LoopReport(self.metrics, self.queue, lambda: self.now)
+
+    def add_work(self, kind: str, peer: str, duration_s: float) -> None:
+        self.queue.meter.add(Work(kind, lambda _limit: False, lambda: peer), duration_s)
 
     def record(self, *delays: float) -> list:
         """Record delays and return the log lines about them."""
@@ -26,15 +29,15 @@
 
     def test_delay_is_logged_with_its_cause(self):
         """Guards against a node that stands still without a trace of the peer that caused it."""
-        self.meter.add("caller", "10.0.0.1:5", 0.1)
-        self.meter.add("upstream", "10.0.0.2:80", 0.7)
+        self.add_work("caller", "10.0.0.1:5", 0.1)
+        self.add_work("upstream", "10.0.0.2:80", 0.7)
         (line,) = self.record(0.8)
         self.assertEqual((line["delay_ms"], line["peer"]), (800, "10.0.0.2:80"))
         self.assertEqual(line["received_ms"], {"caller": 100, "upstream": 700})
 
     def test_work_before_a_timer_in_time_is_not_blamed(self):
         """Guards against blaming the peer of work that did not delay anything."""
-        self.meter.add("upstream", "10.0.0.2:80", 0.7)
+        self.add_work("upstream", "10.0.0.2:80", 0.7)
         self.assertEqual(self.record(0.0), [])
         (line,) = self.record(0.8)
         self.assertEqual((line["received_ms"], line["peer"]), ({}, ""))
--- a/eelgrassferry/eventloop/__init__.py
+++ b/eelgrassferry/eventloop/__init__.py
@@ -1,5 +1,7 @@
 """How the connections of a process share its event loop."""
 
-from .work_meter import WorkMeter, current_meter
+from .work import Work
+from .work_meter import WorkMeter
+from .work_queue import WorkQueue, current_work_queue
 
-__all__ = ["WorkMeter", "current_meter"]
+__all__ = ["Work", "WorkMeter", "WorkQueue", "current_work_queue"]
--- /dev/null
+++ b/eelgrassferry/eventloop/work_queue.py
@@ -0,0 +1,75 @@
+"""Turns of the connections that have received more than they may process at once."""
+
+import asyncio
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Protocol
+from weakref import WeakKeyDictionary
+
+from .work_meter import WorkMeter
+
+__all__ = ["WorkQueue", "current_work_queue"]
+
+# Time in seconds for which queued work is done before other events of the loop get their turn.
+SLICE_S = 0.005
+
+
+class PendingWork(Protocol):
+    """Queued work of one connection."""
+
+    kind: str
+
+    def go_on(self) -> bool:
+        """Do one step and return whether there are more."""
+
+
+class WorkQueue:
+    """Queue of work that is done in turns of a few milliseconds, one step of each connection.
+
+    All connections of a process share one queue, so what they may do in one iteration of the event
+    loop does not depend on their number. ``deferred`` counts how often work was queued, by kind.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
+        self.meter = WorkMeter()
+        self.deferred: Counter[str] = Counter()
+        self._queue: deque[PendingWork] = deque()
+        self._is_scheduled = False
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def add(self, work: PendingWork) -> None:
+        """Queue the next steps of a connection's work."""
+        self.deferred[work.kind] += 1
+        self._queue.append(work)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._queue and not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._run)
+
+    def _run(self) -> None:
+        self._is_scheduled = False
+        ends_at = self.clock() + SLICE_S
+        while self._queue:
+            work = self._queue.popleft()
+            if work.go_on():
+                self._queue.append(work)
+            if self.clock() >= ends_at:
+                break
+        self._schedule()
+
+
+_QUEUES: WeakKeyDictionary[asyncio.AbstractEventLoop, WorkQueue] = WeakKeyDictionary()
+
+
+def current_work_queue() -> WorkQueue:
+    """Return the queue of the running event loop, or a new one if none is running."""
+    try:
+        return _QUEUES.setdefault(asyncio.get_running_loop(), WorkQueue())
+    except RuntimeError:
+        return WorkQueue()
--- a/eelgrassferry/forwarding/caller_conn.py
+++ b/eelgrassferry/forwarding/caller_conn.py
@@ -7,7 +7,7 @@
 import h11
 
 from ..admission import Holding, HoldingState
-from ..eventloop import current_meter
+from ..eventloop import Work
 from ..http import named_body_length, set_liveness_options
 from .caller_request import CallerRequest
 from .facts import RawHeaders
@@ -24,9 +24,6 @@
 # Bytes sent ahead of the request in progress above which reading from the caller pauses. Callers
 # that wait for each answer send none.
 MAX_AHEAD_BYTES = 16 * 1024
-# Parser events that are processed before other connections get their turn. Without it, one read of
-# 256 KiB with chunks of one byte blocks the process for about half a second.
-MAX_EVENTS_PER_TURN = 256
 # Memory of a header field beside its bytes, in bytes.
 FIELD_BYTES = 200
 # A body below this size is kept also if the request has no route, so that most requests need no
@@ -63,7 +60,9 @@
         self._body = bytearray()
         self._listener: CallerListener | None = None
         self._processing = False
-        self._continuation: asyncio.Handle | None = None
+        self._work = Work(
+            "caller", self._parse_some, lambda: self.peer, self._on_parsed, self._on_parse_error
+        )
         self._is_write_paused = False
         self._is_reading_paused = False
         self._is_cycle_due = False
@@ -116,8 +115,7 @@
         self._holding.owner = None
         self._head = None
         self._body = bytearray()
-        if self._continuation is not None:
-            self._continuation.cancel()
+        self._work.cancel()
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.on_caller_gone()
@@ -236,39 +234,41 @@
 
     def _parse(self) -> None:
         """Process received bytes, and reject those that are not an acceptable request."""
-        if self._processing or self._continuation is not None:
-            return
-        try:
-            with current_meter().measure("caller", self.peer):
-                self._process_events()
-        except h11.RemoteProtocolError as exc:
-            self._reject(exc.error_status_hint, _describe(exc))
-        self._pace_reading()
+        if not self._processing:
+            self._work.submit()
+            self._pace_reading()
 
-    def _process_events(self) -> None:
+    def _parse_some(self, limit: int) -> bool:
+        """Process up to ``limit`` parser events and return whether there are more."""
+        if not self.is_open:
+            return False
         self._processing = True
         try:
-            for _ in range(MAX_EVENTS_PER_TURN):
+            for _ in range(limit):
                 if self.answering or self._is_cycle_due:
-                    break
+                    return False
                 if not self._handle_event(self._h11.next_event()):
-                    break
-            else:
-                loop = asyncio.get_running_loop()
-                self._continuation = loop.call_soon(self._continue_parsing)
+                    return False
+            return self.is_open
+        except h11.RemoteProtocolError as exc:
+            self._reject(exc.error_status_hint, _describe(exc))
+            return False
         finally:
             self._processing = False
             self._unparsed_bytes = len(self._h11.trailing_data[0])
 
-    def _continue_parsing(self) -> None:
-        self._continuation = None
+    def _on_parsed(self) -> None:
+        """Go on reading after received bytes have been processed in several steps."""
         if self.is_open:
-            self._parse()
+            self._pace_reading()
             self._update_holding(self._server.clock())
 
+    def _on_parse_error(self, _exc: Exception) -> None:
+        self.abort()
+
     def _pace_reading(self) -> None:
         """Pause reading while earlier requests are in progress, and resume it afterwards."""
-        is_busy = self.answering or self._is_cycle_due or self._continuation is not None
+        is_busy = self.answering or self._is_cycle_due or self._work.is_pending
         has_part = self._unparsed_bytes or self._head is not None
         if not is_busy and has_part and self.head_since is None:
             self.head_since = self._server.clock()
--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from ..eventloop import current_meter
+from ..eventloop import Work
 from ..http import set_liveness_options
 from .facts import AnswerHead, RawHeaders
 
@@ -20,6 +20,8 @@
 MAX_INFORMATIONAL_RESPONSES = 20
 # A connection is closed after this many requests, which bounds the ids that it remembers.
 MAX_REQUESTS = 1000
+# Parser events that the end of file may cause: the end of the answer, or of one that is skipped.
+MAX_EVENTS_AT_END = 8
 
 
 class AnswerListener(Protocol):
@@ -67,7 +69,11 @@
         self._skipped_bytes = 0
         self._informational_responses = 0
         self._request_ids: set[str] = set()
-        self._has_head = False
+        self._is_held = False
+        self._lost_detail = ""
+        self._work = Work(
+            "upstream", self._parse, lambda: self.peer, self._on_parsed, self._on_parse_error
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options."""
@@ -102,7 +108,6 @@
         self._request_ids.add(request_id)
         self._listener = listener
         self._request = request
-        self._has_head = False
         self._skipped_bytes = self._informational_responses = 0
         # A slow caller of the last answer may have paused the connection just before its end.
         self.resume_reading()
@@ -114,12 +119,21 @@
 
     def pause_reading(self) -> None:
         """Pause reading, so that the answer does not outrun a slow caller."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        self._is_held = True
+        self._pace_reading()
 
     def resume_reading(self) -> None:
         """Resume reading."""
-        if self._transport is not None and not self._transport.is_closing():
+        self._is_held = False
+        self._pace_reading()
+
+    def _pace_reading(self) -> None:
+        """Pause reading while the caller is slow or received bytes have to be parsed."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._is_held or self._work.is_pending:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     def abort(self) -> None:
@@ -128,6 +142,7 @@
         The upstream notices the closed connection and cancels the request.
         """
         self._listener = None
+        self._work.cancel()
         if self._transport is not None:
             self._transport.abort()
 
@@ -141,63 +156,94 @@
         if self._listener is None:
             self.abort()
             return
-        try:
-            with current_meter().measure("upstream", self.peer):
-                self._h11.receive_data(data)
-                self._process_events()
-        except h11.RemoteProtocolError as exc:
-            self._fail(f"invalid HTTP answer: {exc}")
+        self._h11.receive_data(data)
+        self._work.submit()
+        if self._work.is_pending:
+            self._pace_reading()
 
     def eof_received(self) -> bool:
         """Handle the upstream's end of file, which completes an answer without a length."""
+        # All bytes before it have been parsed, because the connection does not read meanwhile.
         if self._listener is not None:
-            try:
-                self._h11.receive_data(b"")
-                self._process_events()
-            except h11.RemoteProtocolError as exc:
-                self._fail(f"the answer is incomplete: {exc}")
+            self._h11.receive_data(b"")
+            self._parse(MAX_EVENTS_AT_END)
         if self._listener is not None:
             self._fail("the upstream closed the connection")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the request in progress."""
-        if self._listener is not None:
-            self._fail(f"connection lost: {exc or 'closed'}")
-
-    def _process_events(self) -> None:
-        while self._listener is not None:
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            match event:
-                case h11.Response():
-                    head = self._decode_head(event.status_code, event.headers.raw_items())
-                    if not head.request_id and len(self._request_ids) > 1:
-                        self._fail("an answer without a request id may be a late one")
-                        return
-                    self._close_after_answer = head.closes
-                    self.idle_limit_s = head.idle_limit_s
-                    self._has_head = True
-                    self._skipping_answer = not self._listener.on_head(head)
-                case h11.InformationalResponse():
-                    self._informational_responses += 1
-                    if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
-                        self._fail("too many informational responses")
-                case h11.Data() if self._skipping_answer:
-                    self._skipped_bytes += len(event.data)
-                    if self._skipped_bytes > MAX_SKIPPED_BYTES:
-                        self._fail("the answer to another request does not end")
-                case h11.Data():
-                    self._listener.on_body(bytes(event.data))
-                case h11.EndOfMessage() if self._skipping_answer:
-                    self._restart_parser()
-                case h11.EndOfMessage():
-                    self._finish()
-                    return
-                case h11.ConnectionClosed():
-                    self._fail("the upstream closed the connection")
-                    return
+        """Fail the request in progress, unless its answer has arrived completely."""
+        self._lost_detail = f"connection lost: {exc or 'closed'}"
+        if not self._work.is_pending:
+            self._on_parsed()
+
+    def _on_parsed(self) -> None:
+        """Go on reading, or fail the request in progress if the connection has been lost."""
+        self._pace_reading()
+        if self._lost_detail and self._listener is not None:
+            self._fail(self._lost_detail)
+
+    def _on_parse_error(self, exc: Exception) -> None:
+        self._fail(f"the answer was not processed: {type(exc).__name__}")
+
+    def _parse(self, limit: int) -> bool:
+        """Parse up to ``limit`` events and return whether there are more.
+
+        Parts of a body that arrive together are passed on together: chunks may be as small as one
+        byte.
+        """
+        parts: list[bytes] = []
+        try:
+            for _ in range(limit):
+                event = self._h11.next_event()
+                if isinstance(event, h11.Data) and not self._skipping_answer:
+                    parts.append(bytes(event.data))
+                    continue
+                self._pass_on(parts)
+                if self._listener is None or not self._handle_event(event):
+                    return False
+            self._pass_on(parts)
+            return self._listener is not None
+        except h11.RemoteProtocolError as exc:
+            self._pass_on(parts)
+            self._fail(f"invalid HTTP answer: {exc}")
+            return False
+
+    def _pass_on(self, parts: list[bytes]) -> None:
+        """Pass parts of the body to the listener."""
+        if parts and self._listener is not None:
+            self._listener.on_body(b"".join(parts))
+        parts.clear()
+
+    def _handle_event(self, event: object) -> bool:
+        """Handle an event other than a part of the body; return whether another may follow."""
+        assert self._listener is not None
+        match event:
+            case h11.Response():
+                head = self._decode_head(event.status_code, event.headers.raw_items())
+                if not head.request_id and len(self._request_ids) > 1:
+                    self._fail("an answer without a request id may be a late one")
+                    return False
+                self._close_after_answer = head.closes
+                self.idle_limit_s = head.idle_limit_s
+                self._skipping_answer = not self._listener.on_head(head)
+            case h11.InformationalResponse():
+                self._informational_responses += 1
+                if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+                    self._fail("too many informational responses")
+            case h11.Data():
+                self._skipped_bytes += len(event.data)
+                if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                    self._fail("the answer to another request does not end")
+            case h11.EndOfMessage() if self._skipping_answer:
+                self._restart_parser()
+            case h11.EndOfMessage():
+                self._finish()
+            case h11.ConnectionClosed():
+                self._fail("the upstream closed the connection")
+            case _:
+                return False
+        return self._listener is not None
 
     def _restart_parser(self) -> None:
         """Restart the parser after the skipped answer to an earlier request.
--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -7,6 +7,7 @@
 import h11
 from result import Err, Ok, Result
 
+from ..eventloop import Work
 from .address import split_address
 from .liveness import set_liveness_options
 from .message import Headers, HttpResponse, find_header
@@ -17,6 +18,8 @@
 READ_BYTES = 64 * 1024
 MAX_IDLE_PER_PEER = 16
 MAX_HEADER_BYTES = 64 * 1024
+# A peer that sends more informational responses before its response is broken.
+MAX_INFORMATIONAL_RESPONSES = 20
 
 
 @dataclass(frozen=True)
@@ -53,6 +56,8 @@
         self._is_done = False
         self._is_complete = False
         self._needs_data = False
+        self._parts: list[bytes] = []
+        self._work = Work("http", self._parse, lambda: peer)
         self.peer = peer
         self.status = status
         self.headers = headers
@@ -67,31 +72,40 @@
         # request.
         if self._is_done:
             return Ok(b"") if self._is_complete else self._fail("the stream was closed early")
-        parts: list[bytes] = []
         try:
             while True:
-                # After NEED_DATA, h11 has no further event until it receives more data.
-                event = h11.NEED_DATA if self._needs_data else self._conn.h11.next_event()
-                if event is h11.NEED_DATA:
-                    self._needs_data = True
-                    if parts:
-                        return Ok(b"".join(parts))
-                    data = await self._conn.reader.read(READ_BYTES)
-                    self._needs_data = False
-                    self._conn.h11.receive_data(data)
-                elif isinstance(event, h11.Data):
-                    parts.append(bytes(event.data))
-                elif isinstance(event, h11.EndOfMessage):
-                    self._is_done = self._is_complete = True
+                await self._work.run()
+                if self._is_done:
+                    return self._fail("the stream was closed early")
+                if self._is_complete:
+                    self._is_done = True
                     self._client._release(self.peer, self._conn)
-                    return Ok(b"".join(parts))
-                elif isinstance(event, h11.ConnectionClosed):
-                    return self._fail("the peer closed the connection")
-                elif event is h11.PAUSED:
-                    return Ok(b"".join(parts))
+                if self._parts or self._is_done or not self._needs_data:
+                    return Ok(self._pop_parts())
+                self._conn.h11.receive_data(await self._conn.reader.read(READ_BYTES))
+                self._needs_data = False
         except (OSError, h11.ProtocolError) as exc:
             return self._fail(str(exc) or type(exc).__name__)
 
+    def _parse(self, limit: int) -> bool:
+        """Parse up to ``limit`` events and return whether there are more."""
+        # After NEED_DATA, h11 has no further event until it receives more data.
+        for _ in range(0 if self._needs_data else limit):
+            event = self._conn.h11.next_event()
+            if isinstance(event, h11.Data):
+                self._parts.append(bytes(event.data))
+                continue
+            if isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("the peer closed the connection")
+            self._needs_data = event is h11.NEED_DATA
+            self._is_complete = isinstance(event, h11.EndOfMessage)
+            return False
+        return not self._needs_data
+
+    def _pop_parts(self) -> bytes:
+        parts, self._parts = self._parts, []
+        return b"".join(parts)
+
     async def read_all(self) -> Result[bytes, HttpError]:
         """Return the rest of the body."""
         body = bytearray()
@@ -230,7 +244,8 @@
         return Ok(HttpStream(self, peer, conn, status, received))
 
     async def _read_head(self, conn: _Conn) -> tuple[int, Headers]:
-        while True:
+        informational_responses = 0
+        while informational_responses <= MAX_INFORMATIONAL_RESPONSES:
             event = conn.h11.next_event()
             if event is h11.NEED_DATA:
                 conn.h11.receive_data(await conn.reader.read(READ_BYTES))
@@ -239,6 +254,9 @@
                 return event.status_code, pairs
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("the peer closed the connection")
+            elif isinstance(event, h11.InformationalResponse):
+                informational_responses += 1
+        raise h11.RemoteProtocolError("too many informational responses")
 
     async def _acquire(self, peer: str, new_connection: bool) -> Result[_Conn, HttpError]:
         idle = self._idle.get(peer, [])
--- a/eelgrassferry/http/server.py
+++ b/eelgrassferry/http/server.py
@@ -7,7 +7,8 @@
 import h11
 import structlog
 
-from .body_length import named_body_length
+from ..eventloop import Work
+from .incoming_request import IncomingRequest
 from .limits import HttpLimits
 from .listener import Listener
 from .message import HttpRequest
@@ -130,33 +131,20 @@
     async def _read_request(
         self, conn: h11.Connection, reader: asyncio.StreamReader, peer: str
     ) -> HttpRequest | None:
-        head: h11.Request | None = None
-        body = bytearray()
+        incoming = IncomingRequest(conn, peer, self._limits.max_body_bytes)
+        work = Work("http", incoming.parse, lambda: peer)
         loop = asyncio.get_running_loop()
         began = False
         deadline = loop.time() + self._limits.idle_timeout_s
         while True:
-            event = conn.next_event()
-            if event is h11.NEED_DATA:
-                async with asyncio.timeout_at(deadline):
-                    conn.receive_data(await reader.read(READ_BYTES))
-                if not began:
-                    began = True
-                    deadline = loop.time() + self._limits.request_timeout_s
-            elif isinstance(event, h11.Request):
-                head = event
-                if named_body_length(head) > self._limits.max_body_bytes:
-                    raise h11.RemoteProtocolError("body too large", error_status_hint=413)
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits.max_body_bytes:
-                    raise h11.RemoteProtocolError("body too large", error_status_hint=413)
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                headers = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers)
-                target = head.target.decode("latin-1")
-                return HttpRequest(head.method.decode(), target, headers, bytes(body), peer)
-            else:
-                return None
+            async with asyncio.timeout_at(deadline):
+                await work.run()
+                if not incoming.needs_data:
+                    return incoming.request
+                conn.receive_data(await reader.read(READ_BYTES))
+            if not began:
+                began = True
+                deadline = loop.time() + self._limits.request_timeout_s
 
     async def _refuse(
         self, conn: h11.Connection, writer: asyncio.StreamWriter, exc: h11.RemoteProtocolError
--- a/eelgrassferry/http/tests/test_client.py
+++ b/eelgrassferry/http/tests/test_client.py
@@ -3,8 +3,11 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
-from ..client import HttpClient
+from ...eventloop.work import EVENTS_PER_STEP
+from .. import HttpClient, HttpResponse, HttpServer, HttpStream, split_address
+from ..incoming_request import IncomingRequest
 
 
 class GivenUpRequestTest(unittest.IsolatedAsyncioTestCase):
@@ -51,3 +54,84 @@
             await self.loop.sock_recv(peer, 65_536)
             await self.loop.sock_sendall(peer, answer)
             self.assertEqual((await request).ok_value.body, b"ok")
+
+
+class TinyChunksTest(unittest.IsolatedAsyncioTestCase):
+    """Bodies in chunks of one byte, which are parsed in steps between which other work goes on."""
+
+    CHUNKS = 5000
+
+    async def asyncSetUp(self):
+        self.client = HttpClient()
+        self.addCleanup(self.client.close)
+
+    async def test_response(self):
+        """Guards against a coordinator that stands still while it reads an engine's report (review
+        case 6).
+        """
+        steps = []
+
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(head + b"1\r\nx\r\n" * self.CHUNKS + b"0\r\n\r\n")
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        parse = HttpStream._parse
+
+        def record_step(stream, limit):
+            steps.append(limit)
+            return parse(stream, limit)
+
+        with mock.patch.object(HttpStream, "_parse", record_step):
+            response = (await self.client.request(f"{host}:{port}", "GET", "/x")).ok_value
+        self.assertEqual(response.body, b"x" * self.CHUNKS)
+        self.assertLessEqual(max(steps), EVENTS_PER_STEP)
+        self.assertGreaterEqual(len(steps), self.CHUNKS / EVENTS_PER_STEP)
+
+    async def test_informational_responses_without_end(self):
+        """Guards against a peer that never sends its response and keeps the reader busy."""
+
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        failed = (await self.client.request(f"{host}:{port}", "GET", "/x")).err_value
+        self.assertIn("informational", failed.detail)
+
+    async def test_request(self):
+        """Guards against a process that stands still while it reads a request for its metrics or
+        of an operator.
+        """
+
+        async def handle(req, out):
+            await out.send(HttpResponse(200, (), req.body))
+
+        server = HttpServer(handle, host="127.0.0.1", port=0)
+        await server.start()
+        self.addAsyncCleanup(server.close, 0)
+        head = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        steps = []
+        parse = IncomingRequest.parse
+
+        def record_step(incoming, limit):
+            steps.append(limit)
+            return parse(incoming, limit)
+
+        with mock.patch.object(IncomingRequest, "parse", record_step):
+            reader, writer = await asyncio.open_connection(*split_address(server.address))
+            self.addCleanup(writer.close)
+            writer.write(head + b"1\r\nx\r\n" * self.CHUNKS + b"0\r\n\r\n")
+            answer = await reader.readuntil(b"x" * self.CHUNKS)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+        self.assertLessEqual(max(steps), EVENTS_PER_STEP)
+        self.assertGreaterEqual(len(steps), self.CHUNKS / EVENTS_PER_STEP)
--- /dev/null
+++ b/eelgrassferry/platform/tests/test_endless_answers.py
@@ -0,0 +1,102 @@
+"""End-to-end test of a node that reads answers without end in very small chunks."""
+
+import asyncio
+
+from ...http import HttpResponse
+from .node_fleet import NodeFleetCase
+from .soak.free_ports import own_loopback_ip
+
+HEAD = (
+    "HTTP/1.1 200 OK\r\nEelgrassferry-Request-Id: {id}\r\nEelgrassferry-Server-Seal: 3e1b.07\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+CHUNKS = b"1\r\nx\r\n" * 10_000
+# ``timeout_ms`` of the plain routes, and how much later a final answer may come, in seconds.
+TIMEOUT_S, LATE_S = 4.0, 0.5
+
+
+class EndlessServer:
+    """Server whose answers, also to questions for its report, have a body of chunks of one byte
+    without end.
+    """
+
+    def __init__(self):
+        self.address = ""
+        self.answers = 0
+        self._tasks = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._accept, own_loopback_ip(), 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self):
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(self, reader, writer):
+        task = asyncio.ensure_future(self._answer(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, reader, writer):
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+            request_id = head.partition("eelgrassferry-request-id: ")[2].partition("\r\n")[0]
+            self.answers += 1
+            writer.write(HEAD.replace("{id}", request_id).encode())
+            while True:
+                writer.write(CHUNKS)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+class EndlessAnswersTest(NodeFleetCase):
+    """A sound plain server, and engines in trouble whose answers never end."""
+
+    NODES = 1
+    ENGINES = 3
+    STREAMS = 12
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.add_server("desk", "i-desk")
+        await self.start_nodes()
+        for number in range(self.ENGINES):
+            server = EndlessServer()
+            await server.start()
+            self.addAsyncCleanup(server.stop)
+            entry = {
+                **self.store.spec("servers", "i-desk"),
+                "service": "chat",
+                "address": server.address,
+                "slots": 64,
+                "models": [{"name": "m0", "version": 1, "adapters": []}],
+            }
+            await self.store.write("servers", f"i-engine{number}", entry)
+
+    async def test_other_requests_are_answered_in_time(self):
+        """Guards against a violation of CONFIG: a process that stands still while it reads the
+        streams and reports of a few engines in trouble (review case 6).
+        """
+        loop = asyncio.get_running_loop()
+        (front,) = self.fronts
+        streams = [
+            asyncio.ensure_future(self.send(front, "/chat/x", "m0")) for _ in range(self.STREAMS)
+        ]
+        await asyncio.sleep(0.5)
+        begun_at = loop.time()
+        answers: list[HttpResponse] = []
+        for _ in range(20):
+            answers.append(await self.call(front, "/look/x"))
+        took_s = loop.time() - begun_at
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertLess(took_s, TIMEOUT_S + LATE_S)
+        for task in streams:
+            task.cancel()
+        await asyncio.gather(*streams, return_exceptions=True)
--- a/eelgrassferry/platform/tests/test_upstream_conn.py
+++ b/eelgrassferry/platform/tests/test_upstream_conn.py
@@ -1,9 +1,11 @@
 """Tests of upstream connections, fed with raw bytes."""
 
+import asyncio
 import unittest
 
 import h11
 
+from ...eventloop.work import EVENTS_PER_STEP
 from ...forwarding import UpstreamConn
 from ...forwarding.tests.fake_transport import FakeTransport
 from ...forwarding.upstream_conn import MAX_REQUESTS
@@ -25,6 +27,7 @@
         self.request_id = request_id
         self.heads = []
         self.body = b""
+        self.parts = 0
         self.ended = False
         self.broken = ""
 
@@ -34,6 +37,7 @@
 
     def on_body(self, data):
         self.body += data
+        self.parts += 1
 
     def on_end(self):
         self.ended = True
@@ -245,3 +249,59 @@
         for _ in range(50):
             self.conn.data_received(b"HTTP/1.1 103 Early Hints\r\n\r\n")
         self.assertIn("informational", self.listener.broken)
+
+
+class TinyChunksTest(unittest.IsolatedAsyncioTestCase):
+    """One read from an upstream contains very many small chunks."""
+
+    CHUNKS = 5000
+
+    async def asyncSetUp(self):
+        UpstreamConnCase.setUp(self)
+
+    def send_request(self):
+        UpstreamConnCase.send_request(self)
+
+    async def receive(self, end: bytes = b"") -> None:
+        """Receive the answer and wait until it has been parsed."""
+        head = STATUS_LINE + OWN_ID + b"Transfer-Encoding: chunked\r\n\r\n"
+        self.conn.data_received(head + b"1\r\nx\r\n" * self.CHUNKS + end)
+        self.read_at_once = len(self.listener.body)
+        self.assertTrue(self.transport.is_paused)
+        while self.conn._work.is_pending:
+            await asyncio.sleep(0)
+
+    async def test_other_connections_are_not_held_up(self):
+        """Guards against a process that parses all chunks of a read before anything else, and
+        passes each on alone (review case 6).
+        """
+        await self.receive(b"0\r\n\r\n")
+        self.assertLessEqual(self.read_at_once, EVENTS_PER_STEP)
+        self.assertLessEqual(self.listener.parts, self.CHUNKS // EVENTS_PER_STEP + 2)
+        self.assertEqual((self.listener.body, self.listener.ended), (b"x" * self.CHUNKS, True))
+        self.assertEqual(self.idle, [self.conn])
+        self.assertFalse(self.transport.is_paused)
+
+    async def test_end_while_chunks_wait_is_handled_after_them(self):
+        """Guards against losing the end of an answer whose connection is lost meanwhile, and
+        against taking a part of an answer for a whole one.
+        """
+        for end in (b"0\r\n\r\n", b""):
+            with self.subTest(end=end):
+                UpstreamConnCase.setUp(self)
+                asyncio.get_running_loop().call_soon(self.conn.connection_lost, ConnectionError())
+                await self.receive(end)
+                self.assertEqual(self.listener.body, b"x" * self.CHUNKS)
+                self.assertEqual(self.listener.ended, bool(end))
+                self.assertEqual("lost" in self.listener.broken, not end)
+
+    async def test_caller_that_leaves_ends_the_work(self):
+        """Guards against work on an answer that nobody waits for."""
+        self.conn.data_received(
+            STATUS_LINE + OWN_ID + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 5000
+        )
+        self.conn.abort()
+        received = len(self.listener.body)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertEqual((len(self.listener.body), self.listener.broken), (received, ""))
