--- a/eelgrassferry/dispatch/tests/test_upstream_notices.py
+++ b/eelgrassferry/dispatch/tests/test_upstream_notices.py
@@ -13,6 +13,8 @@
 
     def setUp(self):
         self.notices = UpstreamNotices()
+        self.leaving = []
+        self.notices.on_leaving = self.leaving.append
 
     def test_process_that_leaves_does_not_cease_to(self):
         """Guards against requests to a leaving upstream because of an answer that was written
@@ -20,13 +22,14 @@
         """
         self.notices.record("u1/5", LEAVING, 2.0)
         self.notices.record("u1/5", NO_NOTICE, 2.1)
-        self.assertEqual(self.notices.leaving, ["u1/5"])
+        self.assertEqual(self.leaving, ["u1/5"])
+        self.assertTrue(self.notices.all()[0].leaving)
 
     def test_next_process_is_not_leaving(self):
         """Guards against an upstream that gets no requests after its restart."""
         self.notices.record("u1/5", LEAVING, 2.0)
         self.notices.record("u1/9", NO_NOTICE, 7.0)
-        self.assertEqual(self.notices.leaving, ["u1/5"])
+        self.assertEqual(self.leaving, ["u1/5"])
 
     def test_notice_is_kept_while_a_registration_lapses(self):
         """Guards against requests to a leaving upstream whose registration has lapsed in an outage
@@ -34,7 +37,7 @@
         """
         self.notices.record("u1/5", LEAVING, 2.0)
         self.notices.expire(set(), 30.0)
-        self.assertEqual(self.notices.leaving, ["u1/5"])
+        self.assertTrue(self.notices.all()[0].leaving)
 
     def test_notices_of_ended_processes_are_removed(self):
         """Guards against memory and complete views that grow with each restart of an upstream."""
@@ -50,6 +53,8 @@
 
     def setUp(self):
         self.leader, self.node, self.other = (UpstreamNotices() for _ in range(3))
+        self.told = []
+        self.other.on_leaving = self.told.append
 
     def send_status(self, node):
         """Send a node's updates to the coordinator, and its view to all others."""
@@ -64,7 +69,7 @@
         """
         self.node.record("u1/5", LEAVING, 2.0)
         self.send_status(self.node)
-        self.assertEqual(self.other.leaving, ["u1/5"])
+        self.assertEqual(self.told, ["u1/5"])
         self.node.record("u1/5", LEAVING, 2.5)
         self.assertFalse(any(n.has_updates for n in (self.leader, self.node, self.other)))
 
--- a/eelgrassferry/dispatch/upstream_notices.py
+++ b/eelgrassferry/dispatch/upstream_notices.py
@@ -1,6 +1,6 @@
 """What the upstreams say of themselves in their answers, as known to all nodes."""
 
-from collections.abc import Container, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, replace
 
 from ..fleet import UpstreamNotice
@@ -48,22 +48,25 @@
     what they know. A notice that changes nothing is not sent. The pauses that upstreams ask for
     concern one node each and are not exchanged.
 
+    ``on_leaving`` is called with the id of each process that newly says that it leaves, in the same
+    step in which this is learned. Whether a process leaves is kept by the directory, not here.
+
     >>> notices = UpstreamNotices()
+    >>> notices.on_leaving = print
     >>> notices.record("u1/5", UpstreamNotice(leaving=True), now=2.0)
-    >>> notices.leaving
-    ['u1/5']
+    u1/5
     >>> notices.record("u2/7", UpstreamNotice(pause_s=1.5), now=2.0)
     >>> notices.paused_until("u2/7")
     3.5
     """
 
     def __init__(self) -> None:
+        self.on_leaving: Callable[[str], None] = lambda _process_id: None
         self._known: dict[str, ProcessNotice] = {}
         self._updates: dict[str, ProcessNotice] = {}
         self._changed: dict[str, ProcessNotice] = {}
         self._paused_until: dict[str, float] = {}
-        # Sets of their own, because they are looked up at each tick and for each waiting request.
-        self._leaving: set[str] = set()
+        # A set of its own, because it is looked up for each waiting request.
         self._limited: set[str] = set()
 
     def record(self, process_id: str, notice: UpstreamNotice, now: float) -> None:
@@ -82,11 +85,6 @@
                 # The sender lacks what this node knows.
                 self._updates[notice.process_id] = merged
 
-    @property
-    def leaving(self) -> list[str]:
-        """The ids of the processes that leave."""
-        return sorted(self._leaving)
-
     @property
     def has_restrictions(self) -> bool:
         """Whether any process limits its rate or has asked for a pause."""
@@ -145,7 +143,6 @@
         for process_id in ended:
             for entries in (self._known, self._updates, self._changed):
                 entries.pop(process_id, None)
-            self._leaving.discard(process_id)
             self._limited.discard(process_id)
         self._paused_until = {key: at for key, at in self._paused_until.items() if at > now}
 
@@ -154,8 +151,8 @@
         known = self._known.get(notice.process_id, ProcessNotice(notice.process_id, float("-inf")))
         merged = known.merged(notice)
         self._known[notice.process_id] = merged
-        if merged.leaving:
-            self._leaving.add(notice.process_id)
+        if merged.leaving and not known.leaving:
+            self.on_leaving(notice.process_id)
         if merged.limit_per_s is None:
             self._limited.discard(notice.process_id)
         else:
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -99,6 +99,8 @@
         self._dispatcher = Dispatcher(
             settings.domain, self._directory, self._residency, settings.bounds, random.Random()
         )
+        self._leaving_changes: list[DirectoryChange] = []
+        self._dispatcher.notices.on_leaving = self._mark_leaving
         self._pool = UpstreamPool(protocol.decode_answer, boot_clock)
         self._door = DoorReport(self._metrics, boot_clock)
         self._loop_report = LoopReport(self._metrics, current_work_queue(), boot_clock)
@@ -433,7 +435,7 @@
             )
 
     def _apply_notices(self) -> None:
-        """Share and log new notices of upstreams, and send no more requests to those that leave."""
+        """Share and log new notices of upstreams, and apply that some of them leave."""
         notices = self._dispatcher.notices
         if notices.has_updates:
             self._mesh.send_status_soon()
@@ -445,14 +447,17 @@
                 leaving=notice.leaving,
                 limit_per_s=notice.limit_per_s,
             )
-        changes = [
-            change
-            for process_id in notices.leaving
-            for change in self._directory.mark_leaving(process_id)
-        ]
+        changes, self._leaving_changes = self._leaving_changes, []
         if changes:
             self._apply_directory_changes(changes)
 
+    def _mark_leaving(self, process_id: str) -> None:
+        """Send no more requests to a process that leaves.
+
+        Others learn of it with the next tick, because an answer is being processed now.
+        """
+        self._leaving_changes += self._directory.mark_leaving(process_id)
+
     def _request_turns(self) -> None:
         """Ask for the turns that waiting requests want at upstreams which limit their rate."""
         turns = self._dispatcher.turns
--- a/eelgrassferry/fleet/tests/test_upstream_directory.py
+++ b/eelgrassferry/fleet/tests/test_upstream_directory.py
@@ -5,6 +5,7 @@
 
 from ...routing import UpstreamState
 from .. import UpstreamDirectory, UpstreamEntry
+from ..upstream_directory import MAX_LEAVING
 
 ENTRY = UpstreamEntry("u1", "s", "10.0.0.1:80", "a", 6, UpstreamState.LIVE, started_ms=5)
 LEAVING = replace(ENTRY, state=UpstreamState.LEAVING)
@@ -104,3 +105,42 @@
         self.directory.update("u1", restarted)
         self.assertEqual(self.directory.mark_leaving(ENTRY.process_id), [])
         self.assertEqual(self.directory.mark_leaving("unknown/1"), [])
+
+    def test_registration_that_lapses_and_returns_is_leaving(self):
+        """Guards against requests to a leaving upstream whose registration was lost for a moment
+        (review case 8).
+        """
+        self.directory.mark_leaving(ENTRY.process_id)
+        self.directory.remove("u1", now=1.0)
+        (change,) = self.directory.update("u1", ENTRY)
+        self.assertIs(change.after.state, UpstreamState.LEAVING)
+        self.directory.replace({}, now=2.0)
+        self.directory.replace({"u1": ENTRY}, now=3.0)
+        self.assertIs(self.directory.get("u1").state, UpstreamState.LEAVING)
+
+    def test_registered_departure_outlives_the_registration(self):
+        """Guards against the same for an upstream that has registered that it leaves."""
+        self.directory.update("u1", LEAVING)
+        self.directory.remove("u1", now=1.0)
+        self.directory.update("u1", ENTRY)
+        self.assertIs(self.directory.get("u1").state, UpstreamState.LEAVING)
+
+    def test_notice_before_the_registration_counts(self):
+        """Guards against requests to an upstream of which another node has told first."""
+        directory = UpstreamDirectory()
+        self.assertEqual(directory.mark_leaving(ENTRY.process_id), [])
+        directory.update("u1", ENTRY)
+        self.assertIs(directory.get("u1").state, UpstreamState.LEAVING)
+
+    def test_restarted_process_is_live(self):
+        """Guards against an upstream that gets no requests after its restart."""
+        self.directory.mark_leaving(ENTRY.process_id)
+        self.directory.remove("u1", now=1.0)
+        self.directory.update("u1", replace(ENTRY, started_ms=ENTRY.started_ms + 1))
+        self.assertIs(self.directory.get("u1").state, UpstreamState.LIVE)
+
+    def test_memory_is_bounded(self):
+        """Guards against memory that grows with each restart of an upstream."""
+        for number in range(MAX_LEAVING + 10):
+            self.directory.mark_leaving(f"u9/{number}")
+        self.assertEqual(len(self.directory._leaving), MAX_LEAVING)
--- a/eelgrassferry/fleet/upstream_directory.py
+++ b/eelgrassferry/fleet/upstream_directory.py
@@ -12,6 +12,8 @@
 # renew a registration that expired during the outage within about 2 s of its end; the rest covers
 # the delay of the watch.
 OUTAGE_GRACE_S = 2.2
+# Number of processes that are remembered as leaving, which bounds the memory.
+MAX_LEAVING = 10_000
 
 
 @dataclass(frozen=True)
@@ -39,11 +41,14 @@
     entry is dropped as soon as it is missing.
 
     Stale copies of an entry may arrive late. An entry of an earlier process is therefore ignored,
-    and an upstream that is leaving becomes live again only after a restart.
+    and an upstream that is leaving becomes live again only after a restart. That a process leaves
+    is remembered also while it is not registered: its registration may lapse and come back.
     """
 
     def __init__(self) -> None:
         self._entries: dict[str, UpstreamEntry] = {}
+        # Ids of the processes that leave, oldest first.
+        self._leaving: dict[str, None] = {}
         self._missing_until: dict[str, float] = {}
         self._grace_ends_at = float("-inf")
 
@@ -95,10 +100,11 @@
         return [change] if change else []
 
     def mark_leaving(self, process_id: str) -> list[DirectoryChange]:
-        """Mark the upstream with a process as leaving and return the changes.
+        """Record that a process leaves and return the changes.
 
         There are none if the process is not registered, or as leaving already.
         """
+        self._remember_leaving(process_id)
         before = self._entries.get(instance_of(process_id))
         if before is None or before.process_id != process_id:
             return []
@@ -118,19 +124,22 @@
         if entry is None:
             return self._drop(instance)
         self._missing_until.pop(instance, None)
+        if before is not None and before.started_ms > entry.started_ms:
+            return None
+        if entry.state is UpstreamState.LEAVING:
+            self._remember_leaving(entry.process_id)
+        elif entry.state is UpstreamState.LIVE and entry.process_id in self._leaving:
+            entry = replace(entry, state=UpstreamState.LEAVING)
         if before == entry:
             return None
-        change = DirectoryChange(before, entry)
-        if before is not None:
-            if before.started_ms > entry.started_ms:
-                return None
-            is_live_again = (
-                before.state is not UpstreamState.LIVE and entry.state is UpstreamState.LIVE
-            )
-            if is_live_again and not change.restarted:
-                return None
         self._entries[instance] = entry
-        return change
+        return DirectoryChange(before, entry)
+
+    def _remember_leaving(self, process_id: str) -> None:
+        self._leaving.pop(process_id, None)
+        self._leaving[process_id] = None
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
 
     def _mark_missing(self, instance: str, now: float) -> DirectoryChange | None:
         entry = self._entries.get(instance)
--- a/eelgrassferry/platform/tests/test_upstream_notices.py
+++ b/eelgrassferry/platform/tests/test_upstream_notices.py
@@ -48,6 +48,34 @@
         self.assertTrue(other.received)
 
 
+class LapsedRegistrationTest(NodeFleetCase):
+    """The only server of a service says in its answers that it leaves, and then loses its
+    registration for a moment.
+    """
+
+    NODES = 2
+
+    async def test_server_gets_no_requests_when_its_registration_is_back(self):
+        """Guards against a violation of DRAIN: the requests that wait for a server are sent to one
+        that has said long before that it leaves (review case 8).
+        """
+        server = await self.add_server("desk", "i-desk")
+        await self.start_nodes()
+        server.is_leaving = True
+        await self.call_steadily("/look/x", per_s=20.0, for_s=0.5)
+        entry = self.store.spec("servers", "i-desk")
+        await asyncio.sleep(DRAIN_S)
+        await self.store.remove("servers", "i-desk")
+        await asyncio.sleep(0.5)
+        received = len(server.received)
+        calls = asyncio.ensure_future(self.call_steadily("/look/x", per_s=20.0, for_s=2.0))
+        await asyncio.sleep(0.5)
+        await self.store.write("servers", "i-desk", entry)
+        statuses = {response.status for _, response in await calls}
+        self.assertEqual(len(server.received), received)
+        self.assertEqual(statuses, {503})
+
+
 class PauseTest(NodeFleetCase):
     """Servers that turn requests away ask for a pause."""
 
