Log outages of the store that a process records, and registrations kept after one

No line told whether its registration was kept because of an outage, nor which outage that was.

'store outage ended' has the recorded duration and the time since the last failed call; 'missing registration kept' names the upstream.

--- a/eelgrassferry/entry/registry_view.py
+++ b/eelgrassferry/entry/registry_view.py
@@ -56,6 +56,7 @@
     def apply_upstreams_update(self, update: FeedUpdate) -> None:
         """Apply registry entries that were written or removed."""
         now = self._clock()
+        missing_before = set(self._directory.missing)
         if update.after_outage:
             self._directory.on_outage_end(now)
         changes: list[DirectoryChange] = []
@@ -71,6 +72,13 @@
                 changes += self._directory.update(
                     self._instance_of(stored.key), self._decode_entry(stored)
                 )
+        for instance in set(self._directory.missing) - missing_before:
+            log.info(
+                "missing registration kept",
+                step="apply_registry",
+                upstream=instance,
+                directory_version=update.version,
+            )
         self._publish_changes(changes, update.version)
 
     def expire(self) -> None:
--- a/eelgrassferry/fleet/upstream_directory.py
+++ b/eelgrassferry/fleet/upstream_directory.py
@@ -52,6 +52,11 @@
         self._missing_until: dict[str, float] = {}
         self._grace_ends_at = float("-inf")
 
+    @property
+    def missing(self) -> tuple[str, ...]:
+        """The instances whose entries are missing and kept for the grace period."""
+        return tuple(self._missing_until)
+
     def __len__(self) -> int:
         return len(self._entries)
 
--- a/eelgrassferry/objects/monitored_store.py
+++ b/eelgrassferry/objects/monitored_store.py
@@ -3,13 +3,17 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+import structlog
 from result import Err, Result
 
+from ..logs import to_whole_ms
 from .errors import ObjectError, RateLimited, Unavailable
 from .object_store import Snapshot, SnapshotStore, StoredObject, WatchResult
 
 __all__ = ["MonitoredStore"]
 
+log = structlog.get_logger()
+
 # Minimum duration of an outage in seconds. A watch whose connection breaks and that is repeated
 # immediately is not an outage.
 OUTAGE_S = 0.8
@@ -28,6 +32,7 @@
         self._store = store
         self._clock = clock
         self._failing_since: float | None = None
+        self._failed_at = float("-inf")
         self._outage_ended_at = float("-inf")
 
     def had_outage_since(self, time: float) -> bool:
@@ -71,8 +76,15 @@
         if isinstance(res, Err) and isinstance(res.err_value, Unavailable | RateLimited):
             if self._failing_since is None:
                 self._failing_since = started_at
+            self._failed_at = self._clock()
             return res
         since, self._failing_since = self._failing_since, None
         if since is not None and self._clock() - since >= OUTAGE_S:
             self._outage_ended_at = self._clock()
+            log.info(
+                "store outage ended",
+                step="call_store",
+                lasted_ms=to_whole_ms(self._clock() - since),
+                last_failure_ms=to_whole_ms(self._clock() - self._failed_at),
+            )
         return res
