--- a/eelgrassferry/coordination/messages.py
+++ b/eelgrassferry/coordination/messages.py
@@ -124,6 +124,8 @@
 
     ``age_s`` is the time since the copy was last confirmed by the store, in seconds. ``unchanged``
     are the keys of further objects, which have not changed since the version that the receiver has.
+    ``outage_ended_s_ago`` is the time since the last outage of the store that the node knows, in
+    seconds, None without one.
     """
 
     prefix: str
@@ -131,6 +133,7 @@
     age_s: float
     objects: tuple[StoredObject, ...]
     unchanged: tuple[str, ...] = ()
+    outage_ended_s_ago: float | None = None
 
 
 def encode_status(status: NodeStatus, reply: ViewReply, now: float) -> Any:
@@ -276,6 +279,7 @@
         "age_s": copy.age_s,
         "objects": _encode_objects(copy.objects),
         "unchanged": list(copy.unchanged),
+        "outage_ended_s_ago": copy.outage_ended_s_ago,
     }
 
 
@@ -289,6 +293,7 @@
                 float(body["age_s"]),
                 _decode_objects(body["objects"]),
                 tuple(body["unchanged"]),
+                _decode_optional_s(body["outage_ended_s_ago"]),
             )
         )
     except MALFORMED as exc:
@@ -304,7 +309,7 @@
         "version": update.version,
         "written": _encode_objects(update.written),
         "removed": list(update.removed),
-        "after_outage": update.after_outage,
+        "outage_ended_s_ago": update.outage_ended_s_ago,
     }
 
 
@@ -316,7 +321,7 @@
             version=int(body["version"]),
             written=_decode_objects(body["written"]),
             removed=tuple(body["removed"]),
-            after_outage=bool(body["after_outage"]),
+            outage_ended_s_ago=_decode_optional_s(body["outage_ended_s_ago"]),
             base=int(body["base"]),
         )
         return Ok((str(body["prefix"]), update))
@@ -324,6 +329,10 @@
         return Err(MalformedMessage("decode_changes", "", repr(exc)))
 
 
+def _decode_optional_s(value: Any) -> float | None:
+    return None if value is None else float(value)
+
+
 def _encode_objects(objects: tuple[StoredObject, ...]) -> list[list[Any]]:
     return [[obj.key, obj.version, obj.value] for obj in objects]
 
--- a/eelgrassferry/coordination/object_relay.py
+++ b/eelgrassferry/coordination/object_relay.py
@@ -1,6 +1,7 @@
 """Relaying of the store's objects between nodes, so that only one node has to watch the store."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Mapping
 from functools import partial
@@ -147,7 +148,8 @@
             if objects is None:
                 _send_pull(link, feed, 0)
                 return
-            feed.apply_relayed_update(FeedUpdate(True, copy.version, objects, ()), copy.age_s)
+            update = FeedUpdate(True, copy.version, objects, (), copy.outage_ended_s_ago)
+            feed.apply_relayed_update(update, copy.age_s)
         # A copy that arrives after the coordinator has lost the store is not followed by changes.
         if self._copy_requested_at.pop(copy.prefix, None) is not None:
             self._relayed_prefixes.add(copy.prefix)
@@ -204,7 +206,7 @@
             _send_pull(link, feed, 0)
             return
         received.set()
-        if not feed.apply_peer_copy(copy.version, objects, copy.age_s):
+        if not feed.apply_peer_copy(copy.version, objects, copy.age_s, copy.outage_ended_s_ago):
             return
         log.info(
             "objects copied from peer",
@@ -242,7 +244,15 @@
                 changed.append(stored)
             else:
                 unchanged.append(stored.key)
-    return ObjectsCopy(feed.prefix, feed.version, feed.age_s, tuple(changed), tuple(unchanged))
+    ended_s_ago = feed.outage_ended_s_ago
+    return ObjectsCopy(
+        feed.prefix,
+        feed.version,
+        feed.age_s,
+        tuple(changed),
+        tuple(unchanged),
+        ended_s_ago if math.isfinite(ended_s_ago) else None,
+    )
 
 
 def _all_objects(feed: ObjectFeed, copy: ObjectsCopy) -> tuple[StoredObject, ...] | None:
--- a/eelgrassferry/entry/registry_view.py
+++ b/eelgrassferry/entry/registry_view.py
@@ -57,8 +57,8 @@
         """Apply registry entries that were written or removed."""
         now = self._clock()
         missing_before = set(self._directory.missing)
-        if update.after_outage:
-            self._directory.on_outage_end(now)
+        if update.outage_ended_s_ago is not None:
+            self._directory.record_outage(now - update.outage_ended_s_ago)
         changes: list[DirectoryChange] = []
         if update.complete:
             entries = {
--- a/eelgrassferry/fleet/tests/test_upstream_directory.py
+++ b/eelgrassferry/fleet/tests/test_upstream_directory.py
@@ -20,16 +20,27 @@
 
     def test_missing_entry_is_kept_for_the_grace_period(self):
         """Guards against dropping live upstreams whose registration expired in an outage."""
-        self.directory.on_outage_end(10.0)
+        self.directory.record_outage(10.0)
         self.assertEqual(self.directory.replace({}, now=10.0), [])
         self.assertEqual(self.directory.expire(12.1), [])
         self.assertIsNotNone(self.directory.get("u1"))
         self.assertEqual(len(self.directory.expire(12.3)), 1)
         self.assertIsNone(self.directory.get("u1"))
 
+    def test_grace_period_begins_with_the_end_of_the_outage(self):
+        """Guards against requests to an upstream that has left long after an outage."""
+        self.directory.record_outage(10.0)
+        self.assertEqual(len(self.directory.remove("u1", now=12.3)), 1)
+
+    def test_earlier_outage_does_not_shorten_the_grace_period(self):
+        """Guards against dropping live upstreams because of late news of an earlier outage."""
+        self.directory.record_outage(10.0)
+        self.directory.record_outage(5.0)
+        self.assertEqual(self.directory.remove("u1", now=11.0), [])
+
     def test_renewed_entry_stays(self):
         """Guards against dropping an upstream that registered again within the grace period."""
-        self.directory.on_outage_end(10.0)
+        self.directory.record_outage(10.0)
         self.directory.remove("u1", now=10.1)
         self.directory.update("u1", ENTRY)
         self.assertEqual(self.directory.expire(20.0), [])
@@ -42,7 +53,7 @@
     def test_leaving_entry_is_not_kept(self):
         """Guards against keeping an upstream that announced its departure before an outage."""
         self.directory.update("u1", LEAVING)
-        self.directory.on_outage_end(10.0)
+        self.directory.record_outage(10.0)
         self.assertEqual(len(self.directory.remove("u1", now=10.1)), 1)
 
 
--- a/eelgrassferry/fleet/upstream_directory.py
+++ b/eelgrassferry/fleet/upstream_directory.py
@@ -72,9 +72,9 @@
         """Return all upstreams."""
         return list(self._entries.values())
 
-    def on_outage_end(self, now: float) -> None:
-        """Start the grace period for missing entries, because an outage of the registry ended."""
-        self._grace_ends_at = now + OUTAGE_GRACE_S
+    def record_outage(self, ended_at: float) -> None:
+        """Record that an outage of the registry ended, after which entries may be missing."""
+        self._grace_ends_at = max(self._grace_ends_at, ended_at + OUTAGE_GRACE_S)
 
     def replace(
         self, entries: Mapping[str, UpstreamEntry | None], now: float
--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from .errors import HistoryGone, ObjectError
-from .monitored_store import MonitoredStore
+from .monitored_store import OUTAGE_S, MonitoredStore
 from .object_store import Change, Snapshot, StoredObject, WatchResult
 
 __all__ = ["FeedUpdate", "ObjectFeed"]
@@ -40,16 +40,22 @@
     """Changes between version ``base`` and ``version``.
 
     A ``complete`` update contains all objects under the prefix; any other object has been
-    removed. ``after_outage`` marks the first update after an outage of the store.
+    removed. In the first update after an outage of the store, ``outage_ended_s_ago`` is the time
+    since its end in seconds; otherwise it is None.
     """
 
     complete: bool
     version: int
     written: tuple[StoredObject, ...]
     removed: tuple[str, ...]
-    after_outage: bool = False
+    outage_ended_s_ago: float | None = None
     base: int = 0
 
+    @property
+    def after_outage(self) -> bool:
+        """Whether this is the first update after an outage of the store."""
+        return self.outage_ended_s_ago is not None
+
 
 class ObjectFeed:
     """A copy of the objects under one prefix that calls ``on_update`` on every change.
@@ -86,6 +92,7 @@
         self.version = 0
         self.objects: dict[str, StoredObject] = {}
         self.up_to_date_at = float("-inf")
+        self._outage_ended_at = float("-inf")
         self._store = store
         self._on_update = on_update
         self._clock = clock
@@ -129,19 +136,30 @@
         """The time since the copy was last up to date, in seconds; infinite at first."""
         return self._clock() - self.up_to_date_at
 
+    @property
+    def outage_ended_s_ago(self) -> float:
+        """The time since the end of the last known outage in seconds; infinite without one."""
+        return self._clock() - self._outage_ended_at
+
     def apply_peer_copy(
-        self, version: int, objects: tuple[StoredObject, ...], age_s: float
+        self,
+        version: int,
+        objects: tuple[StoredObject, ...],
+        age_s: float,
+        outage_ended_s_ago: float | None = None,
     ) -> bool:
         """Replace the copy by a peer's complete copy; return False if that is not newer.
 
-        ``age_s`` is the time in seconds since the peer's copy was last up to date.
+        ``age_s`` is the time in seconds since the peer's copy was last up to date, and
+        ``outage_ended_s_ago`` since the last outage that the peer knows.
         """
         if version < self.version:
             return False
+        ended_s_ago = self._missed_outage(outage_ended_s_ago)
         self.up_to_date_at = max(self.up_to_date_at, self._clock() - age_s)
         if version == self.version:
             return False
-        self._replace(Snapshot(version, objects), after_outage=False)
+        self._replace(Snapshot(version, objects), ended_s_ago)
         # The next call to the store is a listing, because this copy does not come from it.
         self._is_listed = False
         return True
@@ -153,19 +171,34 @@
         """
         if update.base > self.version:
             return False
+        ended_s_ago = self._missed_outage(update.outage_ended_s_ago)
         self.up_to_date_at = max(self.up_to_date_at, self._clock() - age_s)
         if update.version > self.version:
-            self._merge(update)
+            self._merge(replace(update, outage_ended_s_ago=ended_s_ago))
         return True
 
+    def _missed_outage(self, ended_s_ago: float | None) -> float | None:
+        """Return how long ago an outage ended that a peer knows, None if this copy disproves it.
+
+        A copy that was up to date meanwhile shows that the store worked, and only the peer did not
+        reach it.
+        """
+        if ended_s_ago is None:
+            return None
+        ended_at = self._clock() - ended_s_ago
+        if ended_at - self.up_to_date_at < OUTAGE_S:
+            return None
+        self._outage_ended_at = max(self._outage_ended_at, ended_at)
+        return ended_s_ago
+
     async def _list(self) -> Result[None, ObjectError]:
         res = await self._store.snapshot(self.prefix)
         if isinstance(res, Err):
             return res
-        after_outage = self._record_response()
+        outage_ended_s_ago = self._record_response()
         self._is_listed = True
         if res.ok_value.version >= self.version:
-            self._replace(res.ok_value, after_outage)
+            self._replace(res.ok_value, outage_ended_s_ago)
         return Ok(None)
 
     async def _watch(self) -> Result[None, ObjectError]:
@@ -175,10 +208,13 @@
         self._apply(res.ok_value, self._record_response())
         return Ok(None)
 
-    def _record_response(self) -> bool:
-        """Record that the store responds; return whether an outage has just ended."""
+    def _record_response(self) -> float | None:
+        """Record that the store responds.
+
+        Return how long ago an outage ended since the copy was last up to date, None without one.
+        """
         now = self._clock()
-        ended = self._store.had_outage_since(self.up_to_date_at)
+        ended_at = self._store.outage_end_since(self.up_to_date_at)
         if self._loss_logged:
             log.info(
                 "store regained",
@@ -190,7 +226,10 @@
         self._loss_logged = False
         self._unavailable_since = None
         self.up_to_date_at = now
-        return ended
+        if ended_at is None:
+            return None
+        self._outage_ended_at = max(self._outage_ended_at, ended_at)
+        return now - ended_at
 
     async def _on_error(self, exc: ObjectError) -> None:
         if isinstance(exc, HistoryGone):
@@ -211,17 +250,17 @@
             )
         await self._sleep(min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self.interval_factor()))
 
-    def _replace(self, snapshot: Snapshot, after_outage: bool) -> None:
+    def _replace(self, snapshot: Snapshot, outage_ended_s_ago: float | None) -> None:
         listed = tuple(map(self._reduce, snapshot.objects))
         objects = {obj.key: obj for obj in listed}
         removed = tuple(key for key in self.objects if key not in objects)
         base, self.version = self.version, snapshot.version
         self.objects = objects
-        update = FeedUpdate(True, snapshot.version, listed, removed, after_outage, base)
+        update = FeedUpdate(True, snapshot.version, listed, removed, outage_ended_s_ago, base)
         self._on_update(update)
         self.on_version_update(update)
 
-    def _apply(self, result: WatchResult, after_outage: bool) -> None:
+    def _apply(self, result: WatchResult, outage_ended_s_ago: float | None) -> None:
         if result.version < self.version:
             # A peer relayed newer changes while the watch was waiting.
             return
@@ -238,7 +277,7 @@
                 result.version,
                 tuple(written),
                 tuple(removed),
-                after_outage,
+                outage_ended_s_ago,
                 self.version,
             )
         )
@@ -260,11 +299,7 @@
         removed = tuple(key for key in removed_keys if self.objects.pop(key, None) is not None)
         self.version = update.version
         if written or removed or update.after_outage:
-            self._on_update(
-                FeedUpdate(
-                    False, update.version, written, removed, update.after_outage, update.base
-                )
-            )
+            self._on_update(replace(update, complete=False, written=written, removed=removed))
         self.on_version_update(update)
 
     def _reduce(self, stored: StoredObject) -> StoredObject:
--- a/eelgrassferry/objects/tests/test_feed.py
+++ b/eelgrassferry/objects/tests/test_feed.py
@@ -18,6 +18,7 @@
     WatchResult,
 )
 
+REMOVAL = Change("servers/u1", 9, True)
 UNAVAILABLE = Err(Unavailable("watch", "store", "reset", uncertain=False))
 
 
@@ -104,23 +105,84 @@
         )
         self.assertTrue(self.updates[-1].after_outage)
 
+    async def start_watching(self, *responses):
+        """Return the store and a feed that has listed one registration, for calls one by one."""
+        self.now, self.updates = 0.0, []
+        self.script = ScriptedStore(
+            Ok(Snapshot(5, (StoredObject("servers/u1", 4, b"1"),))), *responses
+        )
+        store = MonitoredStore(self.script, lambda: self.now)
+        feed = ObjectFeed(store, "servers/", self.updates.append, lambda: self.now, self.pause)
+        await feed._list()
+        return store, feed
+
+    async def fail_calls(self, store, until):
+        """Make a failing call every 0.4 s, as the holder of the lease does."""
+        while self.now < until:
+            self.script.responses.insert(0, UNAVAILABLE)
+            await store.get("leases/x")
+            self.now += 0.4
+
     async def test_outage_is_detected_by_other_calls(self):
         """Guards against dropping all upstreams after an outage that the watch does not notice.
 
         The watch then reports the removal of registrations that expired during the outage
         (scenario store-silent-and-lapsing).
         """
-        self.now, self.updates = 0.0, []
-        removal = Change("servers/u1", 9, True)
-        script = ScriptedStore(
-            Ok(Snapshot(5, (StoredObject("servers/u1", 4, b"1"),))), Ok(WatchResult(9, (removal,)))
-        )
-        store = MonitoredStore(script, lambda: self.now)
-        feed = ObjectFeed(store, "servers/", self.updates.append, lambda: self.now, self.pause)
-        await feed._list()
-        script.responses.insert(0, UNAVAILABLE)
-        await store.get("leases/x")
-        self.now = 5.0
+        store, feed = await self.start_watching(Ok(WatchResult(9, (REMOVAL,))))
+        await self.fail_calls(store, until=4.8)
+        await feed._watch()
+        self.assertTrue(self.updates[-1].after_outage)
+        self.assertEqual(self.updates[-1].outage_ended_s_ago, 0.0)
+
+    async def test_outage_ends_with_the_last_failed_call(self):
+        """Guards against an outage that seems to last as long as a process makes no calls, because
+        a coordinator relays the changes to it (review case 9).
+        """
+        store, feed = await self.start_watching(Ok(WatchResult(9, (REMOVAL,))))
+        await self.fail_calls(store, until=2.0)
+        failed_at = self.now - 0.4
+        self.now = 16.0
+        self.assertFalse(store.had_outage_since(self.now))
+        await feed._watch()
+        self.assertAlmostEqual(self.updates[-1].outage_ended_s_ago, 16.0 - failed_at)
+
+    async def test_single_failures_far_apart_are_no_outage(self):
+        """Guards against the same for calls that fail now and then."""
+        store, feed = await self.start_watching(Ok(WatchResult(9, (REMOVAL,))))
+        for _ in range(3):
+            await self.fail_calls(store, until=self.now + 0.1)
+            self.now += 30.0
+        await feed._watch()
+        self.assertFalse(self.updates[-1].after_outage)
+
+    async def test_watch_that_is_cut_off_is_no_outage(self):
+        """Guards against taking the time that a watch has waited for an outage."""
+        _, feed = await self.start_watching(UNAVAILABLE, Ok(WatchResult(9, (REMOVAL,))))
+        watch = self.script.watch
+
+        async def waiting_watch(*args):
+            self.now += 1.5
+            return await watch(*args)
+
+        self.script.watch = waiting_watch
+        await feed._watch()
+        self.script.watch = watch
+        await feed._watch()
+        self.assertFalse(self.updates[-1].after_outage)
+
+    async def test_overdue_watch_is_an_outage(self):
+        """Guards against missing an outage of a silent store that only watches notice."""
+        _, feed = await self.start_watching(UNAVAILABLE, Ok(WatchResult(9, (REMOVAL,))))
+        watch = self.script.watch
+
+        async def silent_watch(*args):
+            self.now += 4.0
+            return await watch(*args)
+
+        self.script.watch = silent_watch
+        await feed._watch()
+        self.script.watch = watch
         await feed._watch()
         self.assertTrue(self.updates[-1].after_outage)
 
@@ -146,6 +208,28 @@
         self.assertFalse(self.feed.apply_peer_copy(5, (), 0.0))
         self.assertEqual(self.feed.age_s, 1.0)
 
+    async def test_outage_that_only_the_peer_noticed_is_not_adopted(self):
+        """Guards against one node that the store turned away and that makes all nodes keep the
+        registrations of servers that have left (review case 9).
+        """
+        for confirmed_at, expected in ((8.9, None), (2.0, 1.0)):
+            await self.run_feed(Ok(Snapshot(5, ())))
+            self.feed.up_to_date_at, self.now = confirmed_at, 10.0
+            update = FeedUpdate(False, 6, (), ("servers/u1",), 1.0, base=5)
+            self.feed.objects["servers/u1"] = StoredObject("servers/u1", 4, b"1")
+            self.assertTrue(self.feed.apply_relayed_update(update))
+            self.assertEqual(self.updates[-1].outage_ended_s_ago, expected)
+
+    async def test_copy_of_a_peer_tells_of_an_outage(self):
+        """Guards against dropping live upstreams because of a copy that a peer made just after an
+        outage, when their registrations had lapsed.
+        """
+        await self.run_feed(Ok(Snapshot(5, (StoredObject("servers/u1", 4, b"1"),))))
+        self.now = 10.0
+        self.assertTrue(self.feed.apply_peer_copy(7, (), 0.0, outage_ended_s_ago=0.3))
+        self.assertEqual(self.updates[-1].outage_ended_s_ago, 0.3)
+        self.assertAlmostEqual(self.feed.outage_ended_s_ago, 0.3)
+
     async def test_relayed_changes_after_a_gap_are_refused(self):
         """Guards against applying changes when earlier ones are missing."""
         await self.run_feed(Ok(Snapshot(5, ())))
@@ -193,7 +277,7 @@
         await self.run_feed()
         self.feed.interval_factor = lambda: 8.0
         self.feed._store = ScriptedStore(Ok(Snapshot(5, ())), Ok(WatchResult(6, ())))
-        self.feed._store.had_outage_since = lambda _at: False
+        self.feed._store.outage_end_since = lambda _at: None
         before = self.now
         with self.assertRaises(asyncio.CancelledError):
             await self.feed.run()
