Take an answer without a length as whole only after its request was taken (MIXED)

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body, ended its side and reset the connection 0.1 s later. They got the part as a complete 200, with a Content-Length of our own, and streams with their end.

Cause: the end of the server's side was taken for the end of the answer although most of the request was unsent.

Change: at such an end the connection is kept until the server has taken all bytes of the request, those in the kernel's buffer too. Answers with a length or chunks are as before. Responses that this process reads itself follow the same rule.

--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -1,13 +1,19 @@
 """The client side of a connection to an upstream, which carries one request at a time."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Protocol
 
 import h11
 
 from ..eventloop import Work
-from ..http import set_liveness_options
+from ..http import (
+    SENT_CHECK_INTERVAL_S,
+    SentCheck,
+    ends_with_connection,
+    set_liveness_options,
+)
 from .facts import AnswerHead, RawHeaders
 
 __all__ = ["AnswerListener", "UpstreamConn"]
@@ -71,6 +77,8 @@
         self._request_ids: set[str] = set()
         self._is_held = False
         self._lost_detail = ""
+        self._ends_with_connection = False
+        self._sent_check: SentCheck | None = None
         self._work = Work(
             "upstream", self._parse, lambda: self.peer, self._on_parsed, self._on_parse_error
         )
@@ -109,6 +117,7 @@
         self._listener = listener
         self._request = request
         self._skipped_bytes = self._informational_responses = 0
+        self._ends_with_connection = False
         # A slow caller of the last answer may have paused the connection just before its end.
         self.resume_reading()
         data = self._h11.send(request) or b""
@@ -164,12 +173,40 @@
     def eof_received(self) -> bool:
         """Handle the upstream's end of file, which completes an answer without a length."""
         # All bytes before it have been parsed, because the connection does not read meanwhile.
+        assert self._transport is not None
+        if self._listener is not None and self._ends_with_connection:
+            self._sent_check = SentCheck(self._transport, time.monotonic)
+            if not self._sent_check.is_sent:
+                self._check_later()
+                return True
+        self._handle_end()
+        return False
+
+    def _check_later(self) -> None:
+        asyncio.get_running_loop().call_later(SENT_CHECK_INTERVAL_S, self._check_sent)
+
+    def _check_sent(self) -> None:
+        """End an answer without a length once the upstream has taken the whole request.
+
+        The answer is not whole if the connection is reset before that.
+        """
+        check = self._sent_check
+        if self._listener is None or check is None:
+            return
+        if failure := check.find_failure():
+            self._fail(failure)
+        elif check.is_sent:
+            self._handle_end()
+            self.close()
+        else:
+            self._check_later()
+
+    def _handle_end(self) -> None:
         if self._listener is not None:
             self._h11.receive_data(b"")
             self._parse(MAX_EVENTS_AT_END)
         if self._listener is not None:
             self._fail("the upstream closed the connection")
-        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in progress, unless its answer has arrived completely."""
@@ -220,6 +257,7 @@
         assert self._listener is not None
         match event:
             case h11.Response():
+                self._ends_with_connection = ends_with_connection(event)
                 head = self._decode_head(event.status_code, event.headers.raw_items())
                 if not head.request_id and len(self._request_ids) > 1:
                     self._fail("an answer without a request id may be a late one")
--- a/eelgrassferry/http/__init__.py
+++ b/eelgrassferry/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client and server over asyncio streams, with h11 as the protocol implementation."""
 
 from .address import split_address
+from .answer_framing import ends_with_connection
 from .body_length import named_body_length
 from .client import HttpClient, HttpError, HttpStream
 from .limits import HttpLimits
@@ -9,10 +10,12 @@
 from .message import HttpRequest, HttpResponse, find_header
 from .problem import ExecutionStatus, Problem
 from .responder import Responder
+from .sent_check import SENT_CHECK_INTERVAL_S, SentCheck
 from .server import HttpServer
 from .sse import SseParser, format_event
 
 __all__ = [
+    "SENT_CHECK_INTERVAL_S",
     "ExecutionStatus",
     "HttpClient",
     "HttpError",
@@ -24,7 +27,9 @@
     "Listener",
     "Problem",
     "Responder",
+    "SentCheck",
     "SseParser",
+    "ends_with_connection",
     "find_header",
     "format_event",
     "named_body_length",
--- /dev/null
+++ b/eelgrassferry/http/answer_framing.py
@@ -0,0 +1,15 @@
+"""What the head of a response says of its status and its end."""
+
+import h11
+
+__all__ = ["ends_with_connection"]
+
+
+def ends_with_connection(head: h11.Response) -> bool:
+    """Return whether the body has neither a length nor chunks, and so ends with the connection.
+
+    >>> ends_with_connection(h11.Response(status_code=200, headers=[("Content-Length", "3")]))
+    False
+    """
+    framing = (b"content-length", b"transfer-encoding")
+    return not any(name in framing for name, _ in head.headers)
--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client over asyncio streams with a connection pool for each peer."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -9,9 +10,11 @@
 
 from ..eventloop import Work
 from .address import split_address
+from .answer_framing import ends_with_connection
 from .liveness import set_liveness_options
 from .message import Headers, HttpResponse, find_header
 from .reset import reset_connection
+from .sent_check import SENT_CHECK_INTERVAL_S, SentCheck
 
 __all__ = ["HttpClient", "HttpError", "HttpStream"]
 
@@ -40,6 +43,8 @@
     h11: h11.Connection
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    # Whether the response in progress has neither a length nor chunks.
+    ends_with_connection: bool = False
 
 
 class HttpStream:
@@ -58,6 +63,7 @@
         self._needs_data = False
         self._parts: list[bytes] = []
         self._work = Work("http", self._parse, lambda: peer)
+        self._is_sent = not conn.ends_with_connection
         self.peer = peer
         self.status = status
         self.headers = headers
@@ -82,11 +88,24 @@
                     self._client._release(self.peer, self._conn)
                 if self._parts or self._is_done or not self._needs_data:
                     return Ok(self._pop_parts())
-                self._conn.h11.receive_data(await self._conn.reader.read(READ_BYTES))
+                data = await self._conn.reader.read(READ_BYTES)
+                if not data and not self._is_sent and (failure := await self._wait_until_sent()):
+                    return self._fail(failure)
+                self._conn.h11.receive_data(data)
                 self._needs_data = False
         except (OSError, h11.ProtocolError) as exc:
             return self._fail(str(exc) or type(exc).__name__)
 
+    async def _wait_until_sent(self) -> str:
+        """Wait until the peer has taken the request; return why it does not, or ""."""
+        check = SentCheck(self._conn.writer.transport, time.monotonic)
+        while not check.is_sent:
+            await asyncio.sleep(SENT_CHECK_INTERVAL_S)
+            if failure := check.find_failure():
+                return failure
+        self._is_sent = True
+        return ""
+
     def _parse(self, limit: int) -> bool:
         """Parse up to ``limit`` events and return whether there are more."""
         # After NEED_DATA, h11 has no further event until it receives more data.
@@ -250,6 +269,7 @@
             if event is h11.NEED_DATA:
                 conn.h11.receive_data(await conn.reader.read(READ_BYTES))
             elif isinstance(event, h11.Response):
+                conn.ends_with_connection = ends_with_connection(event)
                 pairs = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers)
                 return event.status_code, pairs
             elif isinstance(event, h11.ConnectionClosed):
--- a/eelgrassferry/http/tests/test_client.py
+++ b/eelgrassferry/http/tests/test_client.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client on loopback connections."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
 from unittest import mock
@@ -8,6 +9,7 @@
 from ...eventloop.work import EVENTS_PER_STEP
 from .. import HttpClient, HttpResponse, HttpServer, HttpStream, split_address
 from ..incoming_request import IncomingRequest
+from ..reset import reset_connection
 
 
 class GivenUpRequestTest(unittest.IsolatedAsyncioTestCase):
@@ -135,3 +137,39 @@
         self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
         self.assertLessEqual(max(steps), EVENTS_PER_STEP)
         self.assertGreaterEqual(len(steps), self.CHUNKS / EVENTS_PER_STEP)
+
+
+class EarlyEndTest(unittest.IsolatedAsyncioTestCase):
+    """A peer sends a response without a length and ends its side before it has read the request."""
+
+    async def request(self, reads_on: bool):
+        """Send a long request and return the result."""
+
+        async def answer(reader, writer):
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                if not reads_on:
+                    writer.transport.pause_reading()
+                writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
+                writer.write_eof()
+                await asyncio.sleep(0.1)
+                if reads_on:
+                    await reader.readexactly(400_000)
+                else:
+                    reset_connection(writer.transport)
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = HttpClient()
+        self.addCleanup(client.close)
+        host, port = server.sockets[0].getsockname()
+        return await client.request(f"{host}:{port}", "POST", "/x", body=b"x" * 400_000)
+
+    async def test_reset_breaks_the_response(self):
+        """Guards against a part of a response that is taken for a whole one."""
+        self.assertEqual((await self.request(reads_on=False)).err_value.step, "receive_body")
+
+    async def test_response_is_whole_once_the_request_is_taken(self):
+        """Guards against refusing the response of a peer that reads the request later."""
+        self.assertEqual((await self.request(reads_on=True)).ok_value.body, b"part")
--- a/eelgrassferry/platform/tests/test_upstream_conn.py
+++ b/eelgrassferry/platform/tests/test_upstream_conn.py
@@ -9,6 +9,7 @@
 from ...forwarding import UpstreamConn
 from ...forwarding.tests.fake_transport import FakeTransport
 from ...forwarding.upstream_conn import MAX_REQUESTS
+from ...http import SENT_CHECK_INTERVAL_S
 from ..request_codec import decode_answer
 
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
@@ -305,3 +306,41 @@
         for _ in range(10):
             await asyncio.sleep(0)
         self.assertEqual((len(self.listener.body), self.listener.broken), (received, ""))
+
+
+class EarlyEndTest(unittest.IsolatedAsyncioTestCase):
+    """An answer without a length ends while a part of the request is unsent."""
+
+    async def asyncSetUp(self):
+        UpstreamConnCase.setUp(self)
+        self.transport.unsent = 1000
+        self.conn.data_received(STATUS_LINE + OWN_ID + b"\r\npart")
+        self.assertTrue(self.conn.eof_received())
+        self.assertFalse(self.listener.ended)
+
+    def send_request(self):
+        UpstreamConnCase.send_request(self)
+
+    async def test_reset_breaks_the_answer(self):
+        """Guards against a violation of MIXED: a part of an answer taken for a whole one."""
+        self.conn.connection_lost(ConnectionResetError())
+        await asyncio.sleep(2 * SENT_CHECK_INTERVAL_S)
+        self.assertIn("lost", self.listener.broken)
+        self.assertFalse(self.listener.ended)
+
+    async def test_answer_is_whole_once_the_request_is_taken(self):
+        """Guards against refusing an answer whose server reads the request later."""
+        self.transport.unsent = 0
+        async with asyncio.timeout(5.0):
+            while not self.listener.ended:
+                await asyncio.sleep(SENT_CHECK_INTERVAL_S)
+        self.assertEqual(self.listener.body, b"part")
+        self.assertTrue(self.transport.closed)
+
+    async def test_request_that_is_not_taken_breaks_the_answer(self):
+        """Guards against a caller that waits until its deadline for a server that has gone."""
+        async with asyncio.timeout(5.0):
+            while not self.listener.broken:
+                await asyncio.sleep(SENT_CHECK_INTERVAL_S)
+        self.assertIn("does not take", self.listener.broken)
+        self.assertFalse(self.listener.ended)
