Treat a status that does not exist as no answer (MIXED)

Callers saw: a server in trouble answered with status 600 or 999, and they got it as an answer. Statuses 000, 099, 1000 and those that are no number were 502 already.

Cause: the parser accepts every status of three digits from 100 on.

Change: a status above 599 is an invalid answer: the attempt is broken, the caller gets 502 or another attempt. The same for responses that this process reads itself.

--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -9,6 +9,7 @@
 
 from ..eventloop import Work
 from ..http import (
+    MAX_STATUS,
     SENT_CHECK_INTERVAL_S,
     SentCheck,
     ends_with_connection,
@@ -256,6 +257,8 @@
         """Handle an event other than a part of the body; return whether another may follow."""
         assert self._listener is not None
         match event:
+            case h11.Response() if event.status_code > MAX_STATUS:
+                self._fail(f"invalid HTTP answer: status {event.status_code}")
             case h11.Response():
                 self._ends_with_connection = ends_with_connection(event)
                 head = self._decode_head(event.status_code, event.headers.raw_items())
--- a/eelgrassferry/http/__init__.py
+++ b/eelgrassferry/http/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client and server over asyncio streams, with h11 as the protocol implementation."""
 
 from .address import split_address
-from .answer_framing import ends_with_connection
+from .answer_framing import MAX_STATUS, ends_with_connection
 from .body_length import named_body_length
 from .client import HttpClient, HttpError, HttpStream
 from .limits import HttpLimits
@@ -15,6 +15,7 @@
 from .sse import SseParser, format_event
 
 __all__ = [
+    "MAX_STATUS",
     "SENT_CHECK_INTERVAL_S",
     "ExecutionStatus",
     "HttpClient",
--- a/eelgrassferry/http/answer_framing.py
+++ b/eelgrassferry/http/answer_framing.py
@@ -2,7 +2,10 @@
 
 import h11
 
-__all__ = ["ends_with_connection"]
+__all__ = ["MAX_STATUS", "ends_with_connection"]
+
+# The parser accepts any status of three digits; there are none above this one.
+MAX_STATUS = 599
 
 
 def ends_with_connection(head: h11.Response) -> bool:
--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -10,7 +10,7 @@
 
 from ..eventloop import Work
 from .address import split_address
-from .answer_framing import ends_with_connection
+from .answer_framing import MAX_STATUS, ends_with_connection
 from .liveness import set_liveness_options
 from .message import Headers, HttpResponse, find_header
 from .reset import reset_connection
@@ -269,6 +269,8 @@
             if event is h11.NEED_DATA:
                 conn.h11.receive_data(await conn.reader.read(READ_BYTES))
             elif isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise h11.RemoteProtocolError(f"status {event.status_code}")
                 conn.ends_with_connection = ends_with_connection(event)
                 pairs = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers)
                 return event.status_code, pairs
--- a/eelgrassferry/platform/tests/test_early_answers.py
+++ b/eelgrassferry/platform/tests/test_early_answers.py
@@ -156,3 +156,16 @@
         received = await self.upload("/book/x", LONG)
         self.assertTrue(received.startswith(b"HTTP/1.1 413"), received[:300])
         self.assertTrue(received.endswith(b"\r\n\r\npart"), received)
+
+    async def test_status_that_is_none(self):
+        """Guards against a violation of MIXED: an answer whose status does not exist is no answer
+        of a server, and its caller must not get it as one.
+        """
+        self.server.headers = "Content-Length: 4\r\n"
+        self.server.ends_first = False
+        for status in ("000", "099", "600", "999", "1000", "xyz"):
+            for path in ("/book/x", "/chat/x"):
+                with self.subTest(status=status, path=path):
+                    self.server.status = status
+                    received = await self.upload(path, 10, "m0" if path == "/chat/x" else "")
+                    self.assertTrue(received.startswith(b"HTTP/1.1 502"), received[:300])
