--- a/eelgrassferry/coordination/peer_link.py
+++ b/eelgrassferry/coordination/peer_link.py
@@ -101,15 +101,19 @@
                 return False
             if decoded.ok_value is not None:
                 self._on_frame(self, decoded.ok_value)
-            elif not self._decompress_part():
+                continue
+            if self._on_received is not None:
+                self._on_received(self)
+            if not self._may_have_output or not self._decompress_part():
                 return False
+            if self._may_have_output:
+                # A part of full size is enough for a step.
+                break
         return self.is_open
 
     def _decompress_part(self) -> bool:
-        """Decompress the next part of the received bytes; return False if there is none."""
-        if self._on_received is not None:
-            self._on_received(self)
-        if not self._may_have_output or not self.is_open:
+        """Decompress the next part of the received bytes; return False if the link is closed."""
+        if not self.is_open:
             return False
         try:
             part = self._decompressor.decompress(self._compressed, DECOMPRESS_BYTES)
--- a/eelgrassferry/eventloop/work.py
+++ b/eelgrassferry/eventloop/work.py
@@ -31,9 +31,9 @@
     with an error that a step has raised, unless ``run`` raises it. ``kind`` and ``peer`` describe
     the connection in logs.
 
-    >>> numbers = iter(range(3))
-    >>> work = Work("doctest", lambda limit: next(numbers, None) is not None, lambda: "peer")
-    >>> # work.submit()
+    >>> work = Work("example", lambda limit: print("a step of up to", limit), lambda: "10.0.0.1:80")
+    >>> work.submit()
+    a step of up to 32
     """
 
     def __init__(
--- a/eelgrassferry/eventloop/work_queue.py
+++ b/eelgrassferry/eventloop/work_queue.py
@@ -55,13 +55,15 @@
     def _run(self) -> None:
         self._is_scheduled = False
         ends_at = self.clock() + SLICE_S
-        while self._queue:
-            work = self._queue.popleft()
-            if work.go_on():
-                self._queue.append(work)
-            if self.clock() >= ends_at:
-                break
-        self._schedule()
+        try:
+            while self._queue:
+                work = self._queue.popleft()
+                if work.go_on():
+                    self._queue.append(work)
+                if self.clock() >= ends_at:
+                    break
+        finally:
+            self._schedule()
 
 
 _QUEUES: WeakKeyDictionary[asyncio.AbstractEventLoop, WorkQueue] = WeakKeyDictionary()
@@ -70,6 +72,10 @@
 def current_work_queue() -> WorkQueue:
     """Return the queue of the running event loop, or a new one if none is running."""
     try:
-        return _QUEUES.setdefault(asyncio.get_running_loop(), WorkQueue())
+        loop = asyncio.get_running_loop()
     except RuntimeError:
         return WorkQueue()
+    queue = _QUEUES.get(loop)
+    if queue is None:
+        queue = _QUEUES[loop] = WorkQueue()
+    return queue
--- a/eelgrassferry/platform/tests/test_early_answers.py
+++ b/eelgrassferry/platform/tests/test_early_answers.py
@@ -1,11 +1,10 @@
 """End-to-end tests of servers that answer before they have read a long request."""
 
 import asyncio
-import socket
 
+from ...http.reset import reset_connection
 from .node_fleet import NodeFleetCase
-from .raw_server import RESET_ON_CLOSE
-from .soak.free_ports import own_loopback_ip
+from .tcp_server import TcpServer
 
 HEAD = (
     "HTTP/1.1 {status} OK\r\nEelgrassferry-Request-Id: {id}\r\n"
@@ -18,7 +17,7 @@
 RESET_AFTER_S = 0.1
 
 
-class EarlyServer:
+class EarlyServer(TcpServer):
     """Server that answers when it has read the head of a request, and then ends its side.
 
     After ``RESET_AFTER_S`` it resets the connection, or reads the rest of the request first if
@@ -26,51 +25,23 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.status, self.headers, self.body = 200, "", b"part"
         self.reads_on = self.ends_first = True
-        self.address = ""
-        self.answers = 0
-        self._tasks = set()
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._accept, own_loopback_ip(), 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    async def stop(self):
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _accept(self, reader, writer):
-        task = asyncio.ensure_future(self._answer(reader, writer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _answer(self, reader, writer):
-        try:
-            text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-            fields = dict(line.split(": ", 1) for line in text.split("\r\n")[1:] if ": " in line)
-            if not self.reads_on:
-                # Nothing more is taken from the kernel's buffer.
-                writer.transport.pause_reading()
-            self.answers += 1
-            head = HEAD.format(status=self.status, id=fields.get("eelgrassferry-request-id", ""))
-            writer.write(f"{head}{self.headers}\r\n".encode() + self.body)
-            if self.ends_first:
-                writer.write_eof()
-            await asyncio.sleep(RESET_AFTER_S)
-            if self.reads_on:
-                await reader.readexactly(int(fields["content-length"]))
-            else:
-                conn = writer.get_extra_info("socket")
-                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-                writer.transport.abort()
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
+
+    async def answer(self, headers, reader, writer):
+        if not self.reads_on:
+            # Nothing more is taken from the kernel's buffer.
+            writer.transport.pause_reading()
+        head = HEAD.format(status=self.status, id=headers.get("eelgrassferry-request-id", ""))
+        writer.write(f"{head}{self.headers}\r\n".encode() + self.body)
+        if self.ends_first:
+            writer.write_eof()
+        await asyncio.sleep(RESET_AFTER_S)
+        if self.reads_on:
+            await reader.readexactly(int(headers["content-length"]))
+        else:
+            reset_connection(writer.transport)
 
 
 class EarlyAnswerTest(NodeFleetCase):
--- a/eelgrassferry/platform/tests/test_endless_answers.py
+++ b/eelgrassferry/platform/tests/test_endless_answers.py
@@ -4,7 +4,7 @@
 
 from ...http import HttpResponse
 from .node_fleet import NodeFleetCase
-from .soak.free_ports import own_loopback_ip
+from .tcp_server import TcpServer
 
 HEAD = (
     "HTTP/1.1 200 OK\r\nEelgrassferry-Request-Id: {id}\r\nEelgrassferry-Server-Seal: 3e1b.07\r\n"
@@ -15,45 +15,17 @@
 TIMEOUT_S, LATE_S = 4.0, 0.5
 
 
-class EndlessServer:
+class EndlessServer(TcpServer):
     """Server whose answers, also to questions for its report, have a body of chunks of one byte
     without end.
     """
 
-    def __init__(self):
-        self.address = ""
-        self.answers = 0
-        self._tasks = set()
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._accept, own_loopback_ip(), 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    async def stop(self):
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _accept(self, reader, writer):
-        task = asyncio.ensure_future(self._answer(reader, writer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _answer(self, reader, writer):
-        try:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-            request_id = head.partition("eelgrassferry-request-id: ")[2].partition("\r\n")[0]
-            self.answers += 1
-            writer.write(HEAD.replace("{id}", request_id).encode())
-            while True:
-                writer.write(CHUNKS)
-                await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
+    async def answer(self, headers, reader, writer):
+        head = HEAD.replace("{id}", headers.get("eelgrassferry-request-id", ""))
+        writer.write(head.encode())
+        while True:
+            writer.write(CHUNKS)
+            await writer.drain()
 
 
 class EndlessAnswersTest(NodeFleetCase):
