Do not end an outage with the answer to an earlier call

Cause: a watch that began before the outage was answered after its 2 s; any answered call ended the outage, so the node took its copy of the configuration for current.

Change: an answer ends an outage only if its call began after the last failure.

--- a/eelgrassferry/objects/monitored_store.py
+++ b/eelgrassferry/objects/monitored_store.py
@@ -29,8 +29,9 @@
 
     Short calls show that a store is unresponsive long before a watch does; a watch may even
     return normally after the outage. An outage is known only as far as calls show it: it begins
-    when a failed call should have been answered, and ends with the next successful one. If this
-    process has made no calls in between, it ends with the last failed one.
+    when a failed call should have been answered, and ends with the next call that succeeds; the
+    answer to one that began before the last failure, such as a watch, shows nothing of the time
+    after it. If this process has made no calls in between, it ends with the last failed one.
     """
 
     def __init__(self, store: SnapshotStore, clock: Callable[[], float]) -> None:
@@ -94,7 +95,7 @@
             if self._failing_since is None:
                 self._failing_since = min(now, started_at + wait_s)
             self._failed_at = now
-        else:
+        elif started_at >= self._failed_at:
             self._end_outage(now if now - self._failed_at <= MAX_GAP_S else self._failed_at)
         return res
 
--- a/eelgrassferry/objects/tests/test_feed.py
+++ b/eelgrassferry/objects/tests/test_feed.py
@@ -135,6 +135,25 @@
         self.assertTrue(self.updates[-1].after_outage)
         self.assertEqual(self.updates[-1].outage_ended_s_ago, 0.0)
 
+    async def test_answered_watch_does_not_end_an_outage(self):
+        """Guards against a node that takes its copy for current because the store has answered a
+        watch from before it began to turn calls away.
+        """
+        store, feed = await self.start_watching(Ok(WatchResult(9, (REMOVAL,))))
+        watch = self.script.watch
+
+        async def waiting_watch(*args):
+            await self.fail_calls(store, until=1.9)
+            return await watch(*args)
+
+        self.script.watch = waiting_watch
+        await feed._watch()
+        self.assertTrue(self.updates[-1].after_outage)
+        self.assertTrue(store.had_outage_since(self.now))
+        self.script.responses = [Ok(None)]
+        await store.get("leases/x")
+        self.assertFalse(store.had_outage_since(self.now))
+
     async def test_outage_ends_with_the_last_failed_call(self):
         """Guards against an outage that seems to last as long as a process makes no calls, because
         a coordinator relays the changes to it (review case 9).
--- a/eelgrassferry/platform/tests/test_keys_of_fleet.py
+++ b/eelgrassferry/platform/tests/test_keys_of_fleet.py
@@ -93,6 +93,18 @@
         self.assertEqual(await self.statuses("key-1"), [200] * 3)
         self.assertEqual(await self.statuses("key-3"), [401] * 3)
 
+    async def test_store_that_answers_a_waiting_watch_in_an_outage(self):
+        """Guards against callers with new keys that give up, because for a moment a node takes its
+        copy for current: the store has answered a watch that began before the outage.
+        """
+        self.store.down = True
+        await self.wait_for("key-9", 503)
+        loop = asyncio.get_running_loop()
+        # A watch takes up to 2 s.
+        until = loop.time() + 2.5
+        while loop.time() < until:
+            self.assertEqual(await self.statuses("key-9"), [503] * 3)
+
     async def test_outage_of_the_store(self):
         """Guards against callers with new keys that give up because of a node whose copy may be
         old, against known keys that fail with the store, and against a node that restarts in the
