--- a/eelgrassferry/platform/tests/soak/fault_plan.py
+++ b/eelgrassferry/platform/tests/soak/fault_plan.py
@@ -62,22 +62,32 @@
     LOSE_ANSWERS = "lose_answers"
     DECLINE_REQUESTS = "decline_requests"
     REPEAT_DECLINES = "repeat_declines"
+    ENDLESS_CHUNKS = "endless_chunks"
+    LAPSE_REGISTRATION = "lapse_registration"
     FOREIGN_ENTRY = "foreign_entry"
     OUTAGE_AFTER_STOP = "outage_after_stop"
 
 
 NOTICES = (FaultKind.LIMIT_NOTICE, FaultKind.PAUSE_NOTICE, FaultKind.LEAVING_NOTICE)
 # Faults of a server that fails part of its requests while it is registered and listens. With
-# ``REPEAT_DECLINES``, the answers to declined requests come once more, late.
+# ``REPEAT_DECLINES``, the answers to declined requests come once more, late; with
+# ``ENDLESS_CHUNKS``, answers consist of very small chunks without end.
 ANSWER_FAULTS = (
     FaultKind.FAIL_REQUESTS,
     FaultKind.BREAK_STREAMS,
     FaultKind.LOSE_ANSWERS,
     FaultKind.DECLINE_REQUESTS,
     FaultKind.REPEAT_DECLINES,
+    FaultKind.ENDLESS_CHUNKS,
+)
+# With entries of other writers in the registry, registrations that are lost for a moment, and
+# outages of the store just after a planned stop.
+EXTRA_FAULTS = (
+    *ANSWER_FAULTS,
+    FaultKind.LAPSE_REGISTRATION,
+    FaultKind.FOREIGN_ENTRY,
+    FaultKind.OUTAGE_AFTER_STOP,
 )
-# With entries of other writers in the registry, and outages of the store just after a planned stop.
-EXTRA_FAULTS = (*ANSWER_FAULTS, FaultKind.FOREIGN_ENTRY, FaultKind.OUTAGE_AFTER_STOP)
 
 
 @dataclass(frozen=True)
--- a/eelgrassferry/platform/tests/soak/soak_fleet.py
+++ b/eelgrassferry/platform/tests/soak/soak_fleet.py
@@ -171,6 +171,8 @@
                 self.nodes[node].stop()
                 await asyncio.sleep(HANDOVER_TIME_S)
                 await self._disturb_store(fault)
+            case FaultKind.LAPSE_REGISTRATION:
+                await self._lapse_registration(server, fault.for_s)
             case FaultKind.FOREIGN_ENTRY:
                 await self._write_foreign_entry()
             case kind if kind in ANSWER_FAULTS:
@@ -272,6 +274,15 @@
         await server.stop()
         await self._replace_server(name, server)
 
+    async def _lapse_registration(self, name: str, for_s: float) -> None:
+        """Remove the registration of a server that runs on, and let the server renew it."""
+        server = self._servers[name]
+        if self._store.spec("servers", server.instance) is not None:
+            await self._store.remove("servers", server.instance)
+        await asyncio.sleep(for_s)
+        if self._servers[name] is server and not server.is_stopped:
+            await server.register()
+
     async def _limit_server(self, name: str, fault: Fault) -> None:
         """Let a server name a limit, unless it names one already."""
         server = self._servers[name]
--- a/eelgrassferry/platform/tests/soak/soak_server.py
+++ b/eelgrassferry/platform/tests/soak/soak_server.py
@@ -1,5 +1,6 @@
 """Stand-in server that records its runs and orders for the soak."""
 
+import asyncio
 from collections import Counter
 from collections.abc import Callable
 from random import Random
@@ -18,6 +19,9 @@
 MAX_ADAPTERS = 4
 # Share of its requests that a server fails in one way at a time.
 FAULTY_SHARE = 0.45
+# Chunks of one byte that an answer without end has at a time, and the pause after them in seconds.
+CHUNKS = b"1\r\nx\r\n" * 1000
+CHUNKS_PAUSE_S = 0.02
 
 
 class SoakServer(StandinServer):
@@ -96,6 +100,15 @@
         if self._fails(FaultKind.LOSE_ANSWERS):
             self.record_run(req, request_id)
             raise ConnectionResetError("injected fault: answer lost")
+        if self._fails(FaultKind.ENDLESS_CHUNKS):
+            self.record_run(req, request_id)
+            self.send_late_copy(responder)
+            await responder.start(200, (*headers, ("Transfer-Encoding", "chunked")))
+            while self.faults[FaultKind.ENDLESS_CHUNKS]:
+                responder._writer.write(CHUNKS)
+                await responder._writer.drain()
+                await asyncio.sleep(CHUNKS_PAUSE_S)
+            raise ConnectionResetError("injected fault: answer without end")
         if model and self._fails(FaultKind.BREAK_STREAMS):
             self.record_run(req, request_id)
             self.send_late_copy(responder)
