--- a/eelgrassferry/coordination/object_relay.py
+++ b/eelgrassferry/coordination/object_relay.py
@@ -1,7 +1,6 @@
 """Relaying of the store's objects between nodes, so that only one node has to watch the store."""
 
 import asyncio
-import math
 import random
 from collections.abc import Callable, Mapping
 from functools import partial
@@ -244,14 +243,13 @@
                 changed.append(stored)
             else:
                 unchanged.append(stored.key)
-    ended_s_ago = feed.outage_ended_s_ago
     return ObjectsCopy(
         feed.prefix,
         feed.version,
         feed.age_s,
         tuple(changed),
         tuple(unchanged),
-        ended_s_ago if math.isfinite(ended_s_ago) else None,
+        feed.outage_ended_s_ago,
     )
 
 
--- a/eelgrassferry/entry/tests/test_loop_report.py
+++ b/eelgrassferry/entry/tests/test_loop_report.py
@@ -5,8 +5,9 @@
 from structlog.testing import capture_logs
 
 from ...eventloop import Work, WorkQueue
+from ...logs.repeat_counter import LOG_INTERVAL_S
 from ...metrics import Metrics
-from ..loop_report import LOG_INTERVAL_S, LoopReport
+from ..loop_report import LoopReport
 
 
 class LoopReportTest(unittest.TestCase):
--- a/eelgrassferry/forwarding/caller_conn.py
+++ b/eelgrassferry/forwarding/caller_conn.py
@@ -8,7 +8,7 @@
 
 from ..admission import Holding, HoldingState
 from ..eventloop import Work
-from ..http import named_body_length, set_liveness_options
+from ..http import named_body_length, peer_address, set_liveness_options
 from .caller_request import CallerRequest
 from .facts import RawHeaders
 
@@ -142,8 +142,7 @@
     @property
     def peer(self) -> str:
         """The caller's address as ``host:port``."""
-        host, port = (self._transport and self._transport.get_extra_info("peername")) or ("", 0)
-        return f"{host}:{port}"
+        return peer_address(self._transport)
 
     def close(self) -> None:
         """Close the connection after all written bytes have been sent."""
--- a/eelgrassferry/forwarding/upstream_conn.py
+++ b/eelgrassferry/forwarding/upstream_conn.py
@@ -1,7 +1,6 @@
 """The client side of a connection to an upstream, which carries one request at a time."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -13,6 +12,7 @@
     SENT_CHECK_INTERVAL_S,
     SentCheck,
     ends_with_connection,
+    peer_address,
     set_liveness_options,
 )
 from .facts import AnswerHead, RawHeaders
@@ -79,7 +79,6 @@
         self._is_held = False
         self._lost_detail = ""
         self._ends_with_connection = False
-        self._sent_check: SentCheck | None = None
         self._work = Work(
             "upstream", self._parse, lambda: self.peer, self._on_parsed, self._on_parse_error
         )
@@ -98,8 +97,7 @@
     @property
     def peer(self) -> str:
         """The upstream's address as ``host:port``."""
-        host, port = (self._transport and self._transport.get_extra_info("peername")) or ("", 0)
-        return f"{host}:{port}"
+        return peer_address(self._transport)
 
     def has_carried(self, request_id: str) -> bool:
         """Return whether an earlier attempt of a request was sent on this connection."""
@@ -176,23 +174,22 @@
         # All bytes before it have been parsed, because the connection does not read meanwhile.
         assert self._transport is not None
         if self._listener is not None and self._ends_with_connection:
-            self._sent_check = SentCheck(self._transport, time.monotonic)
-            if not self._sent_check.is_sent:
-                self._check_later()
+            check = SentCheck(self._transport)
+            if not check.is_sent:
+                self._check_later(check)
                 return True
         self._handle_end()
         return False
 
-    def _check_later(self) -> None:
-        asyncio.get_running_loop().call_later(SENT_CHECK_INTERVAL_S, self._check_sent)
+    def _check_later(self, check: SentCheck) -> None:
+        asyncio.get_running_loop().call_later(SENT_CHECK_INTERVAL_S, self._check_sent, check)
 
-    def _check_sent(self) -> None:
+    def _check_sent(self, check: SentCheck) -> None:
         """End an answer without a length once the upstream has taken the whole request.
 
         The answer is not whole if the connection is reset before that.
         """
-        check = self._sent_check
-        if self._listener is None or check is None:
+        if self._listener is None:
             return
         if failure := check.find_failure():
             self._fail(failure)
@@ -200,7 +197,7 @@
             self._handle_end()
             self.close()
         else:
-            self._check_later()
+            self._check_later(check)
 
     def _handle_end(self) -> None:
         if self._listener is not None:
--- a/eelgrassferry/http/__init__.py
+++ b/eelgrassferry/http/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client and server over asyncio streams, with h11 as the protocol implementation."""
 
-from .address import split_address
+from .address import peer_address, split_address
 from .answer_framing import MAX_STATUS, ends_with_connection
 from .body_length import named_body_length
 from .client import HttpClient, HttpError, HttpStream
@@ -34,6 +34,7 @@
     "find_header",
     "format_event",
     "named_body_length",
+    "peer_address",
     "set_liveness_options",
     "split_address",
 ]
--- a/eelgrassferry/http/address.py
+++ b/eelgrassferry/http/address.py
@@ -1,6 +1,8 @@
 """Addresses of the form ``host:port``."""
 
-__all__ = ["split_address"]
+import asyncio
+
+__all__ = ["peer_address", "split_address"]
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -11,3 +13,10 @@
     """
     host, _, port = address.rpartition(":")
     return host, int(port)
+
+
+def peer_address(transport: asyncio.BaseTransport | None) -> str:
+    """Return the address of the other end of a connection, ":0" if it is not known."""
+    peername = transport.get_extra_info("peername") if transport is not None else None
+    host, port = (peername or ("", 0))[:2]
+    return f"{host}:{port}"
--- a/eelgrassferry/http/client.py
+++ b/eelgrassferry/http/client.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 client over asyncio streams with a connection pool for each peer."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -63,7 +62,6 @@
         self._needs_data = False
         self._parts: list[bytes] = []
         self._work = Work("http", self._parse, lambda: peer)
-        self._is_sent = not conn.ends_with_connection
         self.peer = peer
         self.status = status
         self.headers = headers
@@ -89,8 +87,10 @@
                 if self._parts or self._is_done or not self._needs_data:
                     return Ok(self._pop_parts())
                 data = await self._conn.reader.read(READ_BYTES)
-                if not data and not self._is_sent and (failure := await self._wait_until_sent()):
-                    return self._fail(failure)
+                if not data and self._conn.ends_with_connection:
+                    failure = await self._wait_until_sent()
+                    if failure:
+                        return self._fail(failure)
                 self._conn.h11.receive_data(data)
                 self._needs_data = False
         except (OSError, h11.ProtocolError) as exc:
@@ -98,12 +98,11 @@
 
     async def _wait_until_sent(self) -> str:
         """Wait until the peer has taken the request; return why it does not, or ""."""
-        check = SentCheck(self._conn.writer.transport, time.monotonic)
+        check = SentCheck(self._conn.writer.transport)
         while not check.is_sent:
             await asyncio.sleep(SENT_CHECK_INTERVAL_S)
             if failure := check.find_failure():
                 return failure
-        self._is_sent = True
         return ""
 
     def _parse(self, limit: int) -> bool:
--- a/eelgrassferry/http/sent_check.py
+++ b/eelgrassferry/http/sent_check.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 import termios
-from collections.abc import Callable
+import time
 
 __all__ = ["SENT_CHECK_INTERVAL_S", "SentCheck", "unsent_bytes"]
 
@@ -38,11 +38,10 @@
     later. An answer without a length is whole only in the first case.
     """
 
-    def __init__(self, transport: asyncio.WriteTransport, clock: Callable[[], float]) -> None:
+    def __init__(self, transport: asyncio.WriteTransport) -> None:
         self._transport = transport
-        self._clock = clock
         self._unsent = unsent_bytes(transport)
-        self._progress_at = clock()
+        self._progress_at = time.monotonic()
 
     @property
     def is_sent(self) -> bool:
@@ -57,7 +56,7 @@
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) if sock is not None else 0
         if error:
             return "the connection was reset during the request"
-        unsent, now = unsent_bytes(self._transport), self._clock()
+        unsent, now = unsent_bytes(self._transport), time.monotonic()
         if unsent != self._unsent:
             self._unsent, self._progress_at = unsent, now
         if unsent and now - self._progress_at >= STALLED_S:
--- a/eelgrassferry/http/server.py
+++ b/eelgrassferry/http/server.py
@@ -8,6 +8,7 @@
 import structlog
 
 from ..eventloop import Work
+from .address import peer_address
 from .incoming_request import IncomingRequest
 from .limits import HttpLimits
 from .listener import Listener
@@ -97,13 +98,13 @@
         task = asyncio.current_task()
         assert task is not None
         self._conn_tasks[task] = None
-        host, port = (writer.get_extra_info("peername") or ("", 0))[:2]
+        peer = peer_address(writer.transport)
         try:
-            await self._serve(reader, writer, f"{host}:{port}")
+            await self._serve(reader, writer, peer)
         except (ConnectionError, asyncio.CancelledError, TimeoutError):
             pass
         except Exception as exc:
-            log.error("connection failed", step="serve", peer=f"{host}:{port}", exc_info=exc)
+            log.error("connection failed", step="serve", peer=peer, exc_info=exc)
         finally:
             self._conn_tasks.pop(task, None)
             writer.close()
--- a/eelgrassferry/logs/__init__.py
+++ b/eelgrassferry/logs/__init__.py
@@ -3,6 +3,7 @@
 from .bounded_lines import BoundedLines
 from .configure import configure_logs
 from .context import bind_request
+from .repeat_counter import RepeatCounter
 from .whole_ms import to_whole_ms
 
-__all__ = ["BoundedLines", "bind_request", "configure_logs", "to_whole_ms"]
+__all__ = ["BoundedLines", "RepeatCounter", "bind_request", "configure_logs", "to_whole_ms"]
--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -92,7 +92,7 @@
         self.version = 0
         self.objects: dict[str, StoredObject] = {}
         self.up_to_date_at = float("-inf")
-        self._outage_ended_at = float("-inf")
+        self._outage_ended_at: float | None = None
         self._store = store
         self._on_update = on_update
         self._clock = clock
@@ -137,9 +137,10 @@
         return self._clock() - self.up_to_date_at
 
     @property
-    def outage_ended_s_ago(self) -> float:
-        """The time since the end of the last known outage in seconds; infinite without one."""
-        return self._clock() - self._outage_ended_at
+    def outage_ended_s_ago(self) -> float | None:
+        """The time since the end of the last known outage in seconds, None without one."""
+        ended_at = self._outage_ended_at
+        return None if ended_at is None else self._clock() - ended_at
 
     def apply_peer_copy(
         self,
@@ -188,9 +189,13 @@
         ended_at = self._clock() - ended_s_ago
         if ended_at - self.up_to_date_at < OUTAGE_S:
             return None
-        self._outage_ended_at = max(self._outage_ended_at, ended_at)
+        self._record_outage(ended_at)
         return ended_s_ago
 
+    def _record_outage(self, ended_at: float) -> None:
+        if self._outage_ended_at is None or ended_at > self._outage_ended_at:
+            self._outage_ended_at = ended_at
+
     async def _list(self) -> Result[None, ObjectError]:
         res = await self._store.snapshot(self.prefix)
         if isinstance(res, Err):
@@ -228,7 +233,7 @@
         self.up_to_date_at = now
         if ended_at is None:
             return None
-        self._outage_ended_at = max(self._outage_ended_at, ended_at)
+        self._record_outage(ended_at)
         return now - ended_at
 
     async def _on_error(self, exc: ObjectError) -> None:
--- a/eelgrassferry/platform/tests/raw_server.py
+++ b/eelgrassferry/platform/tests/raw_server.py
@@ -5,6 +5,7 @@
 import struct
 
 from .standin_store import StandinStore
+from .tcp_server import TcpServer
 
 __all__ = ["RawServer"]
 
@@ -12,7 +13,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class RawServer:
+class RawServer(TcpServer):
     """Registered server that sends ``head``, then each of ``parts``, and ends the connection.
 
     ``{id}`` in the head is replaced by the request's id. With ``reset``, the connection is reset
@@ -20,22 +21,20 @@
     """
 
     def __init__(self, store: StandinStore, service: str, instance: str) -> None:
+        super().__init__()
         self.head = ""
         self.parts: tuple[bytes, ...] = ()
         self.reset = False
         self._store = store
         self._service = service
         self._instance = instance
-        self._server: asyncio.Server | None = None
-        self._answers: set[asyncio.Task[None]] = set()
 
     async def start(self, models: tuple[str, ...] = ()) -> None:
         """Start listening and write the registry entry."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
+        await super().start()
         entry = {
             "service": self._service,
-            "address": f"{host}:{port}",
+            "address": self.address,
             "zone": "zone-a",
             "version": "v1",
             "slots": 8,
@@ -47,34 +46,10 @@
         }
         await self._store.write("servers", self._instance, entry)
 
-    async def stop(self) -> None:
-        """Stop listening and close all connections."""
-        assert self._server is not None
-        self._server.close()
-        for task in self._answers:
-            task.cancel()
-        await asyncio.gather(*self._answers, return_exceptions=True)
-
-    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.ensure_future(self._answer(reader, writer))
-        self._answers.add(task)
-        task.add_done_callback(self._answers.discard)
-
-    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            await self._answer_request(reader, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            writer.close()
-
-    async def _answer_request(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def answer(
+        self, headers: dict[str, str], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        headers = dict(
-            line.lower().split(": ", 1) for line in text.split("\r\n")[1:] if ": " in line
-        )
+        """Answer a request once it has arrived."""
         await reader.readexactly(int(headers.get("content-length", 0)))
         request_id = headers.get("eelgrassferry-request-id")
         writer.write(self.head.replace("{id}", request_id or "").encode("latin-1"))
