--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -14,9 +14,11 @@
     "eelgrassferry.platform.tests.documents",
     "eelgrassferry.platform.tests.soak.free_ports",
     "eelgrassferry.platform.tests.standin_server",
+    "review.support_3.crashing_engine",
     "review.support_3.deployment",
     "review.support_3.drill_store",
     "review.support_3.engine_in_trouble",
+    "review.support_3.many_part_callers",
     "review.support_3.stream_callers",
 )
 if not all([compileall.compile_dir(folder, quiet=1) for folder in FOLDERS]):
--- a/review/support_3/engine_in_trouble.py
+++ b/review/support_3/engine_in_trouble.py
@@ -1,7 +1,7 @@
 """Model server as a process of its own, whose streams may go on without end.
 
-Arguments: the fault, "lines" (empty lines without end), "event" (an event without end) or "none",
-and the bytes a second that all its streams send together at most. Prints its address.
+Arguments: the fault, "lines" (empty lines without end) or "none", and the bytes a second that all
+its streams send together at most. Prints its address.
 
 PAGES-NEWS.md: "About servers in trouble: bytes that are no answer may also come without end, in a
 head or a body, until the caller closes."
@@ -65,10 +65,8 @@
                 for number in range(1, EVENTS + 1):
                     writer.write(f"id: {number}\ndata: text\n\n".encode())
                     await asyncio.sleep(EVENT_PAUSE_S)
-                if fault == "event":
-                    writer.write(f"id: {EVENTS + 1}\ndata: ".encode())
-                while fault != "none":
-                    await link.send(writer, (b"\n" if fault == "lines" else b"x") * 65536)
+                while fault == "lines":
+                    await link.send(writer, b"\n" * 65536)
                 return
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
