--- a/eelgrassferry/coordination/node_registry.py
+++ b/eelgrassferry/coordination/node_registry.py
@@ -41,6 +41,9 @@
 class NodeRegistry:
     """Registry of the addresses and failure domains of all nodes, including this one.
 
+    Nodes whose registrations are missing after a restore of the store remain known, because they
+    register again: the coordinator's promises have to come from all running nodes.
+
     ``members`` returns the names of the nodes that are linked to this node while it is the
     coordinator, and None while it is not.
     """
@@ -61,6 +64,11 @@
         self._nodes: dict[str, _Registration] = {}
         self._last_linked_at: dict[str, float] = {}
         self._has_written = False
+        entry = {"address": settings.peer_listen, "domain": settings.domain}
+        # The store returns values in this compact form, so that an unchanged entry is recognized.
+        self._own_value = json.dumps(
+            {**entry, "cores": settings.cores}, separators=(",", ":")
+        ).encode()
         self._needs_registration = asyncio.Event()
         self._needs_registration.set()
 
@@ -124,16 +132,9 @@
 
     async def _register(self) -> None:
         """Write this node's entry to the store at startup and whenever it is missing."""
-        entry = {
-            "address": self._settings.peer_listen,
-            "domain": self._settings.domain,
-            "cores": self._settings.cores,
-        }
-        # The store returns values in this compact form, so that an unchanged entry is recognized.
-        value = json.dumps(entry, separators=(",", ":")).encode()
         while True:
             await self._needs_registration.wait()
-            if await self._write(value):
+            if await self._write(self._own_value):
                 self._needs_registration.clear()
             else:
                 await asyncio.sleep(RETRY_S)
@@ -174,16 +175,29 @@
     async def _remove(self, name: str) -> None:
         stored = self.feed.objects.get(NODES_PREFIX + name)
         if stored is None:
+            await self._forget_unregistered(name)
             return
         res = await self._store.delete(stored.key, stored.version)
         removed = not isinstance(res, Err)
         log.info("registration removed", step="remove_node", peer=name, removed=removed)
 
+    async def _forget_unregistered(self, name: str) -> None:
+        """Forget a node that has not registered again since the store was restored."""
+        read = await self._store.get(NODES_PREFIX + name)
+        if isinstance(read, Ok) and read.ok_value is None:
+            self._nodes.pop(name, None)
+            log.info("node forgotten", step="remove_node", peer=name)
+
     def _apply_update(self, update: FeedUpdate) -> None:
-        if update.complete:
-            self._nodes.clear()
-        for key in update.removed:
-            self._nodes.pop(key.removeprefix(NODES_PREFIX), None)
+        if update.after_restore:
+            own = self.feed.objects.get(self.own_key)
+            if own is None or own.value != self._own_value:
+                self._needs_registration.set()
+        else:
+            if update.complete:
+                self._nodes.clear()
+            for key in update.removed:
+                self._nodes.pop(key.removeprefix(NODES_PREFIX), None)
         for stored in update.written:
             self._add_entry(stored)
         if self._settings.name not in self._nodes:
--- a/eelgrassferry/coordination/tests/test_node_registry.py
+++ b/eelgrassferry/coordination/tests/test_node_registry.py
@@ -75,3 +75,71 @@
         found = self.loop.run_until_complete(registry.find_address("n1"))
         self.assertEqual(found, "10.0.0.1:7000")
         self.assertFalse(registry.is_listed)
+
+
+class RestoreTest(unittest.TestCase):
+    """The store loses registrations in a restore."""
+
+    def setUp(self):
+        self.loop = VirtualTimeLoop()
+        self.addCleanup(self.loop.close)
+        self.store = CompactStore()
+
+    def make_registry(self, name: str, members: set[str] | None = None) -> NodeRegistry:
+        settings = replace(SETTINGS, name=name, peer_listen=f"{name}:7000")
+        store = MonitoredStore(self.store, self.loop.time)
+        return NodeRegistry(settings, store, self.loop.time, lambda: members)
+
+    def run_all(self, seconds: float, *steps, registries) -> None:
+        """Run registries for some time after each of the steps."""
+
+        async def run():
+            tasks = [asyncio.ensure_future(registry.run()) for registry in registries]
+            for step in (None, *steps):
+                if step is not None:
+                    await step()
+                await asyncio.sleep(seconds)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        self.loop.run_until_complete(run())
+
+    def test_lost_registration_is_written_again(self):
+        """Guards against a node that no other node finds after a restore."""
+        registry, copy = self.make_registry("n1"), self.store.make_copy()
+        self.run_all(3.0, lambda: self.store.restore(copy), registries=[registry])
+        self.assertIsNotNone(self.loop.run_until_complete(self.store.get("nodes/n1")).unwrap())
+
+    def test_older_registration_of_the_copy_is_replaced(self):
+        """Guards against a node that is sought at the address of an earlier machine."""
+        self.run_all(1.0, registries=[self.make_registry("n1")])
+        copy = self.store.make_copy()
+        moved = self.make_registry("n1")
+        moved._own_value = moved._own_value.replace(b"n1:7000", b"n1:7001")
+        moved._settings = replace(moved._settings, first_start=False)
+        self.run_all(3.0, lambda: self.store.restore(copy), registries=[moved])
+        stored = self.loop.run_until_complete(self.store.get("nodes/n1")).unwrap()
+        self.assertEqual(stored.value, moved._own_value)
+
+    def test_nodes_without_a_registration_are_known_until_they_are_absent(self):
+        """Guards against a violation of ONE: a coordinator that is extended by the promises of the
+        other nodes does not ask one whose registration the store has lost.
+        """
+        registry, other = self.make_registry("n1", set()), self.make_registry("n2")
+
+        async def restore():
+            copy = self.store.make_copy()
+            await self.store.delete("nodes/n2", other.feed.objects["nodes/n2"].version)
+            lost = self.store.make_copy()
+            await self.store.restore(copy)
+            await asyncio.sleep(1.0)
+            await self.store.restore(lost)
+            await asyncio.sleep(1.0)
+            self.assertEqual(registry.others, ["n2"])
+
+        self.run_all(1.0, registries=[other])
+        self.run_all(2.0, restore, registries=[registry])
+        self.assertEqual(registry.others, ["n2"])
+        self.run_all(12.0, registries=[registry])
+        self.assertEqual(registry.others, [])
--- a/eelgrassferry/coordination/tests/test_verdict_store.py
+++ b/eelgrassferry/coordination/tests/test_verdict_store.py
@@ -104,3 +104,15 @@
         self.memory.faults.down = False
         await verdicts.synchronize()
         self.assertIsNotNone((await self.memory.get(KEY)).unwrap())
+
+    async def test_verdict_is_stored_again_after_a_restore(self):
+        """Guards against a verdict that the store has lost, which ends with the last process."""
+        crashes, verdicts = self.start_process()
+        await verdicts.synchronize()
+        copy = self.memory.make_copy()
+        crash_twice(crashes)
+        await verdicts.synchronize()
+        await self.memory.restore(copy)
+        await verdicts.synchronize()
+        stored = (await self.memory.get(KEY)).unwrap()
+        self.assertEqual(stored.value, b'{"blocked": [["part:deadly"]]}')
--- a/eelgrassferry/coordination/verdict_store.py
+++ b/eelgrassferry/coordination/verdict_store.py
@@ -43,6 +43,7 @@
         self._is_coordinator = is_coordinator
         self._restarted = restarted
         self._version: int | None = None
+        self._era = 0
         self._stored: frozenset[frozenset[str]] = frozenset()
 
     async def run(self) -> None:
@@ -57,7 +58,12 @@
             await asyncio.sleep(INTERVAL_S)
 
     async def synchronize(self) -> None:
-        """Read the object unless its version is known, then write it if verdicts have changed."""
+        """Read the object unless its version is known, then write it if verdicts have changed.
+
+        It is read again, and written if it lacks verdicts, once the store was restored.
+        """
+        if self._era != self._store.era:
+            self._version = None
         if self._version is None and not await self._load():
             return
         blocked = self._crashes.blocked_content
@@ -80,6 +86,7 @@
         if isinstance(read, Err):
             return False
         self._version = read.ok_value.version if read.ok_value else 0
+        self._era = self._store.era
         self._stored = _decode(read.ok_value)
         self._crashes.restore(self._stored, self._clock())
         return True
--- a/eelgrassferry/entry/registry_view.py
+++ b/eelgrassferry/entry/registry_view.py
@@ -5,7 +5,13 @@
 import structlog
 from result import Err
 
-from ..fleet import DirectoryChange, FleetConfig, UpstreamDirectory, UpstreamEntry
+from ..fleet import (
+    DirectoryChange,
+    FleetConfig,
+    RestoredEntries,
+    UpstreamDirectory,
+    UpstreamEntry,
+)
 from ..metrics import Metrics
 from ..objects import FeedUpdate, StoredObject
 from .platform_protocol import PlatformProtocol
@@ -38,6 +44,7 @@
         self._clock = clock
         self._on_config = on_config
         self._on_change = on_change
+        self._restored = RestoredEntries()
 
     def apply_config_update(self, update: FeedUpdate) -> None:
         """Apply a configuration that is newer than the one in force; ignore older versions."""
@@ -59,19 +66,15 @@
         missing_before = set(self._directory.missing)
         if update.outage_ended_s_ago is not None:
             self._directory.record_outage(now - update.outage_ended_s_ago)
+        entries = self._usable_entries(update, now)
         changes: list[DirectoryChange] = []
         if update.complete:
-            entries = {
-                self._instance_of(obj.key): self._decode_entry(obj) for obj in update.written
-            }
             changes = self._directory.replace(entries, now)
         else:
             for key in update.removed:
                 changes += self._directory.remove(self._instance_of(key), now)
-            for stored in update.written:
-                changes += self._directory.update(
-                    self._instance_of(stored.key), self._decode_entry(stored)
-                )
+            for instance, entry in entries.items():
+                changes += self._directory.update(instance, entry)
         for instance in set(self._directory.missing) - missing_before:
             log.info(
                 "missing registration kept",
@@ -82,11 +85,43 @@
         self._publish_changes(changes, update.version)
 
     def expire(self) -> None:
-        """Remove upstreams whose registration was not renewed after an outage of the store."""
-        changes = self._directory.expire(self._clock())
+        """Remove upstreams whose registration was not renewed after an outage of the store.
+
+        Restored registrations that were withheld long enough are used.
+        """
+        now = self._clock()
+        changes = self._directory.expire(now)
+        for entry in self._restored.pop_due(now):
+            changes += self._directory.update(entry.instance, entry)
         if changes:
             self._publish_changes(changes, 0)
 
+    def _usable_entries(self, update: FeedUpdate, now: float) -> dict[str, UpstreamEntry | None]:
+        """Return the written entries without those of ended processes that a restore brought back.
+
+        An entry that cannot be decoded is None.
+        """
+        for key in update.removed:
+            self._restored.discard(self._instance_of(key))
+        entries: dict[str, UpstreamEntry | None] = {}
+        for stored in update.written:
+            instance = self._instance_of(stored.key)
+            if self._restored.is_withheld(instance, stored.version):
+                continue
+            self._restored.discard(instance)
+            entry = self._decode_entry(stored)
+            if entry is not None and update.after_restore and self._has_ended(entry):
+                self._restored.withhold(entry, stored.version, now)
+                log.info("restored entry withheld", step="apply_registry", upstream=instance)
+            else:
+                entries[instance] = entry
+        return entries
+
+    def _has_ended(self, entry: UpstreamEntry) -> bool:
+        """Return whether the process of an entry has ended, and no other one has its instance."""
+        is_registered = self._directory.get(entry.instance) is not None
+        return not is_registered and self._restored.has_ended(entry.process_id)
+
     def _apply_config(self, stored: StoredObject) -> None:
         decoded = self._protocol.decode_config(stored.value)
         if isinstance(decoded, Err):
@@ -126,6 +161,10 @@
         for change in changes:
             entry = change.after or change.before
             assert entry is not None
+            if change.before is not None and (change.after is None or change.restarted):
+                self._restored.record_ended(change.before.process_id)
+            if change.after is not None:
+                self._restored.record_alive(change.after.process_id)
             log.info(
                 "upstream changed",
                 step="apply_registry",
--- a/eelgrassferry/fleet/__init__.py
+++ b/eelgrassferry/fleet/__init__.py
@@ -3,6 +3,7 @@
 from .caller_limits import CallerLimits
 from .entry_settings import EntrySettings, ServiceBounds
 from .fleet_config import FleetConfig
+from .restored_entries import RestoredEntries
 from .route import Backend, RequestKind, Route
 from .service import EngineSpec, ModelSpec, Service
 from .tenant import QuotaUnit, Tenant
@@ -21,6 +22,7 @@
     "ModelSpec",
     "QuotaUnit",
     "RequestKind",
+    "RestoredEntries",
     "Route",
     "Service",
     "ServiceBounds",
--- a/eelgrassferry/objects/__init__.py
+++ b/eelgrassferry/objects/__init__.py
@@ -8,6 +8,7 @@
 from .monitored_store import MonitoredStore
 from .object_store import Change, ObjectStore, Snapshot, SnapshotStore, StoredObject, WatchResult
 from .settle import put_and_resolve
+from .store_version import era_of, make_version, revision_of
 
 __all__ = [
     "Change",
@@ -30,5 +31,8 @@
     "TooLarge",
     "Unavailable",
     "WatchResult",
+    "era_of",
+    "make_version",
     "put_and_resolve",
+    "revision_of",
 ]
--- a/eelgrassferry/objects/feed.py
+++ b/eelgrassferry/objects/feed.py
@@ -10,6 +10,7 @@
 from .errors import HistoryGone, ObjectError
 from .monitored_store import OUTAGE_S, MonitoredStore
 from .object_store import Change, Snapshot, StoredObject, WatchResult
+from .store_version import era_of, revision_of
 
 __all__ = ["FeedUpdate", "ObjectFeed"]
 
@@ -41,7 +42,8 @@
 
     A ``complete`` update contains all objects under the prefix; any other object has been
     removed. In the first update after an outage of the store, ``outage_ended_s_ago`` is the time
-    since its end in seconds; otherwise it is None.
+    since its end in seconds; otherwise it is None. The first update of a later era of the store
+    is complete, and is one after an outage: some objects that are missing will be written again.
     """
 
     complete: bool
@@ -56,12 +58,18 @@
         """Whether this is the first update after an outage of the store."""
         return self.outage_ended_s_ago is not None
 
+    @property
+    def after_restore(self) -> bool:
+        """Whether the store was restored from a copy between the two versions."""
+        return self.base > 0 and era_of(self.base) != era_of(self.version)
+
 
 class ObjectFeed:
     """A copy of the objects under one prefix that calls ``on_update`` on every change.
 
-    ``version`` never decreases: an update that is older than the copy is ignored. Updates may
-    also come from peers. While ``is_relayed`` returns True, a peer relays all changes and the
+    ``version`` never decreases: an update that is older than the copy is ignored. A listing of a
+    later era replaces the copy, because the store was restored meanwhile. Updates may also come
+    from peers. While ``is_relayed`` returns True, a peer relays all changes and the
     store is not polled; a process that cannot reach the store may use a peer's copy.
     ``is_relay_expected`` returns whether a peer will probably relay changes soon; until then, the
     store is not watched, nor listed if the feed is ``deferrable``.
@@ -259,6 +267,7 @@
         listed = tuple(map(self._reduce, snapshot.objects))
         objects = {obj.key: obj for obj in listed}
         removed = tuple(key for key in self.objects if key not in objects)
+        outage_ended_s_ago = self._after_restore(snapshot.version, outage_ended_s_ago)
         base, self.version = self.version, snapshot.version
         self.objects = objects
         update = FeedUpdate(True, snapshot.version, listed, removed, outage_ended_s_ago, base)
@@ -289,7 +298,12 @@
 
     def _merge(self, update: FeedUpdate) -> None:
         """Apply changes, skipping those that the copy already contains."""
-        update = replace(update, written=tuple(map(self._reduce, update.written)))
+        update = replace(
+            update,
+            written=tuple(map(self._reduce, update.written)),
+            outage_ended_s_ago=self._after_restore(update.version, update.outage_ended_s_ago),
+            base=self.version,
+        )
         written = tuple(
             stored
             for stored in update.written
@@ -307,6 +321,26 @@
             self._on_update(replace(update, complete=False, written=written, removed=removed))
         self.on_version_update(update)
 
+    def _after_restore(self, version: int, outage_ended_s_ago: float | None) -> float | None:
+        """Return how long ago an outage ended before a version, which may be of a later era.
+
+        Objects that were written since the copy was made are written again within the time in which
+        they are after an outage, even if the store was away too briefly for one.
+        """
+        if not self.version or era_of(version) == era_of(self.version):
+            return outage_ended_s_ago
+        log.warning(
+            "store restored from a copy",
+            step="apply_era",
+            prefix=self.prefix,
+            era=era_of(version),
+            revision=revision_of(version),
+            previous_era=era_of(self.version),
+            previous_revision=revision_of(self.version),
+        )
+        self._record_outage(self._clock())
+        return 0.0
+
     def _reduce(self, stored: StoredObject) -> StoredObject:
         """Return an object without its value if it is large and cannot be used."""
         if len(stored.value) <= LARGE_OBJECT_BYTES or self.is_usable(stored):
--- a/eelgrassferry/objects/http_store.py
+++ b/eelgrassferry/objects/http_store.py
@@ -29,6 +29,9 @@
     >>> # res = await store.get("config/uy-sur")
     """
 
+    # This interface names no eras.
+    era = 0
+
     def __init__(
         self, client: HttpClient, address: str, domain: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> None:
--- a/eelgrassferry/objects/memory_store.py
+++ b/eelgrassferry/objects/memory_store.py
@@ -5,10 +5,11 @@
 
 from result import Err, Ok, Result
 
-from .errors import Conflict, ObjectError, TooLarge, Unavailable
+from .errors import Conflict, HistoryGone, ObjectError, TooLarge, Unavailable
 from .object_store import Change, Snapshot, StoredObject, WatchResult
+from .store_version import era_of, make_version, revision_of
 
-__all__ = ["MAX_VALUE_BYTES", "MemoryObjectStore", "StoreFaults"]
+__all__ = ["MAX_VALUE_BYTES", "MemoryObjectStore", "StoreCopy", "StoreFaults"]
 
 MAX_VALUE_BYTES = 1_000_000
 PEER = "memory"
@@ -26,15 +27,26 @@
     lose_answers: int = 0
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The content of a store at one revision."""
+
+    revision: int
+    objects: tuple[StoredObject, ...]
+
+
 class MemoryObjectStore:
     """A ``SnapshotStore`` in the memory of one process.
 
+    It may be restored to a copy of its content, which begins a new era.
+
     >>> store = MemoryObjectStore()
     >>> asyncio.run(store.put("a", b"1", expected=0))
     Ok(1)
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.faults = StoreFaults()
         self.reads = 0
         self.writes = 0
@@ -43,6 +55,24 @@
         self._version = 0
         self._changed = asyncio.Condition()
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of the present content."""
+        return StoreCopy(revision_of(self._version), tuple(self._objects.values()))
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Return to the content of a copy; what was written since is lost."""
+        self.era += 1
+        self._version = make_version(self.era, copy.revision)
+        self._objects = {
+            stored.key: StoredObject(
+                stored.key, make_version(self.era, revision_of(stored.version)), stored.value
+            )
+            for stored in copy.objects
+        }
+        self._changes.clear()
+        async with self._changed:
+            self._changed.notify_all()
+
     async def get(self, key: str) -> Result[StoredObject | None, ObjectError]:
         """Return the object, or None if it does not exist."""
         self.reads += 1
@@ -101,9 +131,13 @@
             return self._unavailable("watch", uncertain=False)
         try:
             async with asyncio.timeout(timeout_s), self._changed:
-                await self._changed.wait_for(lambda: self._changes_since(prefix, after))
+                await self._changed.wait_for(
+                    lambda: self._changes_since(prefix, after) or era_of(after) != self.era
+                )
         except TimeoutError:
             pass
+        if era_of(after) != self.era:
+            return Err(HistoryGone("watch", PEER, prefix))
         return Ok(WatchResult(self._version, self._changes_since(prefix, after)))
 
     def _changes_since(self, prefix: str, after: int) -> tuple[Change, ...]:
--- a/eelgrassferry/objects/monitored_store.py
+++ b/eelgrassferry/objects/monitored_store.py
@@ -41,6 +41,11 @@
         self._failed_at = float("-inf")
         self._outage_ended_at = float("-inf")
 
+    @property
+    def era(self) -> int:
+        """The latest era that the store has named, 0 if it has named none."""
+        return self._store.era
+
     def had_outage_since(self, time: float) -> bool:
         """Return whether an outage is ongoing or ended after ``time``."""
         return self.outage_end_since(time) is not None
--- a/eelgrassferry/objects/object_store.py
+++ b/eelgrassferry/objects/object_store.py
@@ -14,7 +14,8 @@
 class StoredObject:
     """An object and its version.
 
-    Versions come from one counter for the whole store and only increase.
+    Versions come from one counter for the whole store and only increase; see ``make_version`` for
+    stores that may be restored from a copy.
     """
 
     key: str
@@ -49,7 +50,13 @@
 
 
 class ObjectStore(Protocol):
-    """Reads, conditional writes and watches of the platform's object API."""
+    """Reads, conditional writes and watches of the platform's object API.
+
+    ``era`` is the latest era that the store has named, 0 if it has named none.
+    """
+
+    @property
+    def era(self) -> int: ...
 
     async def get(self, key: str) -> Result[StoredObject | None, ObjectError]:
         """Return the object, or None if it does not exist."""
--- a/eelgrassferry/objects/tests/test_feed.py
+++ b/eelgrassferry/objects/tests/test_feed.py
@@ -1,6 +1,7 @@
 """Tests of the object feed against a scripted store."""
 
 import asyncio
+import time
 import unittest
 from dataclasses import replace
 
@@ -10,6 +11,7 @@
     Change,
     FeedUpdate,
     HistoryGone,
+    MemoryObjectStore,
     MonitoredStore,
     ObjectFeed,
     Snapshot,
@@ -344,3 +346,79 @@
             await feed.run()
         self.assertGreaterEqual(self.now, 1.0)
         self.assertEqual(store.calls, ["list"])
+
+
+class RestoreTest(unittest.IsolatedAsyncioTestCase):
+    """A feed whose store comes back from a copy and gives revisions out again."""
+
+    def setUp(self):
+        self.updates = []
+        self.store = MemoryObjectStore()
+        self.feed = self.make_feed(self.updates.append)
+
+    def make_feed(self, on_update=lambda _update: None):
+        store = MonitoredStore(self.store, time.monotonic)
+        return ObjectFeed(store, "servers/", on_update, time.monotonic)
+
+    async def write(self, name, value):
+        stored = (await self.store.get(f"servers/{name}")).unwrap()
+        expected = stored.version if stored else 0
+        await self.store.put(f"servers/{name}", value, expected)
+
+    async def lose_writes(self):
+        """Let the store lose writes that the feed has seen."""
+        await self.write("u1", b"1")
+        copy = self.store.make_copy()
+        for number in range(5):
+            await self.write("u2", b"%d" % number)
+        await self.feed._list()
+        await self.store.restore(copy)
+
+    async def run_feed(self, seconds):
+        task = asyncio.ensure_future(self.feed.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+    async def test_changes_below_the_old_revision_are_seen(self):
+        """Guards against a violation of CONFIG: what is acknowledged after a restore is missed
+        while the revisions are below those from before (review case 14).
+        """
+        await self.lose_writes()
+        await self.write("u3", b"3")
+        await self.run_feed(0.3)
+        self.assertEqual(set(self.feed.objects), {"servers/u1", "servers/u3"})
+        self.assertTrue(self.updates[-1].after_restore)
+        self.assertEqual(self.updates[-1].removed, ("servers/u2",))
+
+    async def test_missing_objects_may_be_written_again(self):
+        """Guards against dropping all servers that had registered since the copy was made."""
+        await self.lose_writes()
+        await self.feed._list()
+        self.assertEqual(self.updates[-1].outage_ended_s_ago, 0.0)
+        await self.write("u2", b"4")
+        await self.feed._watch()
+        self.assertFalse(self.updates[-1].after_outage)
+        self.assertFalse(self.updates[-1].after_restore)
+
+    async def test_copy_of_an_earlier_era_is_ignored(self):
+        """Guards against a peer that was cut off during the drill and has a higher revision."""
+        await self.lose_writes()
+        lost_version, lost = self.feed.version, tuple(self.feed.objects.values())
+        await self.feed._list()
+        self.assertFalse(self.feed.apply_peer_copy(lost_version, lost, 0.0))
+        update = FeedUpdate(False, lost_version, lost, (), base=lost_version - 1)
+        self.assertTrue(self.feed.apply_relayed_update(update))
+        self.assertEqual(set(self.feed.objects), {"servers/u1"})
+
+    async def test_relayed_listing_of_a_later_era_replaces_the_copy(self):
+        """Guards against a follower that keeps what the store has lost."""
+        await self.lose_writes()
+        follower_updates = []
+        follower = self.make_feed(follower_updates.append)
+        follower.apply_peer_copy(self.feed.version, tuple(self.feed.objects.values()), 0.0)
+        self.feed.on_version_update = follower.apply_relayed_update
+        await self.feed._list()
+        self.assertEqual(follower.version, self.feed.version)
+        self.assertEqual(set(follower.objects), {"servers/u1"})
+        self.assertTrue(follower_updates[-1].after_restore)
+        self.assertTrue(follower_updates[-1].after_outage)
--- a/eelgrassferry/platform/names.py
+++ b/eelgrassferry/platform/names.py
@@ -7,6 +7,7 @@
     "READY_PATH",
     "REPORT_PATH",
     "SETTINGS_VARIABLE",
+    "STORE_ERA_HEADER",
     "UPSTREAMS_PREFIX",
 ]
 
@@ -15,6 +16,8 @@
 REPORT_PATH = "/eelgrassferry/report"
 ORDER_PATH = "/eelgrassferry/order"
 OBJECTS_PATH = "/eelgrassferry/objects"
+# Rises by one each time that the store comes back from a copy.
+STORE_ERA_HEADER = "store-era"
 
 # Object keys have the form ``kind/name``. Operators write the configuration; each upstream writes
 # its own registry entry.
--- a/eelgrassferry/platform/tests/test_object_store.py
+++ b/eelgrassferry/platform/tests/test_object_store.py
@@ -1,11 +1,12 @@
 """Tests of the platform store's client against a stand-in of the store."""
 
+import asyncio
 import unittest
 
 from result import Err, Ok
 
 from ...http import HttpClient
-from ...objects import Conflict, HistoryGone, Unavailable
+from ...objects import Conflict, HistoryGone, Unavailable, era_of, revision_of
 from ..object_store import PlatformObjectStore
 from .standin_store import StandinStore
 
@@ -62,3 +63,76 @@
         result = await self.store.watch("servers/", 3, 1.0)
         self.assertIsInstance(result, Err)
         self.assertIsInstance(result.err_value, HistoryGone)
+
+
+class RestoreTest(unittest.IsolatedAsyncioTestCase):
+    """The store comes back from a copy and gives revisions out again."""
+
+    async def asyncSetUp(self):
+        self.server = StandinStore()
+        self.client = HttpClient()
+        self.addCleanup(self.client.close)
+        self.store = PlatformObjectStore(self.client, await self.server.start())
+        self.addAsyncCleanup(self.server.stop)
+        self.version = (await self.store.put("leases/a", b'{"n":1}', 0)).unwrap()
+        self.copy = self.server.make_copy()
+
+    async def test_versions_of_the_new_era_are_later(self):
+        """Guards against taking what is written after a restore for older than what was lost."""
+        lost = (await self.store.put("leases/a", b'{"n":2}', self.version)).unwrap()
+        self.server.restore(self.copy)
+        restored = (await self.store.get("leases/a")).unwrap()
+        self.assertGreater(restored.version, lost)
+        self.assertEqual((era_of(restored.version), self.store.era), (2, 2))
+
+    async def test_watch_from_before_the_restore_fails(self):
+        """Guards against missing what was written below the watch's revision (review case 14)."""
+        lost = (await self.store.put("leases/a", b'{"n":2}', self.version)).unwrap()
+        self.server.restore(self.copy)
+        for number in range(3):
+            await self.server.write("leases", "b", {"n": number})
+        for _ in range(2):
+            watched = await self.store.watch("leases/", lost, 0.1)
+            self.assertIsInstance(watched.err_value, HistoryGone)
+
+    async def test_waiting_watch_ends_with_its_era(self):
+        """Guards against a watch that delays the news of a restore by its whole wait."""
+        watch = asyncio.ensure_future(self.store.watch("servers/", self.version, 5.0))
+        await asyncio.sleep(0.05)
+        self.server.restore(self.copy)
+        await self.store.get("leases/a")
+        async with asyncio.timeout(1.0):
+            self.assertIsInstance((await watch).err_value, HistoryGone)
+
+    async def test_write_on_a_lost_version_conflicts(self):
+        """Guards against a write that meets another object under a revision given out again."""
+        lost = (await self.store.put("leases/a", b'{"n":2}', self.version)).unwrap()
+        self.server.restore(self.copy)
+        again = await self.server.write("leases", "a", {"n": 3})
+        self.assertEqual(again, revision_of(lost))
+        await self.store.get("leases/none")
+        written = await self.store.put("leases/a", b'{"n":4}', lost)
+        self.assertIsInstance(written.err_value, Conflict)
+        self.assertIsInstance((await self.store.delete("leases/a", lost)).err_value, Conflict)
+        self.assertEqual(self.server.spec("leases", "a"), {"n": 3})
+
+    async def test_write_that_met_a_new_era_is_uncertain(self):
+        """Guards against a write that counts as one on the version that was read."""
+        self.server.restore(self.copy)
+        written = await self.store.put("leases/a", b'{"n":4}', self.version)
+        self.assertTrue(written.err_value.uncertain)
+
+    async def test_store_without_eras_has_plain_revisions(self):
+        """Guards against other versions than before at a store that names no era."""
+        self.server.era = 0
+        store = PlatformObjectStore(self.client, self.server._server.address)
+        revision = await self.server.write("leases", "b", {})
+        self.assertEqual((await store.get("leases/b")).unwrap().version, revision)
+
+    async def test_malformed_era_is_an_error(self):
+        """Guards against a listing that is taken for one of era 0."""
+        for era in ("x", "-1", "1e3", "9" * 30):
+            self.server.era = era
+            listed = await self.store.snapshot("leases/")
+            self.assertIsInstance(listed.err_value, Unavailable, era)
+        self.assertEqual(self.store.era, 1)
--- /dev/null
+++ b/eelgrassferry/platform/tests/test_restored_store.py
@@ -0,0 +1,86 @@
+"""End-to-end tests of nodes whose store comes back from a copy."""
+
+import asyncio
+
+from .documents import make_config
+from .node_fleet import NodeFleetCase
+
+# A configuration has to be in force this long after its acknowledgement (``config_apply_ms``), and
+# the rest of what a request may take beside a busy machine, in seconds.
+APPLY_S = 2.0
+# The store is away for a moment.
+AWAY_S = 1.0
+
+
+class RestoredStoreTest(NodeFleetCase):
+    """Nodes that have seen later revisions than the store has after a drill."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.server = await self.add_server("desk", "i-desk")
+        await self.start_nodes()
+
+    async def lose_writes(self) -> None:
+        """Let the store lose some seconds of writes in a drill."""
+        copy = self.store.make_copy()
+        for number in range(20):
+            await self.store.write("others", f"o{number}", {"n": number})
+        # The watches of all kinds have returned with the last revision.
+        await asyncio.sleep(2.5)
+        await self.store.drill(copy, AWAY_S, rewrite_after_s=0.0)
+
+    async def add_route(self, path: str, version: int) -> None:
+        """Write a configuration with one route more."""
+        config = make_config(version)
+        look = next(route for route in config["routes"] if route["path_prefix"] == "/look/")
+        config["routes"].append({**look, "name": f"r{path}", "path_prefix": path})
+        await self.store.write("config", "main", config)
+
+    async def statuses(self, path: str) -> set[int]:
+        return {(await self.call(front, path)).status for front in self.fronts}
+
+    async def test_configuration_after_a_drill_is_in_force(self):
+        """Guards against a violation of CONFIG: a configuration that is acknowledged after the
+        store's return from a copy is never put in force (review case 14).
+        """
+        await self.lose_writes()
+        await asyncio.sleep(0.5)
+        await self.add_route("/new/", 2)
+        await asyncio.sleep(APPLY_S)
+        self.assertEqual(await self.statuses("/new/x"), {200})
+
+    async def test_configuration_between_two_drills_is_in_force(self):
+        """Guards against the same violation when a second drill follows soon."""
+        await self.lose_writes()
+        await self.lose_writes()
+        await self.add_route("/new/", 2)
+        await asyncio.sleep(APPLY_S)
+        self.assertEqual(await self.statuses("/new/x"), {200})
+
+    async def test_older_configuration_of_the_copy_is_not_put_in_force(self):
+        """Guards against a violation of CONFIG: a node regresses to the copy's configuration."""
+        copy = self.store.make_copy()
+        await self.add_route("/new/", 2)
+        await asyncio.sleep(APPLY_S)
+        drill = asyncio.ensure_future(self.store.drill(copy, AWAY_S, rewrite_after_s=3.0))
+        await asyncio.sleep(AWAY_S + 1.5)
+        self.assertEqual(await self.statuses("/new/x"), {200})
+        await drill
+        await self.add_route("/newer/", 3)
+        await asyncio.sleep(APPLY_S)
+        self.assertEqual(await self.statuses("/newer/x"), {200})
+
+    async def test_removed_server_gets_no_requests_when_its_entry_is_back(self):
+        """Guards against a violation of DRAIN: the copy lists a server that had left before."""
+        leaving = await self.add_server("desk", "i-leaving")
+        await self.learn_latencies([self.server, leaving])
+        self.assertTrue(leaving.received)
+        copy = self.store.make_copy()
+        await self.store.remove("servers", "i-leaving")
+        await asyncio.sleep(2.0)
+        received = len(leaving.received)
+        drill = asyncio.ensure_future(self.store.drill(copy, AWAY_S, rewrite_after_s=2.0))
+        answers = await self.call_steadily("/look/x", per_s=30.0, for_s=AWAY_S + 4.0)
+        await drill
+        self.assertEqual({response.status for _, response in answers}, {200})
+        self.assertEqual(len(leaving.received), received)
