--- a/eelgrassferry/coordination/leadership.py
+++ b/eelgrassferry/coordination/leadership.py
@@ -113,6 +113,7 @@
         view of an earlier term than the last known one is ignored.
         """
         self._end_lost_term()
+        self.lease.record_epoch(view.epoch)
         if view.epoch < max(self._epoch, self._view_epoch):
             return
         self._view_epoch = view.epoch
@@ -382,7 +383,7 @@
 
     def _make_takeover(self, term: LeaseTerm, now: float) -> Takeover:
         """Return the state that a new coordinator takes over about orders before this term."""
-        if self._settings.first_start and term.epoch == 1:
+        if self._settings.first_start and term.is_first:
             return Takeover(cold_loads={})
         known = self._history.takeover(now)
         released = term.acknowledged - self._fully_known_holders
--- a/eelgrassferry/coordination/lease_holder.py
+++ b/eelgrassferry/coordination/lease_holder.py
@@ -86,7 +86,7 @@
         self._delay_s = delay_s
         self._alone_since = alone_since
         self._instances: frozenset[str] = frozenset()
-        self._machine = self._make_machine()
+        self._machine = self._make_machine(settings.first_start, 0)
         self._last_term: LeaseTerm | None = None
         self._give_up_at: float | None = None
         self._leaderless_since: float | None = None
@@ -123,6 +123,8 @@
     @property
     def holder(self) -> str:
         """The instance that holds the lease as last read, or "" if none does."""
+        if self._machine.is_held:
+            return self._machine.instance
         record = self._machine.last_record
         return "" if record is None or record.released else record.holder
 
@@ -141,6 +143,10 @@
         """Record the version of the lease object as reported by its holder."""
         self._machine.record_version(version, self._clock())
 
+    def record_epoch(self, epoch: int) -> None:
+        """Record the epoch of a term of another node, so that no lower one is taken."""
+        self._machine.record_epoch(epoch)
+
     def on_holder_ended(self, instance: str) -> None:
         """Handle that a holder has ended or has promised to send no more orders."""
         self._ended_holders.add(instance)
@@ -164,8 +170,12 @@
     async def run(self) -> None:
         """Renew the lease or compete for it, until cancelled."""
         while True:
-            if not self._stopping and (self.term() is not None or self._should_compete()):
+            if self.store.was_restored:
+                self._machine.record_restore()
+            term = self.term()
+            if not self._stopping and (term is not None or self._should_compete()):
                 machine = self._machine
+                machine.extend(float("-inf") if term is None else term.valid_until)
                 for action in machine.tick(self._clock()):
                     await self._perform(machine, action)
             await asyncio.sleep(STEP_S)
@@ -197,7 +207,7 @@
             return
         instance = self._machine.instance
         self._last_term = None
-        self._machine = self._make_machine()
+        self._machine = self._make_machine(False, self._machine.highest_epoch)
         log.warning("lease given up", step="lease", epoch=term.epoch, instance=instance)
         self._metrics.count("lease_given_up")
         self._announce_end(instance)
@@ -229,7 +239,7 @@
             delay_s += NO_HISTORY_DELAY_S
         return now - self._leaderless_since >= delay_s
 
-    def _make_machine(self) -> LeaseMachine:
+    def _make_machine(self, first_start: bool, highest_epoch: int) -> LeaseMachine:
         former, instance = self._instances, f"{self._settings.name}:{secrets.token_hex(4)}"
         self._instances |= {instance}
         return LeaseMachine(
@@ -242,12 +252,15 @@
             one_per_host=True,
             takeover_factor=CLOCK_MARGIN,
             alone_since=self._alone_since,
+            highest_epoch=highest_epoch,
+            first_start=first_start,
         )
 
     async def _perform(self, machine: LeaseMachine, action: ReadLease | WriteLease) -> None:
         match action:
             case ReadLease():
-                machine.on_read(await self.store.get(machine.key), self._clock())
+                read = await self.store.get(machine.key)
+                machine.on_read(read, self._clock(), self.store.era)
             case WriteLease(value, expected):
                 written = await self.store.put(machine.key, value, expected)
                 machine.on_write(written, self._clock())
--- a/eelgrassferry/leases/keeper.py
+++ b/eelgrassferry/leases/keeper.py
@@ -75,7 +75,7 @@
         match action:
             case ReadLease():
                 read = await self._store.get(self._machine.key)
-                self._machine.on_read(read, self._clock())
+                self._machine.on_read(read, self._clock(), self._store.era)
             case WriteLease(value, expected):
                 wrote = await self._store.put(self._machine.key, value, expected)
                 self._machine.on_write(wrote, self._clock())
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from ..objects import Conflict, ObjectError, StoredObject, Unavailable
+from ..objects import Conflict, ObjectError, StoredObject, Unavailable, era_of, make_version
 from .record import LeaseRecord
 
 __all__ = [
@@ -25,6 +25,9 @@
 TAKEOVER_FACTOR = 1.1
 # Pause after a failed read or write, in seconds.
 RETRY_S = 0.3
+# The first epochs of two eras differ by this. An epoch is a fencing token, and a later era of the
+# store may have lost the record of the highest one.
+EPOCHS_PER_ERA = 2**20
 
 
 @dataclass(frozen=True)
@@ -52,23 +55,33 @@
 
     ``epoch`` is the fencing token. ``acknowledged`` names the earlier holders that have released
     the lease and thereby promised to send nothing more. ``sole_host_since`` is the time on the same
-    clock since which no other host has acted as the holder, or None if it is not known.
+    clock since which no other host has acted as the holder, or None if it is not known. With
+    ``is_first``, nobody has held the lease before.
     """
 
     epoch: int
     valid_until: float
     acknowledged: frozenset[str] = frozenset()
     sole_host_since: float | None = None
+    is_first: bool = False
 
 
 @dataclass
 class _ObservedLease:
-    """The lease object as last read or written, and when its version was first observed."""
+    """The lease object as last read or written, and when its version was first observed.
+
+    If the object does not exist, ``version`` is revision 0 of the era.
+    """
 
     version: int
     record: LeaseRecord | None
     first_observed_s: float
 
+    @property
+    def era(self) -> int:
+        """The era of the store in which the object was observed."""
+        return era_of(self.version)
+
 
 @dataclass(frozen=True)
 class _PendingWrite:
@@ -83,6 +96,8 @@
 
     ``needs_read`` is set when the object may differ from ``observed``, for example because the
     response to a write was lost, and the object has to be read again before the next write.
+    ``is_reclaiming`` is set while this candidate, which held the lease when the store was restored,
+    has not written it in the new era yet.
     """
 
     observed: _ObservedLease | None = None
@@ -94,6 +109,7 @@
     term: LeaseTerm | None = None
     renewed_s: float = 0.0
     releasing: bool = False
+    is_reclaiming: bool = False
 
 
 class LeaseMachine:
@@ -110,7 +126,14 @@
     renews it every ``renew_s`` seconds, by default a third of ``duration_s``.
 
     ``alone_since`` is a time at which all earlier instances of the host but the ``former`` ones had
-    ended.
+    ended. ``highest_epoch`` is the highest epoch that is known from elsewhere. At the
+    ``first_start``, nobody has held a lease that does not exist.
+
+    A store that was restored from a copy may have lost the records of later holders. A record that
+    was not written in the present era therefore proves nothing, and neither does the lack of one:
+    the lease is taken as if it had been renewed when it was first observed in this era. Only a
+    holder whose term is not over writes it at once, and all epochs of an era are higher than those
+    of the eras before.
 
     >>> machine = LeaseMachine("uy-sur", "n1:a")
     >>> machine.tick(0.0)
@@ -128,6 +151,8 @@
         one_per_host: bool = False,
         takeover_factor: float = TAKEOVER_FACTOR,
         alone_since: float = float("inf"),
+        highest_epoch: int = 0,
+        first_start: bool = True,
     ) -> None:
         self.key = f"leases/{area}"
         self.instance = instance
@@ -142,7 +167,10 @@
         self._acknowledged: frozenset[str] = frozenset()
         self._sole_host_since = 0.0
         self._write_count = 0
-        self._highest_epoch = 0
+        self._highest_epoch = highest_epoch
+        self._first_start = first_start
+        self._is_first = False
+        self._extended_until = float("-inf")
         self._state = _State()
 
     def term(self, now: float) -> LeaseTerm | None:
@@ -168,17 +196,25 @@
                 return self._write(now)
             state.next_action_s = min(state.renewed_s + self._renew_s, self._term_end())
             return ()
+        if state.is_reclaiming and (self.term(now) is not None or now < self._extended_until):
+            return self._write(now)
+        state.is_reclaiming = False
         if self._is_free(now):
             return self._write(now)
         return self._read()
 
-    def on_read(self, res: Result[StoredObject | None, ObjectError], now: float) -> None:
-        """Handle the result of a ``ReadLease`` action, received at ``now``."""
+    def on_read(
+        self, res: Result[StoredObject | None, ObjectError], now: float, era: int = 0
+    ) -> None:
+        """Handle the result of a ``ReadLease`` action, received at ``now``.
+
+        ``era`` is the store's; a stored object has it in its version.
+        """
         state = self._state
         state.busy = False
         match res:
             case Ok(stored):
-                self._apply_read(stored, now)
+                self._apply_read(stored, now, era)
             case Err():
                 state.next_action_s = now + RETRY_S
 
@@ -188,8 +224,12 @@
         state.busy = False
         assert state.sent_record is not None
         match res:
-            case Ok(version):
+            case Ok(version) if era_of(version) == state.sent_record.era:
                 self._apply_write(version, state.sent_record, now)
+            case Ok():
+                # The store was restored before it carried the write out.
+                state.needs_read = True
+                state.next_action_s = now
             case Err(Unavailable(uncertain=True)):
                 state.needs_read = True
                 state.next_action_s = now + RETRY_S
@@ -210,6 +250,18 @@
         if version != self._reported_version[0]:
             self._reported_version = (version, now)
 
+    def record_epoch(self, epoch: int) -> None:
+        """Record an epoch that a holder has used, so that no lower one is taken."""
+        self._highest_epoch = max(self._highest_epoch, epoch)
+
+    def record_restore(self) -> None:
+        """Record that the store was restored, so that a lease that does not exist may be held."""
+        self._first_start = False
+
+    def extend(self, until: float) -> None:
+        """Record that nobody else takes the lease before a time, even if the term is over."""
+        self._extended_until = until
+
     def on_holder_ended(self, instance: str, now: float) -> None:
         """Allow taking over at once from a holder that has ended or promised to send no more."""
         self._former |= {instance}
@@ -237,8 +289,17 @@
 
     @property
     def is_held(self) -> bool:
-        """Whether this candidate holds the lease according to the last read or write."""
-        return self._is_held() and not self._state.releasing
+        """Whether this candidate holds the lease according to the last read or write.
+
+        This is also the case while it writes the lease again after a restore of the store.
+        """
+        state = self._state
+        return (self._is_held() or state.is_reclaiming) and not state.releasing
+
+    @property
+    def highest_epoch(self) -> int:
+        """The highest epoch that this candidate has taken or heard of."""
+        return self._highest_epoch
 
     @property
     def last_record(self) -> LeaseRecord | None:
@@ -247,7 +308,7 @@
 
     @property
     def version(self) -> int:
-        """The object's version as last read or written, 0 if it does not exist."""
+        """The object's version as last read or written; revision 0 if it does not exist."""
         return self._state.observed.version if self._state.observed is not None else 0
 
     def wake_at(self) -> float:
@@ -261,26 +322,39 @@
     def _write(self, now: float, released: bool = False) -> tuple[LeaseAction, ...]:
         state = self._state
         assert state.observed is not None
-        old = state.observed.record
-        if not released and not (self._is_held() and self.term(now) is not None):
-            self._highest_epoch += 1
-            if old is not None and old.released:
+        old, is_outdated = state.observed.record, self._is_outdated(state.observed)
+        is_holder = self._is_held() or state.is_reclaiming
+        epoch = self._highest_epoch
+        if is_holder and state.term is not None and self.term(now) is not None:
+            epoch = state.term.epoch
+        elif not released:
+            epoch = max(epoch, state.observed.era * EPOCHS_PER_ERA) + 1
+            self._is_first = old is None and not is_outdated
+            if old is not None and old.released and not is_outdated:
                 self._acknowledged |= {old.holder}
-        if not self._is_held():
+        self._highest_epoch = max(self._highest_epoch, epoch)
+        if not is_holder:
             self._sole_host_since = self._find_sole_host_since(state.observed, now)
         self._write_count += 1
         write_id = f"{self.instance}/{self._write_count}"
         held_s = max(0.0, now - self._sole_host_since)
         state.sent_record = LeaseRecord(
-            self.instance, self._highest_epoch, self._duration_s, write_id, released, held_s
+            self.instance,
+            epoch,
+            self._duration_s,
+            write_id,
+            released,
+            held_s,
+            state.observed.era,
         )
         state.pending_writes[write_id] = _PendingWrite(now)
         state.busy = True
-        return (WriteLease(state.sent_record.encode(), state.observed.version),)
+        expected = 0 if old is None else state.observed.version
+        return (WriteLease(state.sent_record.encode(), expected),)
 
-    def _apply_read(self, stored: StoredObject | None, now: float) -> None:
+    def _apply_read(self, stored: StoredObject | None, now: float, era: int) -> None:
         state = self._state
-        version, record = 0, None
+        version, record = make_version(era, 0), None
         if stored is not None:
             decoded = LeaseRecord.decode(stored.value)
             if isinstance(decoded, Err):
@@ -289,12 +363,24 @@
                 return
             version, record = stored.version, decoded.ok_value
             self._highest_epoch = max(self._highest_epoch, record.epoch)
+        known = state.observed
+        if known is not None and era_of(version) < known.era:
+            # The store had answered before it was restored.
+            state.needs_read, state.next_action_s = True, now + RETRY_S
+            return
         state.needs_read = False
-        if record is not None and record.write_id in state.pending_writes:
+        is_current = record is not None and record.era == era_of(version)
+        if is_current and record.write_id in state.pending_writes:
             self._apply_write(version, record, now)
             return
-        if state.observed is None or state.observed.version != version:
-            # Pending writes are conditional on an earlier version and can no longer succeed.
+        if known is not None and era_of(version) > known.era:
+            self._first_start = False
+            state.is_reclaiming |= self._is_held()
+        elif is_current:
+            state.is_reclaiming = False
+        if known is None or known.version != version:
+            # Pending writes are conditional on an earlier version and can no longer succeed; if the
+            # store was restored since, the era in their record tells that they mean nothing.
             state.pending_writes.clear()
             reported, reported_s = self._reported_version
             state.observed = _ObservedLease(
@@ -302,15 +388,17 @@
             )
         # Even if the version is unchanged, a write without a response may still be in transit. It
         # stays in ``pending_writes``; if it arrives first, the next write conflicts with it.
-        if not self._is_held():
+        is_holder = self._is_held() or state.is_reclaiming
+        if not is_holder:
             state.term = None
-        act_now = self._is_held() or self._is_free(now)
+        act_now = is_holder or self._is_free(now)
         state.next_action_s = now if act_now else self._next_read_at(now)
 
     def _apply_write(self, version: int, record: LeaseRecord, now: float) -> None:
         state = self._state
         write = state.pending_writes[record.write_id]
         state.pending_writes.clear()
+        state.is_reclaiming = False
         state.observed = _ObservedLease(version, record, now)
         state.next_action_s = now
         if record.released:
@@ -318,11 +406,15 @@
             return
         state.renewed_s = write.sent_s
         end_s = write.sent_s + record.duration_s - self._stop_early_s
-        state.term = LeaseTerm(record.epoch, end_s, self._acknowledged, self._sole_host_since)
+        state.term = LeaseTerm(
+            record.epoch, end_s, self._acknowledged, self._sole_host_since, self._is_first
+        )
 
     def _find_sole_host_since(self, observed: _ObservedLease, now: float) -> float:
         """Return the time since which no other host has acted, for a lease taken at ``now``."""
         record = observed.record
+        if self._is_outdated(observed):
+            return min(now, self._expires_at(observed) - self._stop_early_s)
         if record is None:
             return now - self._stop_early_s
         if self._is_own_host(record.holder):
@@ -332,24 +424,29 @@
                 written_s = min(written_s, self._alone_since)
             return written_s - record.held_s
         # A holder stops ``stop_early_s`` before its lease expires.
-        return min(now, self._expires_at(observed, record) - self._stop_early_s)
+        return min(now, self._expires_at(observed) - self._stop_early_s)
 
     def _is_held(self) -> bool:
         observed = self._state.observed
-        if observed is None or observed.record is None:
+        if observed is None or observed.record is None or self._is_outdated(observed):
             return False
         return observed.record.holder == self.instance and not observed.record.released
 
+    def _is_outdated(self, observed: _ObservedLease) -> bool:
+        """Return whether the store may have lost a later record than the observed one."""
+        if observed.record is not None:
+            return observed.record.era != observed.era
+        return observed.era > 0 and not self._first_start
+
     def _is_free(self, now: float) -> bool:
         observed = self._state.observed
         assert observed is not None
-        if (
-            observed.record is None
-            or observed.record.released
-            or self._is_former(observed.record.holder)
+        record = observed.record
+        if not self._is_outdated(observed) and (
+            record is None or record.released or self._is_former(record.holder)
         ):
             return True
-        return now >= self._expires_at(observed, observed.record)
+        return now >= self._expires_at(observed)
 
     def _is_former(self, holder: str) -> bool:
         if holder in self._former:
@@ -359,15 +456,17 @@
     def _is_own_host(self, holder: str) -> bool:
         return holder.partition(":")[0] == self.instance.partition(":")[0]
 
-    def _expires_at(self, observed: _ObservedLease, record: LeaseRecord) -> float:
+    def _expires_at(self, observed: _ObservedLease) -> float:
         """Return when a lease that is not renewed may be taken over."""
-        return observed.first_observed_s + record.duration_s * self._takeover_factor
+        duration_s = self._duration_s if observed.record is None else observed.record.duration_s
+        if self._is_outdated(observed):
+            duration_s = max(duration_s, self._duration_s)
+        return observed.first_observed_s + duration_s * self._takeover_factor
 
     def _next_read_at(self, now: float) -> float:
         observed = self._state.observed
         assert observed is not None
-        assert observed.record is not None
-        return min(now + self._renew_s, self._expires_at(observed, observed.record))
+        return min(now + self._renew_s, self._expires_at(observed))
 
     def _term_end(self) -> float:
         term = self._state.term
--- a/eelgrassferry/leases/record.py
+++ b/eelgrassferry/leases/record.py
@@ -25,7 +25,7 @@
 
     ``released`` is the holder's promise that it sends nothing under the lease from now on.
     ``held_s`` is the time in seconds, up to this write, in which only the holder's host has held
-    the lease.
+    the lease. ``era`` is the era of the store for which it was written.
 
     >>> LeaseRecord.decode(LeaseRecord("n1:a", 3, 9.0, "n1:a/1").encode()).unwrap().epoch
     3
@@ -37,6 +37,7 @@
     write_id: str
     released: bool = False
     held_s: float = 0.0
+    era: int = 0
 
     def encode(self) -> bytes:
         """Return the record as JSON."""
@@ -56,6 +57,7 @@
                     released=bool(fields["released"]),
                     # Records written by earlier versions lack the field; 0 is the safe default.
                     held_s=to_number(fields.get("held_s", 0.0)),
+                    era=to_count(fields.get("era", 0)),
                 )
             )
         except MALFORMED as exc:
--- a/eelgrassferry/objects/http_store.py
+++ b/eelgrassferry/objects/http_store.py
@@ -31,6 +31,7 @@
 
     # This interface names no eras.
     era = 0
+    was_restored = False
 
     def __init__(
         self, client: HttpClient, address: str, domain: str, timeout_s: float = CALL_TIMEOUT_S
--- a/eelgrassferry/objects/memory_store.py
+++ b/eelgrassferry/objects/memory_store.py
@@ -55,6 +55,11 @@
         self._version = 0
         self._changed = asyncio.Condition()
 
+    @property
+    def was_restored(self) -> bool:
+        """Whether the store was restored to a copy."""
+        return self.era > 0
+
     def make_copy(self) -> StoreCopy:
         """Return a copy of the present content."""
         return StoreCopy(revision_of(self._version), tuple(self._objects.values()))
--- a/eelgrassferry/objects/monitored_store.py
+++ b/eelgrassferry/objects/monitored_store.py
@@ -46,6 +46,11 @@
         """The latest era that the store has named, 0 if it has named none."""
         return self._store.era
 
+    @property
+    def was_restored(self) -> bool:
+        """Whether the store has named an earlier era before."""
+        return self._store.was_restored
+
     def had_outage_since(self, time: float) -> bool:
         """Return whether an outage is ongoing or ended after ``time``."""
         return self.outage_end_since(time) is not None
--- a/eelgrassferry/objects/object_store.py
+++ b/eelgrassferry/objects/object_store.py
@@ -52,12 +52,16 @@
 class ObjectStore(Protocol):
     """Reads, conditional writes and watches of the platform's object API.
 
-    ``era`` is the latest era that the store has named, 0 if it has named none.
+    ``era`` is the latest era that the store has named, 0 if it has named none, and ``was_restored``
+    is whether it has named an earlier one before.
     """
 
     @property
     def era(self) -> int: ...
 
+    @property
+    def was_restored(self) -> bool: ...
+
     async def get(self, key: str) -> Result[StoredObject | None, ObjectError]:
         """Return the object, or None if it does not exist."""
 
--- a/eelgrassferry/platform/object_store.py
+++ b/eelgrassferry/platform/object_store.py
@@ -50,12 +50,14 @@
     so a write under the condition of a version of an earlier era is not sent, and one that met a
     later era is uncertain. A watch from a version of an earlier era fails with ``HistoryGone``.
 
-    ``era`` is the latest era that an answer has named, 0 if none has. ``address`` is the store's
-    ``ip:port``.
+    ``era`` is the latest era that an answer has named, 0 if none has, and ``was_restored`` is
+    whether one has named an earlier era before. ``address`` is the store's ``ip:port``.
     """
 
     def __init__(self, client: HttpClient, address: str) -> None:
         self.era = 0
+        self.was_restored = False
+        self._names_eras = False
         self._era_begun = asyncio.Event()
         self._client = client
         self._address = address
@@ -202,11 +204,14 @@
         except MALFORMED as exc:
             log.warning("era not used", step="read_era", peer=self._address, detail=repr(exc))
             return
-        if era <= self.era:
+        previous, was_named = self.era, self._names_eras
+        self._names_eras |= res.header(STORE_ERA_HEADER) is not None
+        if era <= previous:
             return
-        report = log.warning if self.era else log.info
-        report("store era begins", step="read_era", peer=self._address, era=era, previous=self.era)
         self.era = era
+        self.was_restored |= was_named
+        report = log.warning if was_named else log.info
+        report("store era begins", step="read_era", peer=self._address, era=era, previous=previous)
         self._era_begun.set()
         self._era_begun = asyncio.Event()
 
--- a/eelgrassferry/platform/tests/test_restored_store.py
+++ b/eelgrassferry/platform/tests/test_restored_store.py
@@ -1,6 +1,7 @@
 """End-to-end tests of nodes whose store comes back from a copy."""
 
 import asyncio
+import signal
 
 from .documents import make_config
 from .node_fleet import NodeFleetCase
@@ -84,3 +85,58 @@
         await drill
         self.assertEqual({response.status for _, response in answers}, {200})
         self.assertEqual(len(leaving.received), received)
+
+
+class LostLeaseTest(NodeFleetCase):
+    """The store loses the last handover of the coordinator's lease in a drill."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.engine = await self.add_server("chat", "i-engine", "m0")
+        await self.add_server("desk", "i-desk")
+        await self.start_nodes()
+
+    def coordinator(self) -> int:
+        """Return the number of the node that holds the lease in the store."""
+        holder = self.store.spec("leases", "engine-orders")["holder"]
+        return int(holder.partition(":")[0].removeprefix("front-")) - 1
+
+    async def order(self, adapter: str, number: int) -> None:
+        """Ask a node for an adapter until the engine was ordered to load it."""
+        async with asyncio.timeout(15.0):
+            while not any(order.get("adapter") == adapter for order in self.engine.orders):
+                await self.send(self.fronts[number], "/chat/x", f"m0/{adapter}")
+                await asyncio.sleep(0.1)
+
+    def check_tokens(self) -> None:
+        """Check that each token is of one host, and that none follows a higher one."""
+        orders = [(order["fencing_token"], order["holder"]) for order in self.engine.orders]
+        tokens = [token for token, _ in orders]
+        self.assertEqual(tokens, sorted(tokens), orders)
+        self.assertEqual(len(set(tokens)), len(set(orders)), orders)
+
+    async def test_token_of_the_lost_record_is_not_given_out_again(self):
+        """Guards against a violation of ONE: two hosts order a server with one fencing token after
+        the store's return from a copy that is older than the last handover (review case 11).
+        """
+        first = self.coordinator()
+        asked = (first + 1) % self.NODES
+        await self.order("a1", asked)
+        copy = self.store.make_copy()
+        self.processes[first].send_signal(signal.SIGTERM)
+        await self.order("a2", asked)
+        await self.store.drill(copy, AWAY_S, rewrite_after_s=0.0)
+        await self.order("a3", asked)
+        self.check_tokens()
+        self.assertEqual(len(self.engine.orders), 3)
+
+    async def test_holder_goes_on_through_a_drill(self):
+        """Guards against engines without orders for the duration of a lease after each drill."""
+        first = self.coordinator()
+        await self.order("a1", first)
+        await self.store.drill(self.store.make_copy(), AWAY_S, rewrite_after_s=0.0)
+        begun_at = asyncio.get_running_loop().time()
+        await self.order("a2", first)
+        self.assertLess(asyncio.get_running_loop().time() - begun_at, 2.0)
+        self.assertEqual(self.coordinator(), first)
+        self.check_tokens()
