--- a/eelgrassferry/dispatch/crash_analyzer.py
+++ b/eelgrassferry/dispatch/crash_analyzer.py
@@ -4,8 +4,11 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 
-from .crash_causes import find_cause
+from .blocked_contents import BlockedContents
+from .broken_runs import BrokenRuns
+from .crash_causes import Cause, CauseSearch, search_cause
 from .crash_evidence import BlockedContent, BrokenRun, CrashEvidence
+from .evidence_buffer import EvidenceBuffer
 from .fingerprints import is_whole_request
 
 __all__ = ["CrashAnalyzer"]
@@ -17,12 +20,14 @@
 REORDERING_S = 1.0
 # A crash is evidence for this time, in seconds.
 CRASH_VALID_S = 600.0
-# Limits the memory and the time of the search for causes.
-MAX_BROKEN_RUNS = 300
-# Limit of the verdicts that are kept; the oldest one is dropped first.
-MAX_BLOCKED = 1000
-# Number of fingerprints whose last answer a node remembers.
+# Number of fingerprints whose last answer a node remembers, and of those of one request, so that
+# few requests with very many parts do not displace all others.
 MAX_ANSWERED = 10_000
+MAX_ANSWERED_OF_REQUEST = 500
+# The search for causes ends at once if the runs have up to this number of fingerprints. Otherwise
+# each call of ``step`` does a part of it.
+IMMEDIATE_SEARCH_SIZE = 4000
+SEARCH_STEPS = 2
 
 
 class CrashAnalyzer:
@@ -33,7 +38,8 @@
     fingerprint alone does no harm, so that those of much traffic are exonerated within moments.
 
     Nodes exchange their observations and come to the same verdicts. ``verdicts`` counts the
-    changes of these.
+    changes of these. While ``is_searching``, ``step`` has to be called now and then: the search for
+    the causes of crashes under very large requests is done in parts.
 
     >>> analyzer = CrashAnalyzer()
     >>> for number in (1, 2):
@@ -47,16 +53,17 @@
 
     def __init__(self) -> None:
         self.verdicts = 0
-        self._runs: dict[tuple[str, tuple[str, ...]], BrokenRun] = {}
+        self._runs = BrokenRuns()
+        self._search: CauseSearch | None = None
+        self._is_search_due = False
         self._crashed: set[str] = set()
         self._ended: dict[str, float] = {}
         self._alive: dict[str, float] = {}
-        self._suspected: dict[str, float] = {}
         self._served: dict[str, float] = {}
         self._answered: OrderedDict[str, float] = OrderedDict()
-        self._blocked: dict[frozenset[str], BlockedContent] = {}
+        self._blocked = BlockedContents()
         self._new_verdicts: list[BlockedContent] = []
-        self._updates = CrashEvidence()
+        self._updates = EvidenceBuffer()
 
     # Observations of this node
 
@@ -72,7 +79,7 @@
 
     def record_alive(self, process: str, sent_at: float, now: float) -> None:
         """Record that a process answers a request that was sent to it at ``sent_at``."""
-        if any(run.process == process and run.at < sent_at for run in self._runs.values()):
+        if any(run.process == process and run.at < sent_at for run in self._runs):
             self.merge(CrashEvidence(alive={process: sent_at}), now)
 
     def record_served(self, fingerprints: Sequence[str], now: float) -> None:
@@ -81,13 +88,13 @@
         Only the first answer after the last broken run with a fingerprint is shared.
         """
         self._remember_answer(fingerprints, now)
-        if not self._suspected and not self._blocked:
+        broken_at = self._runs.broken_at
+        if not broken_at and not self._blocked:
             return
-        contained = frozenset(fingerprints)
         served = {
             name: now
-            for name in sorted(contained & self._suspected.keys())
-            if self._served_at(name) <= self._suspected[name]
+            for name in fingerprints
+            if name in broken_at and self._served_at(name) <= broken_at[name]
         }
         refuted = tuple(replace(b, served_at=now) for b in self._blocks_in(fingerprints))
         if served or refuted:
@@ -105,32 +112,39 @@
             tuple(block for block in evidence.blocked if self._add_block(block)),
         )
         if share and new:
-            self._updates = self._updates.plus(new)
+            self._updates.add(new)
         for name, at in evidence.served.items():
             self._remember_answer((name,), at)
+            if name not in self._runs.broken_at:
+                self._served.pop(name, None)
         self._recall_answers(new.broken_runs)
         self._expire(now)
         if new.broken_runs or new.ended:
-            self._find_causes(now)
+            self._is_search_due = True
+            if self._runs.fingerprint_count <= IMMEDIATE_SEARCH_SIZE:
+                while self.is_searching:
+                    self.step(now)
 
     def pop_updates(self) -> CrashEvidence:
-        """Return the observations to share since the previous call."""
-        updates, self._updates = self._updates, CrashEvidence()
-        return updates
+        """Return the observations to share since the previous call, or a part of them.
+
+        Further calls return the rest while there are more than one message may contain.
+        """
+        return self._updates.pop()
 
     def share_all(self) -> None:
-        """Return all observations from the next ``pop_updates``, for a new receiver."""
-        self._updates = self.all_evidence()
+        """Return all observations from the next calls of ``pop_updates``, for a new receiver."""
+        self._updates = self._buffer_all()
 
     def all_evidence(self) -> CrashEvidence:
-        """Return all observations that may still matter."""
-        return CrashEvidence(
-            tuple(self._runs.values()),
-            dict(self._ended),
-            dict(self._alive),
-            dict(self._served),
-            tuple(self._blocked.values()),
-        )
+        """Return the observations that may still matter, as far as one message may contain them."""
+        return self._buffer_all().pop()
+
+    def _buffer_all(self) -> EvidenceBuffer:
+        buffer = EvidenceBuffer()
+        runs, blocked = tuple(self._runs), tuple(self._blocked)
+        buffer.add(CrashEvidence(runs, self._ended, self._alive, self._served, blocked))
+        return buffer
 
     # Verdicts
 
@@ -141,11 +155,11 @@
     @property
     def blocked_content(self) -> frozenset[frozenset[str]]:
         """Content that is blocked now."""
-        return frozenset(b.fingerprints for b in self._blocked.values() if b.in_force)
+        return frozenset(block.fingerprints for block in self._blocked if block.in_force)
 
     def restore(self, blocked: Iterable[frozenset[str]], now: float) -> None:
         """Block content on which an earlier process has decided, unless it is known here."""
-        new = tuple(BlockedContent(c, now) for c in blocked if c not in self._blocked)
+        new = tuple(BlockedContent(c, now) for c in blocked if self._blocked.get(c) is None)
         if new:
             self.merge(CrashEvidence(blocked=new), now)
 
@@ -168,24 +182,49 @@
         verdicts, self._new_verdicts = self._new_verdicts, []
         return verdicts
 
-    def _find_causes(self, now: float) -> None:
-        """Block the causes of the crashes that blocked content does not explain yet."""
-        while True:
-            crashes: dict[str, list[BrokenRun]] = {}
-            for run in self._runs.values():
-                if self._is_crash(run):
-                    crashes.setdefault(run.process, []).append(run)
-            unexplained = {
-                process: runs
-                for process, runs in crashes.items()
-                if not any(self._is_explained(run) for run in runs)
-            }
-            cause = find_cause(unexplained, self._served_at, self.blocked_content)
-            if cause is None:
-                return
-            block = BlockedContent(cause.content, now, crashed=cause.crashed)
-            self._add_block(block)
-            self._updates = self._updates.plus(CrashEvidence(blocked=(block,)))
+    @property
+    def is_searching(self) -> bool:
+        """Whether the search for causes has not taken all observations into account yet."""
+        return self._is_search_due or self._search is not None
+
+    @property
+    def dropped_runs(self) -> int:
+        """Number of broken runs that were dropped because of the limits."""
+        return self._runs.dropped
+
+    def step(self, now: float) -> None:
+        """Do a part of the search for the causes of crashes, and block those that were found."""
+        for _ in range(SEARCH_STEPS):
+            if self._search is None:
+                if not self._is_search_due:
+                    return
+                self._is_search_due = False
+                self._search = self._begin_search()
+            try:
+                next(self._search)
+            except StopIteration as result:
+                self._search = None
+                if result.value is not None:
+                    self._block(result.value, now)
+
+    def _begin_search(self) -> CauseSearch:
+        """Begin to search for a cause of the crashes that blocked content does not explain yet."""
+        crashes: dict[str, list[BrokenRun]] = {}
+        explained: set[str] = set()
+        for run in self._runs:
+            if self._is_crash(run):
+                crashes.setdefault(run.process, []).append(run)
+                if self._is_explained(run):
+                    explained.add(run.process)
+        unexplained = {p: runs for p, runs in crashes.items() if p not in explained}
+        return search_cause(unexplained, self._served_at, self.blocked_content)
+
+    def _block(self, cause: Cause, now: float) -> None:
+        block = BlockedContent(cause.content, now, crashed=cause.crashed)
+        self._add_block(block)
+        self._updates.add(CrashEvidence(blocked=(block,)))
+        # Other causes may explain the other crashes.
+        self._is_search_due = True
 
     def _served_at(self, name: str) -> float:
         return self._served.get(name, float("-inf"))
@@ -199,6 +238,9 @@
 
         A blocked whole request does not, because one of its parts may be the cause.
         """
+        return self._runs.is_explained(run, self.verdicts, lambda: self._has_blocked_parts(run))
+
+    def _has_blocked_parts(self, run: BrokenRun) -> bool:
         return any(
             not any(map(is_whole_request, block.fingerprints))
             for block in self._blocks_in(run.fingerprints)
@@ -206,15 +248,12 @@
 
     def _blocks_in(self, fingerprints: Iterable[str]) -> list[BlockedContent]:
         """Return the verdicts in force on content of a request with these fingerprints."""
-        if not self._blocked:
-            return []
-        contained = frozenset(fingerprints)
-        return [b for b in self._blocked.values() if b.in_force and b.fingerprints <= contained]
+        return self._blocked.find(fingerprints)
 
     # State
 
     def _remember_answer(self, fingerprints: Sequence[str], now: float) -> None:
-        for name in fingerprints:
+        for name in fingerprints[:MAX_ANSWERED_OF_REQUEST]:
             self._answered[name] = max(now, self._answered.get(name, now))
             self._answered.move_to_end(name)
         while len(self._answered) > MAX_ANSWERED:
@@ -226,15 +265,11 @@
         recalled = {name: self._answered[name] for name in sorted(names & self._answered.keys())}
         new = _merge_times(self._served, recalled)
         if new:
-            self._updates = self._updates.plus(CrashEvidence(served=new))
+            self._updates.add(CrashEvidence(served=new))
 
     def _add_run(self, run: BrokenRun) -> bool:
         """Store a run; return False if it is known or its process has answered since."""
-        key = (run.process, run.fingerprints)
-        if key in self._runs or self._is_alive(run):
-            return False
-        self._runs[key] = run
-        return True
+        return not self._is_alive(run) and self._runs.add(run)
 
     def _add_block(self, block: BlockedContent) -> bool:
         """Store a verdict and return whether it changes anything."""
@@ -248,9 +283,7 @@
             merged = known.merged(block)
         if merged == known:
             return False
-        self._blocked[block.fingerprints] = merged
-        if len(self._blocked) > MAX_BLOCKED:
-            del self._blocked[min(self._blocked, key=lambda c: self._blocked[c].blocked_at)]
+        self._blocked.put(merged)
         if known is None or known.in_force != merged.in_force:
             self.verdicts += 1
             self._new_verdicts.append(merged)
@@ -261,22 +294,16 @@
 
     def _expire(self, now: float) -> None:
         """Drop runs that are no evidence of a crash, and the state that belongs to no run."""
-        for run in self._runs.values():
+        for run in self._runs:
             ended_at = self._ended.get(run.process, float("-inf"))
             if -REORDERING_S <= ended_at - run.at <= CONFIRM_WITHIN_S:
                 self._crashed.add(run.process)
-        kept = [
-            (key, run)
-            for key, run in self._runs.items()
-            if not self._is_alive(run) and now - run.at <= self._valid_s(run)
-        ]
-        self._runs = dict(kept[-MAX_BROKEN_RUNS:])
-        self._crashed &= {run.process for run in self._runs.values()}
-        self._suspected = {}
-        for run in self._runs.values():
-            for name in run.fingerprints:
-                self._suspected[name] = max(run.at, self._suspected.get(name, run.at))
-        self._served = {n: at for n, at in self._served.items() if n in self._suspected}
+        gone = self._runs.keep(
+            lambda run: not self._is_alive(run) and now - run.at <= self._valid_s(run)
+        )
+        for name in gone:
+            self._served.pop(name, None)
+        self._crashed &= {run.process for run in self._runs}
         self._ended = _recent(self._ended, now)
         self._alive = _recent(self._alive, now)
 
--- a/eelgrassferry/dispatch/crash_evidence.py
+++ b/eelgrassferry/dispatch/crash_evidence.py
@@ -1,9 +1,9 @@
 """Observations on upstreams that crashed, as exchanged between nodes."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-__all__ = ["BlockedContent", "BrokenRun", "CrashEvidence"]
+__all__ = ["BlockedContent", "BrokenRun", "CrashEvidence", "size_of"]
 
 # Time from a verdict to the first request that tests it, in seconds, and the limit to which each
 # further trial doubles this time. A trial of content that does harm costs one more crash.
@@ -80,12 +80,11 @@
     def __bool__(self) -> bool:
         return bool(self.broken_runs or self.ended or self.alive or self.served or self.blocked)
 
-    def plus(self, other: "CrashEvidence") -> "CrashEvidence":
-        """Return the observations of both; those in ``other`` are newer."""
-        return CrashEvidence(
-            self.broken_runs + other.broken_runs,
-            {**self.ended, **other.ended},
-            {**self.alive, **other.alive},
-            {**self.served, **other.served},
-            self.blocked + other.blocked,
-        )
+
+def size_of(fingerprints: Iterable[str]) -> int:
+    """Return the approximate size of fingerprints in a message, in bytes.
+
+    >>> size_of(("part:a", "part:b"))
+    14
+    """
+    return sum(len(name) + 1 for name in fingerprints)
--- a/eelgrassferry/entry/entry_node.py
+++ b/eelgrassferry/entry/entry_node.py
@@ -64,6 +64,8 @@
 LEAVE_ROTATION_S = 2.3
 # Largest body of a request for readiness or metrics, which needs none, in bytes.
 SERVICE_BODY_BYTES = 16 * 1024
+# Fingerprints of a verdict that are logged; the store has all of them.
+MAX_LOGGED_FINGERPRINTS = 50
 # Part of the grace period that is reserved for the process to exit, in seconds.
 EXIT_RESERVE_S = 0.6
 
@@ -304,6 +306,7 @@
             self._loop_report.record(loop.time() - due_at)
             for step in (
                 self._registry.expire,
+                self._search_crash_causes,
                 self._exchange_crash_evidence,
                 self._apply_notices,
                 self._dispatch_waiting,
@@ -419,6 +422,16 @@
             actions = self._dispatcher.record_process_end(entry.process_id, boot_clock())
             self._handler.perform(actions)
 
+    def _search_crash_causes(self) -> None:
+        """Go on with the search for the causes of crashes, and enforce what it has found."""
+        crashes = self._dispatcher.crashes
+        if crashes.is_searching:
+            crashes.step(boot_clock())
+            self._handler.perform(self._dispatcher.enforce_verdicts())
+        dropped = crashes.dropped_runs - self._metrics.counters["broken_runs_dropped"]
+        if dropped:
+            self._metrics.count("broken_runs_dropped", dropped)
+
     def _exchange_crash_evidence(self) -> None:
         """Share new observations on crashes at once, and log the verdicts that have changed."""
         self._dispatcher.tries_blocked = self._leadership.term() is not None
@@ -430,7 +443,8 @@
             log.warning(
                 event,
                 step="analyze_crashes",
-                fingerprints=sorted(verdict.fingerprints),
+                fingerprints=sorted(verdict.fingerprints)[:MAX_LOGGED_FINGERPRINTS],
+                count=len(verdict.fingerprints),
                 crashed=verdict.crashed,
             )
 
--- a/eelgrassferry/platform/tests/test_crashing_content.py
+++ b/eelgrassferry/platform/tests/test_crashing_content.py
@@ -19,9 +19,11 @@
 # that may still reach an engine afterwards.
 MAX_CRASHES = 5
 MAX_LATE_REQUESTS = 3
+# Time in seconds within which other requests are answered: a timeout of 1 s and half a second.
+ANSWER_S = 1.5
 
 
-class DeadlyPromptPartTest(unittest.IsolatedAsyncioTestCase):
+class CrashingEnginesCase(unittest.IsolatedAsyncioTestCase):
     """One node and a dozen engines; one part of a prompt crashes every engine that answers it."""
 
     async def asyncSetUp(self):
@@ -86,6 +88,10 @@
         ]
         return max(0, len(deadly) - crashes)
 
+
+class DeadlyPromptPartTest(CrashingEnginesCase):
+    """Deadly requests come one by one, and sound ones that share their other parts."""
+
     async def send_deadly_and_sound(self) -> None:
         """Send deadly requests, no two alike, and between them sound ones that share the rest."""
         for number in range(ENGINES):
@@ -109,3 +115,55 @@
         await self.send_deadly_and_sound()
         for number in range(10):
             self.assertEqual(await self.call(f"after-{number}", f"a:5,b:5,t{number}:5"), 200)
+
+
+class ManyPartsTest(CrashingEnginesCase):
+    """Deadly requests have as many parts as their heads hold, and come together."""
+
+    TOGETHER, ROUNDS, ROUND_S = 5, 5, 1.5
+    PARTS = 2000
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        desk = StandinServer(self.store, "desk", "i-desk")
+        await desk.start()
+        self.addAsyncCleanup(desk.stop)
+
+    async def send_deadly(self, number: int) -> None:
+        parts = [f"{part:x}:1" for part in range(1, self.PARTS)]
+        prompt = ",".join([*parts, f"{DEADLY_PART}:5", f"d{number:04x}:5"])
+        await self.send(f"deadly-{number}", prompt, "/chat/x")
+
+    async def ask(self) -> float:
+        """Send an ordinary request to the node and return the time until its answer."""
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        headers = (("Host", HOST), ("Eelgrassferry-Request-Id", f"ask-{sent_at}"))
+        await self.client.request(
+            f"{own_loopback_ip()}:{self.front}", "POST", "/look/x", headers=headers, body=b"ask"
+        )
+        return loop.time() - sent_at
+
+    async def ask_steadily(self) -> list[float]:
+        asked = []
+        for _ in range(round(self.ROUNDS * self.ROUND_S / 0.1)):
+            asked.append(asyncio.ensure_future(self.ask()))
+            await asyncio.sleep(0.1)
+        return await asyncio.gather(*asked)
+
+    async def test_other_requests_are_answered_in_time(self):
+        """Guards against a violation of CONFIG: the search for the cause of crashes among thousands
+        of prompt parts holds up all other requests of a node for seconds (review case 13).
+        """
+        asking = asyncio.ensure_future(self.ask_steadily())
+        for round_number in range(self.ROUNDS):
+            first = round_number * self.TOGETHER
+            sent = [self.send_deadly(first + number) for number in range(self.TOGETHER)]
+            await asyncio.gather(asyncio.sleep(self.ROUND_S), *sent)
+        self.assertLess(max(await asking), ANSWER_S)
+        reached = {
+            req.header("eelgrassferry-request-id") for e in self.engines for req in e.received
+        }
+        last_round = range((self.ROUNDS - 1) * self.TOGETHER, self.ROUNDS * self.TOGETHER)
+        self.assertEqual(reached & {f"id-deadly-{number}" for number in last_round}, set())
+        self.assertFalse(all(engine.is_stopped for engine in self.engines))
