Play drills and requests with very many prompt parts in the soak

Change: two more of the extra faults. A drill loses up to 4 s of writes and lets operators and servers write theirs again.

--- a/eelgrassferry/platform/tests/soak/__main__.py
+++ b/eelgrassferry/platform/tests/soak/__main__.py
@@ -34,8 +34,9 @@
     ``seeds`` is a range like ``1-50``, ``seconds`` the time during which faults are injected.
     ``logs`` is a folder in which the nodes' logs are stored, by seed; without it they are deleted.
     With ``notices``, servers also say in their answers that they leave, pause or limit requests.
-    With ``extra``, they also fail part of their requests, other writers register entries, and the
-    store is away just after a planned stop.
+    With ``extra``, they also fail part of their requests, requests with very many prompt parts
+    crash them, other writers register entries, and the store is away just after a planned stop or
+    comes back from a copy.
     ``nodes`` is the number of node processes. With ``tenants``, requests need keys, which change.
     """
     structlog.configure(logger_factory=structlog.PrintLoggerFactory(sys.stderr))
--- a/eelgrassferry/platform/tests/soak/caller.py
+++ b/eelgrassferry/platform/tests/soak/caller.py
@@ -83,8 +83,9 @@
         model: str,
         abandon_after_s: float | None = None,
         with_good_key: bool = False,
+        prompt: str = "",
     ) -> CallRecord:
-        """Send one request and return its record.
+        """Send one request, whose ``prompt`` lists the parts of its prompt, and return its record.
 
         The caller disconnects after ``abandon_after_s`` seconds, or, if that is None, after
         ``CALLER_TIMEOUT_S``. If the fleet has tenants, some requests have a bad key, unless
@@ -105,6 +106,8 @@
             headers += [("X-Api-Key", key) for key in call.keys]
         if kind in ("stream", "resumable"):
             headers.append(("Eelgrassferry-Model", model))
+        if prompt:
+            headers.append(("Eelgrassferry-Prompt-Prefix", prompt))
         call.abandoned = abandon_after_s is not None
         result = await self._client.request(
             self._address,
--- a/eelgrassferry/platform/tests/soak/fault_plan.py
+++ b/eelgrassferry/platform/tests/soak/fault_plan.py
@@ -66,6 +66,8 @@
     LAPSE_REGISTRATION = "lapse_registration"
     FOREIGN_ENTRY = "foreign_entry"
     OUTAGE_AFTER_STOP = "outage_after_stop"
+    DRILL = "drill"
+    MANY_PARTS = "many_parts"
 
 
 NOTICES = (FaultKind.LIMIT_NOTICE, FaultKind.PAUSE_NOTICE, FaultKind.LEAVING_NOTICE)
@@ -80,13 +82,16 @@
     FaultKind.REPEAT_DECLINES,
     FaultKind.ENDLESS_CHUNKS,
 )
-# With entries of other writers in the registry, registrations that are lost for a moment, and
-# outages of the store just after a planned stop.
+# With entries of other writers in the registry, registrations that are lost for a moment, outages
+# of the store just after a planned stop, drills, after which the store comes back from a copy, and
+# requests with very many prompt parts that crash servers.
 EXTRA_FAULTS = (
     *ANSWER_FAULTS,
     FaultKind.LAPSE_REGISTRATION,
     FaultKind.FOREIGN_ENTRY,
     FaultKind.OUTAGE_AFTER_STOP,
+    FaultKind.DRILL,
+    FaultKind.MANY_PARTS,
 )
 
 
--- a/eelgrassferry/platform/tests/soak/soak_fleet.py
+++ b/eelgrassferry/platform/tests/soak/soak_fleet.py
@@ -8,7 +8,7 @@
 
 from ..documents import FOREIGN_ENTRIES, make_config, make_settings
 from ..standin_store import StandinStore
-from .caller import Caller
+from .caller import PATHS, Caller
 from .fault_plan import ANSWER_FAULTS, Fault, FaultKind
 from .fault_proxy import FaultProxy
 from .free_ports import free_ports, own_loopback_ip
@@ -51,6 +51,15 @@
 # Time from a planned stop until the outage of the store that follows it, in seconds: another node
 # coordinates by then, and the stopped one has started again.
 HANDOVER_TIME_S = 3.0
+# A drill: the largest age of the copy, the longest time for which the store is away, and the time
+# until operators and servers write again what was lost, in seconds.
+LARGEST_COPY_AGE_S = 4.0
+LONGEST_DRILL_S = 1.0
+REWRITE_S = 0.5
+# Requests with very many prompt parts that come together, and the part that crashes servers.
+REQUESTS_TOGETHER = 5
+PROMPT_PARTS = 2000
+DEADLY_PART = "dead"
 # Number of writes whose answers are lost in one fault.
 LOST_WRITES = 3
 
@@ -175,6 +184,10 @@
                 await self._lapse_registration(server, fault.for_s)
             case FaultKind.FOREIGN_ENTRY:
                 await self._write_foreign_entry()
+            case FaultKind.DRILL:
+                await self._drill(fault)
+            case FaultKind.MANY_PARTS:
+                await self._send_many_parts(node)
             case kind if kind in ANSWER_FAULTS:
                 faults = self._servers[server].faults
                 faults[kind] += 1
@@ -234,6 +247,38 @@
                 self._store.down = False
         self._record_disturbance(began, "")
 
+    async def _drill(self, fault: Fault) -> None:
+        """Let the store go away and come back from a copy."""
+        copy = self._store.make_copy()
+        await asyncio.sleep(LARGEST_COPY_AGE_S * fault.pick)
+        began = self.clock()
+        await self._store.drill(copy, min(fault.for_s, LONGEST_DRILL_S), REWRITE_S)
+        self._record_disturbance(began, "")
+
+    async def _send_many_parts(self, node: str) -> None:
+        """Send requests with very many prompt parts that crash servers, and replace these."""
+        caller = self.make_caller(node)
+        shared = [f"{part:x}:1" for part in range(PROMPT_PARTS)]
+        sent = [
+            asyncio.ensure_future(
+                caller.send(
+                    "stream",
+                    PATHS["stream"],
+                    f"m{number % 4}",
+                    with_good_key=True,
+                    prompt=",".join([*shared, f"{DEADLY_PART}:5", f"ab{number:x}:5"]),
+                )
+            )
+            for number in range(REQUESTS_TOGETHER)
+        ]
+        crashed: set[SoakServer] = set()
+        while not all(task.done() for task in sent):
+            await asyncio.sleep(0.05)
+            for name, server in self._servers.items():
+                if server.is_stopped and server not in crashed:
+                    crashed.add(server)
+                    self._start_task(self._crash_server(name))
+
     async def _change_config(self) -> None:
         self._version += self._rng.randrange(1, 5)
         path = f"/new{self._version}/"
@@ -323,6 +368,7 @@
             self.clock,
         )
         server.pause_s = RUN_S
+        server.deadly_part = DEADLY_PART
         self._servers[name] = server
         await server.start()
 
--- a/eelgrassferry/platform/tests/standin_store.py
+++ b/eelgrassferry/platform/tests/standin_store.py
@@ -97,6 +97,7 @@
         """Return to the content of a copy; what was written since is lost."""
         self.era += 1
         self.revision = copy.revision
+        self.oldest_revision = min(self.oldest_revision, copy.revision)
         self._objects, self._events = dict(copy.objects), list(copy.events)
 
     async def go_down(self) -> None:
--- a/eelgrassferry/platform/tests/test_soak.py
+++ b/eelgrassferry/platform/tests/test_soak.py
@@ -45,7 +45,7 @@
 # Time during which the short run injects faults, in seconds.
 SHORT_S = 8.0
 # A seed whose short run has each of the extra faults.
-EXTRA_SEED = 6
+EXTRA_SEED = 2
 
 
 def make_call(request_id="front-1-1", kind="order", status=200, **more):
