--- a/eelgrassferry/leases/__init__.py
+++ b/eelgrassferry/leases/__init__.py
@@ -1,7 +1,8 @@
 """Leases with fencing epochs, stored as objects in the platform's object API."""
 
+from .actions import LeaseAction, LeaseTerm, ReadLease, WriteLease
 from .keeper import LeaseKeeper
-from .machine import LeaseAction, LeaseMachine, LeaseTerm, ReadLease, WriteLease
+from .machine import LeaseMachine
 from .record import LeaseFormatError, LeaseRecord
 
 __all__ = [
--- a/eelgrassferry/leases/keeper.py
+++ b/eelgrassferry/leases/keeper.py
@@ -7,7 +7,8 @@
 import structlog
 
 from ..objects import ObjectStore
-from .machine import LeaseMachine, LeaseTerm, ReadLease, WriteLease
+from .actions import LeaseTerm, ReadLease, WriteLease
+from .machine import LeaseMachine
 
 __all__ = ["LeaseKeeper"]
 
--- a/eelgrassferry/leases/machine.py
+++ b/eelgrassferry/leases/machine.py
@@ -1,21 +1,13 @@
 """The state machine with which one candidate competes for the lease of one planning area."""
 
-from dataclasses import dataclass, field
-
 from result import Err, Ok, Result
 
 from ..objects import Conflict, ObjectError, StoredObject, Unavailable, era_of, make_version
+from .actions import LeaseAction, LeaseTerm, ReadLease, WriteLease
 from .record import LeaseRecord
+from .state import LeaseState, ObservedLease, PendingWrite
 
-__all__ = [
-    "STOP_EARLY_S",
-    "TAKEOVER_FACTOR",
-    "LeaseAction",
-    "LeaseMachine",
-    "LeaseTerm",
-    "ReadLease",
-    "WriteLease",
-]
+__all__ = ["EPOCHS_PER_ERA", "STOP_EARLY_S", "TAKEOVER_FACTOR", "LeaseMachine"]
 
 # A holder stops acting this long before its lease expires, in seconds, so that work begun in the
 # last event loop iteration of the term is finished before a successor may start.
@@ -30,88 +22,6 @@
 EPOCHS_PER_ERA = 2**20
 
 
-@dataclass(frozen=True)
-class ReadLease:
-    """Action: read the lease object and pass the result to ``on_read``."""
-
-
-@dataclass(frozen=True)
-class WriteLease:
-    """Action: write the lease object and pass the result to ``on_write``.
-
-    The write is conditional on the object's version being ``expected``.
-    """
-
-    value: bytes
-    expected: int
-
-
-LeaseAction = ReadLease | WriteLease
-
-
-@dataclass(frozen=True)
-class LeaseTerm:
-    """The right to act as the holder until ``valid_until``, in seconds on the holder's own clock.
-
-    ``epoch`` is the fencing token. ``acknowledged`` names the earlier holders that have released
-    the lease and thereby promised to send nothing more. ``sole_host_since`` is the time on the same
-    clock since which no other host has acted as the holder, or None if it is not known. With
-    ``is_first``, nobody has held the lease before.
-    """
-
-    epoch: int
-    valid_until: float
-    acknowledged: frozenset[str] = frozenset()
-    sole_host_since: float | None = None
-    is_first: bool = False
-
-
-@dataclass
-class _ObservedLease:
-    """The lease object as last read or written, and when its version was first observed.
-
-    If the object does not exist, ``version`` is revision 0 of the era.
-    """
-
-    version: int
-    record: LeaseRecord | None
-    first_observed_s: float
-
-    @property
-    def era(self) -> int:
-        """The era of the store in which the object was observed."""
-        return era_of(self.version)
-
-
-@dataclass(frozen=True)
-class _PendingWrite:
-    """A write of this candidate whose outcome is not known yet."""
-
-    sent_s: float
-
-
-@dataclass
-class _State:
-    """The mutable state of a lease machine.
-
-    ``needs_read`` is set when the object may differ from ``observed``, for example because the
-    response to a write was lost, and the object has to be read again before the next write.
-    ``is_reclaiming`` is set while this candidate, which held the lease when the store was restored,
-    has not written it in the new era yet.
-    """
-
-    observed: _ObservedLease | None = None
-    busy: bool = False
-    needs_read: bool = False
-    next_action_s: float = 0.0
-    sent_record: LeaseRecord | None = None
-    pending_writes: dict[str, _PendingWrite] = field(default_factory=dict)
-    term: LeaseTerm | None = None
-    renewed_s: float = 0.0
-    releasing: bool = False
-    is_reclaiming: bool = False
-
-
 class LeaseMachine:
     """State machine that decides when to read, take, renew and release a lease. Does no I/O.
 
@@ -171,7 +81,7 @@
         self._first_start = first_start
         self._is_first = False
         self._extended_until = float("-inf")
-        self._state = _State()
+        self._state = LeaseState()
 
     def term(self, now: float) -> LeaseTerm | None:
         """Return the current term, or None if this candidate may not act as holder at ``now``."""
@@ -347,7 +257,7 @@
             held_s,
             state.observed.era,
         )
-        state.pending_writes[write_id] = _PendingWrite(now)
+        state.pending_writes[write_id] = PendingWrite(now)
         state.busy = True
         expected = 0 if old is None else state.observed.version
         return (WriteLease(state.sent_record.encode(), expected),)
@@ -383,7 +293,7 @@
             # store was restored since, the era in their record tells that they mean nothing.
             state.pending_writes.clear()
             reported, reported_s = self._reported_version
-            state.observed = _ObservedLease(
+            state.observed = ObservedLease(
                 version, record, reported_s if reported == version else now
             )
         # Even if the version is unchanged, a write without a response may still be in transit. It
@@ -399,7 +309,7 @@
         write = state.pending_writes[record.write_id]
         state.pending_writes.clear()
         state.is_reclaiming = False
-        state.observed = _ObservedLease(version, record, now)
+        state.observed = ObservedLease(version, record, now)
         state.next_action_s = now
         if record.released:
             state.term = None
@@ -410,7 +320,7 @@
             record.epoch, end_s, self._acknowledged, self._sole_host_since, self._is_first
         )
 
-    def _find_sole_host_since(self, observed: _ObservedLease, now: float) -> float:
+    def _find_sole_host_since(self, observed: ObservedLease, now: float) -> float:
         """Return the time since which no other host has acted, for a lease taken at ``now``."""
         record = observed.record
         if self._is_outdated(observed):
@@ -432,7 +342,7 @@
             return False
         return observed.record.holder == self.instance and not observed.record.released
 
-    def _is_outdated(self, observed: _ObservedLease) -> bool:
+    def _is_outdated(self, observed: ObservedLease) -> bool:
         """Return whether the store may have lost a later record than the observed one."""
         if observed.record is not None:
             return observed.record.era != observed.era
@@ -456,7 +366,7 @@
     def _is_own_host(self, holder: str) -> bool:
         return holder.partition(":")[0] == self.instance.partition(":")[0]
 
-    def _expires_at(self, observed: _ObservedLease) -> float:
+    def _expires_at(self, observed: ObservedLease) -> float:
         """Return when a lease that is not renewed may be taken over."""
         duration_s = self._duration_s if observed.record is None else observed.record.duration_s
         if self._is_outdated(observed):
--- a/eelgrassferry/platform/tests/test_object_store.py
+++ b/eelgrassferry/platform/tests/test_object_store.py
@@ -11,8 +11,8 @@
 from .standin_store import StandinStore
 
 
-class ObjectStoreTest(unittest.IsolatedAsyncioTestCase):
-    """Conditional writes and watches."""
+class ObjectStoreCase(unittest.IsolatedAsyncioTestCase):
+    """A client and a stand-in of the store."""
 
     async def asyncSetUp(self):
         self.server = StandinStore()
@@ -21,6 +21,10 @@
         self.store = PlatformObjectStore(self.client, await self.server.start())
         self.addAsyncCleanup(self.server.stop)
 
+
+class ObjectStoreTest(ObjectStoreCase):
+    """Conditional writes and watches."""
+
     async def test_create_replace_and_conflict(self):
         """Guards against a conditional write that overwrites a concurrent write."""
         version = (await self.store.put("leases/a", b'{"n":1}', 0)).unwrap()
@@ -65,15 +69,11 @@
         self.assertIsInstance(result.err_value, HistoryGone)
 
 
-class RestoreTest(unittest.IsolatedAsyncioTestCase):
+class RestoreTest(ObjectStoreCase):
     """The store comes back from a copy and gives revisions out again."""
 
     async def asyncSetUp(self):
-        self.server = StandinStore()
-        self.client = HttpClient()
-        self.addCleanup(self.client.close)
-        self.store = PlatformObjectStore(self.client, await self.server.start())
-        self.addAsyncCleanup(self.server.stop)
+        await super().asyncSetUp()
         self.version = (await self.store.put("leases/a", b'{"n":1}', 0)).unwrap()
         self.copy = self.server.make_copy()
 
