--- a/eelgrassferry/entry/event_buffer.py
+++ b/eelgrassferry/entry/event_buffer.py
@@ -1,11 +1,7 @@
 """Splitting of a stream of server-sent events into complete events."""
 
-import re
-
 __all__ = ["EventBuffer"]
 
-EVENT_END = re.compile(rb"\n\r?\n")
-
 
 class EventBuffer:
     r"""A buffer that releases complete events only and stores the id of the last one.
@@ -44,10 +40,12 @@
         if end < 3:
             return b""
         whole, self._incomplete = bytes(text[:end]), text[end:]
-        self.count += len(EVENT_END.findall(whole))
-        for line in whole.split(b"\n"):
-            if line.startswith(b"id:"):
-                self.last_id = line[3:].strip().decode("latin-1")
+        self.count += whole.replace(b"\r\n", b"\n").count(b"\n\n")
+        id_at = 0 if whole.startswith(b"id:") else -1
+        id_at = max(id_at, whole.rfind(b"\nid:") + 1 or -1)
+        if id_at >= 0:
+            line = whole[id_at + 3 : whole.index(b"\n", id_at)]
+            self.last_id = line.strip().decode("latin-1")
         return whole
 
     def discard_incomplete(self) -> None:
--- a/eelgrassferry/entry/tests/test_event_buffer.py
+++ b/eelgrassferry/entry/tests/test_event_buffer.py
@@ -17,6 +17,19 @@
             passed = buffer.feed(EVENTS[:cut]) + buffer.feed(EVENTS[cut:])
             self.assertEqual((passed, buffer.last_id), (EVENTS, "3"))
 
+    def test_last_id_and_count(self):
+        """Guards against resuming a stream at another event than the last one passed on."""
+        for text, last_id, count in (
+            (b"data: id: 7\n\n", "", 1),
+            (b"id: 1\nid: 2\n\n\n\n", "2", 2),
+            (b"id:4\r\n\r\nxid: 5\n\n", "4", 2),
+            (b"id: 6\n\nid:\n\n", "", 2),
+            (b"\n" * 6, "", 3),
+        ):
+            buffer = EventBuffer()
+            buffer.feed(text)
+            self.assertEqual((buffer.last_id, buffer.count), (last_id, count), text)
+
     def test_incomplete_event_is_discarded(self):
         """Guards against a truncated event in front of its repetition by another upstream.
 
--- a/eelgrassferry/eventloop/tests/test_work.py
+++ b/eelgrassferry/eventloop/tests/test_work.py
@@ -7,7 +7,7 @@
 from structlog.testing import capture_logs
 
 from .. import Work, WorkQueue
-from ..work import EVENTS_PER_STEP, LOGGED_WORK_S
+from ..work import DEFERRAL_S, EVENTS_PER_STEP, LOGGED_WORK_S, LONG_STEP_S
 from ..work_queue import SLICE_S
 
 STEP_S = 0.001
@@ -48,6 +48,31 @@
         work.submit()
         self.assertEqual((self.left["a"], work.is_pending, self.done), (0, False, []))
 
+    async def test_long_steps_of_many_connections_are_done_in_turn(self):
+        """Guards against a process that stands still because many connections have received bytes
+        that make few events, each of which takes long (review case 15).
+        """
+
+        def step(_limit: int) -> bool:
+            self.now += LONG_STEP_S + STEP_S
+            return False
+
+        works = [Work("test", step) for _ in range(100)]
+        for work in works:
+            work.submit()
+        for _ in range(5):
+            begun_at = self.now
+            for work in works:
+                work.submit()
+            self.assertEqual(self.now, begun_at)
+            while any(work.is_pending for work in works):
+                begun_at = self.now
+                await asyncio.sleep(0)
+                self.assertLess(self.now - begun_at, SLICE_S + LONG_STEP_S + 2 * STEP_S)
+        self.now += DEFERRAL_S
+        works[0].submit()
+        self.assertFalse(works[0].is_pending)
+
     async def test_work_in_one_iteration_does_not_grow_with_the_connections(self):
         """Guards against a process that stands still for seconds because many connections have
         received many events (review cases 6 and 10).
--- a/eelgrassferry/eventloop/work.py
+++ b/eelgrassferry/eventloop/work.py
@@ -16,6 +16,9 @@
 EVENTS_PER_STEP = 32
 # Time in seconds for which a connection that had more gets no turn before those that wait.
 DEFERRAL_S = 1.0
+# A connection whose step has taken this time gets no turn before those that wait, in seconds: its
+# bytes make few events that take long.
+LONG_STEP_S = 0.005
 # Time of queued work on one connection that is logged, in seconds; doubled with each line.
 LOGGED_WORK_S = 1.0
 
@@ -24,8 +27,9 @@
     """Work on the received bytes of one connection, which is done in steps.
 
     ``step`` processes up to the given number of events and returns whether there are more. The
-    first step is done at once, all others in turn with those of the other connections, so that no
-    connection holds the event loop. While ``is_pending``, the connection should not read.
+    first step is done at once, unless an earlier one has taken long, all others in turn with those
+    of the other connections, so that no connection holds the event loop. While ``is_pending``, the
+    connection should not read.
 
     ``on_done`` is called after the last step if there was more than one. ``on_error`` is called
     with an error that a step has raised, unless ``run`` raises it. ``kind`` and ``peer`` describe
@@ -99,8 +103,11 @@
         try:
             return self._step(EVENTS_PER_STEP)
         finally:
-            duration_s = self._queue.clock() - started_at
+            ended_at = self._queue.clock()
+            duration_s = ended_at - started_at
             self._queue.meter.add(self, duration_s)
+            if duration_s >= LONG_STEP_S:
+                self._deferred_at = ended_at
             if self.is_pending:
                 self._log_queued_work(duration_s)
 
--- a/eelgrassferry/platform/tests/test_endless_answers.py
+++ b/eelgrassferry/platform/tests/test_endless_answers.py
@@ -1,4 +1,4 @@
-"""End-to-end test of a node that reads answers without end in very small chunks."""
+"""End-to-end tests of a node that reads answers without end, in small chunks or empty lines."""
 
 import asyncio
 
@@ -8,9 +8,10 @@
 
 HEAD = (
     "HTTP/1.1 200 OK\r\nEelgrassferry-Request-Id: {id}\r\nEelgrassferry-Server-Seal: 3e1b.07\r\n"
-    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "Content-Type: text/event-stream\r\n"
 )
 CHUNKS = b"1\r\nx\r\n" * 10_000
+EMPTY_LINES = b"\n" * 65_536
 # ``timeout_ms`` of the plain routes, and how much later a final answer may come, in seconds.
 TIMEOUT_S, LATE_S = 4.0, 0.5
 
@@ -20,27 +21,38 @@
     without end.
     """
 
+    FRAMING = "Transfer-Encoding: chunked\r\n\r\n"
+    PART = CHUNKS
+
     async def answer(self, headers, reader, writer):
-        head = HEAD.replace("{id}", headers.get("eelgrassferry-request-id", ""))
+        head = HEAD.replace("{id}", headers.get("eelgrassferry-request-id", "")) + self.FRAMING
         writer.write(head.encode())
         while True:
-            writer.write(CHUNKS)
+            writer.write(self.PART)
             await writer.drain()
 
 
+class EmptyLinesServer(EndlessServer):
+    """Server whose answers consist of empty lines without end."""
+
+    FRAMING = "Connection: close\r\n\r\n"
+    PART = EMPTY_LINES
+
+
 class EndlessAnswersTest(NodeFleetCase):
     """A sound plain server, and engines in trouble whose answers never end."""
 
     NODES = 1
     ENGINES = 3
     STREAMS = 12
+    SERVER = EndlessServer
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
         await self.add_server("desk", "i-desk")
         await self.start_nodes()
         for number in range(self.ENGINES):
-            server = EndlessServer()
+            server = self.SERVER()
             await server.start()
             self.addAsyncCleanup(server.stop)
             entry = {
@@ -54,7 +66,7 @@
 
     async def test_other_requests_are_answered_in_time(self):
         """Guards against a violation of CONFIG: a process that stands still while it reads the
-        streams and reports of a few engines in trouble (review case 6).
+        streams and reports of a few engines in trouble (review cases 6 and 15).
         """
         loop = asyncio.get_running_loop()
         (front,) = self.fronts
@@ -72,3 +84,11 @@
         for task in streams:
             task.cancel()
         await asyncio.gather(*streams, return_exceptions=True)
+
+
+class EmptyLinesTest(EndlessAnswersTest):
+    """The same with empty lines, each of which ends an event."""
+
+    ENGINES = 2
+    STREAMS = 24
+    SERVER = EmptyLinesServer
