Test a node that is stopped over a drill of the store

Change: a test with real processes stops the coordinator and then another node, lets the revisions pass the old ones and wakes it.

--- a/eelgrassferry/platform/tests/test_restored_store.py
+++ b/eelgrassferry/platform/tests/test_restored_store.py
@@ -9,6 +9,8 @@
 # A configuration has to be in force this long after its acknowledgement (``config_apply_ms``), and
 # the rest of what a request may take beside a busy machine, in seconds.
 APPLY_S = 2.0
+# Time after which a node that was stopped counts as in touch again, in seconds (``contact_ms``).
+CONTACT_S = 3.0
 # The store is away for a moment.
 AWAY_S = 1.0
 
@@ -58,6 +60,23 @@
         await asyncio.sleep(APPLY_S)
         self.assertEqual(await self.statuses("/new/x"), {200})
 
+    async def test_node_that_was_stopped_over_the_drill_follows(self):
+        """Guards against the same violation at a node that knows the revisions of before the drill
+        and wakes when the store has passed them, coordinator or not.
+        """
+        for number in (self.log_of("coordination begun"), 0):
+            process = self.processes[number]
+            process.send_signal(signal.SIGSTOP)
+            await self.lose_writes()
+            version = 2 + self.store.era
+            await self.add_route(f"/new{version}/", version)
+            for count in range(40):
+                await self.store.write("others", f"p{count}", {"n": version})
+            await asyncio.sleep(4.0)
+            process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(CONTACT_S + APPLY_S)
+            self.assertEqual(await self.statuses(f"/new{version}/x"), {200})
+
     async def test_older_configuration_of_the_copy_is_not_put_in_force(self):
         """Guards against a violation of CONFIG: a node regresses to the copy's configuration."""
         copy = self.store.make_copy()
