Bound what waits for a coordinator, and end a search whose cause is refuted

Cause, found when the change was read again: observations of crashes wait without a limit while there is no coordinator, and a cause that was answered at the very time of the search is found again without end (both also before this issue). Change: 300 runs and 20,000 answers wait, a new coordinator is sent all that is remembered anyway; a verdict that changes nothing begins no search.

--- a/eelgrassferry/dispatch/crash_analyzer.py
+++ b/eelgrassferry/dispatch/crash_analyzer.py
@@ -221,10 +221,10 @@
 
     def _block(self, cause: Cause, now: float) -> None:
         block = BlockedContent(cause.content, now, crashed=cause.crashed)
-        self._add_block(block)
-        self._updates.add(CrashEvidence(blocked=(block,)))
-        # Other causes may explain the other crashes.
-        self._is_search_due = True
+        if self._add_block(block):
+            self._updates.add(CrashEvidence(blocked=(block,)))
+            # Other causes may explain the other crashes.
+            self._is_search_due = True
 
     def _served_at(self, name: str) -> float:
         return self._served.get(name, float("-inf"))
--- a/eelgrassferry/dispatch/evidence_buffer.py
+++ b/eelgrassferry/dispatch/evidence_buffer.py
@@ -11,6 +11,10 @@
 MAX_SENT_BYTES = 300 * 1024
 # Bytes of a time in a message.
 TIME_BYTES = 9
+# Limits of the runs and answers that wait to be sent while there is no coordinator. A new one is
+# sent all that is remembered, not only what waits.
+MAX_WAITING_RUNS = 300
+MAX_WAITING_ANSWERS = 20_000
 
 
 class EvidenceBuffer:
@@ -46,6 +50,9 @@
         self._alive.update(evidence.alive)
         self._served.update(evidence.served)
         self._blocked += evidence.blocked
+        del self._broken_runs[:-MAX_WAITING_RUNS]
+        for name in list(islice(self._served, max(0, len(self._served) - MAX_WAITING_ANSWERS))):
+            del self._served[name]
 
     def pop(self) -> CrashEvidence:
         """Remove and return the observations for one message, at least one if there are any."""
--- a/eelgrassferry/dispatch/tests/test_many_parts.py
+++ b/eelgrassferry/dispatch/tests/test_many_parts.py
@@ -11,6 +11,7 @@
 from ..broken_runs import MAX_BROKEN_BYTES, BrokenRuns
 from ..crash_causes import STEP_SIZE, search_cause
 from ..crash_evidence import size_of
+from ..evidence_buffer import MAX_WAITING_ANSWERS, MAX_WAITING_RUNS, EvidenceBuffer
 
 # As many parts as the head of a request holds.
 PARTS = 2000
@@ -171,6 +172,28 @@
         self.assertTrue(set(received._runs) == set(analyzer._runs))
         self.assertTrue(evidence.blocked)
 
+    def test_what_waits_for_a_coordinator_is_bounded(self):
+        """Guards against memory that grows with each observation while there is no coordinator."""
+        buffer = EvidenceBuffer()
+        for number in range(1000):
+            names = tuple(f"part:{number}-{part}" for part in range(50))
+            run = BrokenRun(f"u{number}/1", float(number), names)
+            buffer.add(CrashEvidence((run,), served=dict.fromkeys(names, float(number))))
+        self.assertEqual(len(buffer._broken_runs), MAX_WAITING_RUNS)
+        self.assertEqual(buffer._broken_runs[-1].process, "u999/1")
+        self.assertEqual(len(buffer._served), MAX_WAITING_ANSWERS)
+        self.assertIn("part:999-0", buffer._served)
+
+    def test_refuted_cause_ends_the_search(self):
+        """Guards against a search without end if the cause was answered at the same time."""
+        analyzer = CrashAnalyzer()
+        analyzer.merge(CrashEvidence(blocked=(BlockedContent(frozenset({DEADLY}), 1.0, 2.0),)), 2.0)
+        for number in range(3):
+            analyzer.record_broken(f"u{number}/1", (DEADLY, f"request:{number}"), 0.6 * number)
+        analyzer.merge(CrashEvidence(ended={f"u{n}/1": 0.6 * n for n in range(3)}), 2.0)
+        self.assertFalse(analyzer.is_searching)
+        self.assertFalse(analyzer.is_blocked((DEADLY,)))
+
     def test_large_requests_do_not_displace_the_answers_of_others(self):
         """Guards against a few requests with thousands of parts, after which the parts of all other
         requests count as never answered.
